--- /dev/null
+++ b/src/core/entry.cpp
@@ -0,0 +1,1 @@
+#include "core/entry.h"
--- /dev/null
+++ b/src/core/messages.h
@@ -0,0 +1,366 @@
+// Messages between an entry and an agent. Encoded with cereal by the runtime; times on the wire are
+// durations from now, because the clocks of two processes are not comparable.
+#pragma once
+
+#include "core/types.h"
+
+#include <cereal/cereal.hpp>
+#include <cereal/types/chrono.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/variant.hpp>
+#include <cereal/types/vector.hpp>
+
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace caraway {
+
+enum class Role : std::uint8_t
+{
+  kEntry,
+  kAgent,
+  kOperator,
+};
+
+// First message in both directions of a connection, and sent again whenever a field changes.
+struct Hello
+{
+  Role role = Role::kEntry;
+  std::string name;
+  std::string region;
+  std::string failureDomain;
+  std::string pool;    // agents: the model or plain service that the endpoint serves
+  std::string version; // agents: version of the endpoint
+  bool leaving = false;
+  LogOffset configOffset = 0;  // first log offset that the sender has not applied
+  std::uint32_t freeSlots = 0; // agents: hint of work that could be offered at once
+  double tokensPerSecond = 0;  // agents: hint of decode speed of one stream
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(role, name, region, failureDomain, pool, version, leaving, configOffset, freeSlots,
+             tokensPerSecond);
+  }
+};
+
+// Entry to agent: asks for a slot. The body stays with the entry until the grant.
+struct Reserve
+{
+  RequestId id;
+  std::string account;
+  Tier tier = kLowestTier;
+  WorkKind kind = WorkKind::kCompletion;
+  std::string route;
+  Duration startWithin{}; // time left until the first token is due
+  Duration endWithin{};   // time left until the whole answer is due
+  std::uint32_t promptTokens = 0;
+  std::uint32_t outputTokens = 0; // estimate
+  std::uint64_t prefixHash = 0;
+  std::uint64_t fingerprint = 0; // hash of account and body, for repeated crashes
+  double weight = 1;             // share of the account inside its tier
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(id, account, tier, kind, route, startWithin, endWithin, promptTokens, outputTokens,
+             prefixHash, fingerprint, weight);
+  }
+};
+
+// Entry to agent: the reservation is no longer wanted.
+struct Withdraw
+{
+  RequestId id;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(id);
+  }
+};
+
+// Agent to entry: a slot is held for the request for a short time.
+struct Offer
+{
+  RequestId id;
+  std::uint64_t offer = 0; // repeated in the grant; a newer offer voids the older ones
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(id, offer);
+  }
+};
+
+// Agent to entry: the reservation is dropped without having run.
+struct Refuse
+{
+  RequestId id;
+  Reason reason = Reason::kOverload;
+  Duration retryAfter{};      // from the drain rate of the backlog
+  bool lowerTierLeft = false; // lower-tier work is queued or running that could have made room
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(id, reason, retryAfter, lowerTierLeft);
+  }
+};
+
+// Entry to agent: runs the request. Sent at most once for each request, to one agent.
+struct Grant
+{
+  RequestId id;
+  std::uint64_t offer = 0;
+  std::string body;            // request body for the endpoint, as JSON
+  LogOffset claim = kNoOffset; // offset of the idempotency claim, for WorkKind::kOnce
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(id, offer, body, claim);
+  }
+};
+
+// Agent to entry: part of an answer. Numbers start at 0 and have no gaps.
+struct Chunk
+{
+  RequestId id;
+  std::uint32_t number = 0;
+  std::uint32_t tokens = 0;
+  std::string data;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(id, number, tokens, data);
+  }
+};
+
+// Agent to entry: end of a granted request.
+struct Finish
+{
+  RequestId id;
+  Outcome outcome = Outcome::kUnknown;
+  Reason reason = Reason::kNone;
+  std::uint32_t chunks = 0;   // number of chunks in the whole answer
+  std::uint64_t bytes = 0;    // length of all chunks together
+  std::uint64_t checksum = 0; // HashOf of all chunks together
+  std::uint16_t status = 200; // HTTP status of the endpoint
+  std::uint32_t promptTokens = 0;
+  std::uint32_t outputTokens = 0;
+  Duration retryAfter{};
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(id, outcome, reason, chunks, bytes, checksum, status, promptTokens, outputTokens,
+             retryAfter);
+  }
+};
+
+// Entry to agent: stops a granted request; the agent answers with Finish.
+struct Cancel
+{
+  RequestId id;
+  Reason reason = Reason::kCallerGone;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(id, reason);
+  }
+};
+
+// Entry to agent: everything below nextChunk has been received; the agent may forget it.
+struct Ack
+{
+  RequestId id;
+  std::uint32_t nextChunk = 0;
+  bool finished = false; // the Finish was received too
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(id, nextChunk, finished);
+  }
+};
+
+// Entry to agent: asks what became of a request and takes over its answer from nextChunk.
+struct Query
+{
+  RequestId id;
+  std::uint32_t nextChunk = 0;
+  std::string account; // the answer is given to the owner only
+  bool bury = false;   // if the request has not run, refuse a late grant (tombstone)
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(id, nextChunk, account, bury);
+  }
+};
+
+enum class RunState : std::uint8_t
+{
+  kNeverRan,  // buried: a late grant will be refused
+  kRunning,   // chunks follow from nextChunk
+  kFinished,  // chunks and the Finish follow from nextChunk
+  kForgotten, // the agent cannot tell
+};
+
+// Agent to entry: answer to Query.
+struct QueryReply
+{
+  RequestId id;
+  RunState state = RunState::kForgotten;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(id, state);
+  }
+};
+
+// One record of the log with its offset. The data is the JSON text of a Record (record.h).
+struct LogRecord
+{
+  LogOffset offset = 0;
+  std::string data;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(offset, data);
+  }
+};
+
+// What is known after an append to the log.
+enum class AppendResult : std::uint8_t
+{
+  kAppended, // the offset is known
+  kUnknown,  // the answer was lost; the record may or may not be in the log
+  kFailed,   // the log refused it or could not be reached; the record is not in the log
+};
+
+// Either direction: records from offset `from`. A peer that holds them answers with ConfigTail.
+struct ConfigAsk
+{
+  LogOffset from = 0;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(from);
+  }
+};
+
+// Consecutive configuration: a snapshot (when the asker is too far behind), then records.
+struct ConfigTail
+{
+  LogOffset next = 0;         // first offset that is not covered
+  std::string snapshot;       // empty, or the JSON text of ConfigState::Snapshot
+  LogOffset snapshotNext = 0; // first offset that the snapshot does not cover
+  std::vector<LogRecord> records;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(next, snapshot, snapshotNext, records);
+  }
+};
+
+// Outcomes of one version on one route, counted since the last report of the same sender.
+struct Evidence
+{
+  std::string pool;
+  std::string version;
+  std::string route;
+  std::uint8_t loadLevel = 0; // quarter of the endpoint's limit that was in use: 0 to 3
+  std::uint32_t good = 0;
+  std::uint32_t bad = 0;
+  std::uint32_t slow = 0; // complete but outside the targets
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(pool, version, route, loadLevel, good, bad, slow);
+  }
+};
+
+// Either direction: outcomes for the judgement of version moves. Agents add up what their entries
+// send and return the total of all senders.
+struct EvidenceReport
+{
+  std::vector<Evidence> counts;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(counts);
+  }
+};
+
+// Either direction: a version was found bad by the sender's own evidence; brakes at once.
+struct Brake
+{
+  std::string move; // name of the move record
+  std::string version;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(move, version);
+  }
+};
+
+// Either direction: a request that was running when an endpoint died.
+struct Suspicion
+{
+  std::uint64_t fingerprint = 0;
+  std::uint32_t crashes = 0;
+  Duration forgetAfter{};
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(fingerprint, crashes, forgetAfter);
+  }
+};
+
+using Message =
+  std::variant<Hello, Reserve, Withdraw, Offer, Refuse, Grant, Chunk, Finish, Cancel, Ack, Query,
+               QueryReply, ConfigAsk, ConfigTail, EvidenceReport, Brake, Suspicion>;
+
+// The other end of a connection: a process and the life of it that sent the message.
+struct Peer
+{
+  NodeId node{};
+  Incarnation incarnation{};
+
+  friend bool operator==(const Peer&, const Peer&) = default;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(node, incarnation);
+  }
+};
+
+// What travels on a connection. The runtime drops an envelope whose `to` names an earlier life.
+struct Envelope
+{
+  Peer from;
+  Peer to;
+  Message message;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(from, to, message);
+  }
+};
+
+} // namespace caraway
