--- a/src/standins/engine_model.cpp
+++ b/src/standins/engine_model.cpp
@@ -11,6 +11,8 @@
 constexpr std::size_t kBlockTokens = 64; // unit of the prefix cache
 constexpr std::size_t kBlockBytes = kBlockTokens * kBytesPerToken;
 constexpr std::size_t kMaxEvents = 4096;
+// A host that calls this much late gets its steps back to back until it has caught up.
+constexpr Duration kMaxCatchUp = std::chrono::milliseconds(50);
 
 // Hashes of the prompt's full blocks; each covers everything before it too.
 std::vector<std::uint64_t> BlocksOf(std::string_view aPrompt)
@@ -104,7 +106,8 @@
     }
   }
   this->FinishPrefill();
-  this->StartStep(std::max(aNow, this->stepEnd));
+  const bool late = aNow - this->stepEnd > kMaxCatchUp;
+  this->StartStep(late ? aNow : this->stepEnd);
   return tokens;
 }
 
@@ -186,21 +189,8 @@
 EngineLoad EngineModel::Load() const
 {
   return { static_cast<std::uint32_t>(this->running.size()),
-           static_cast<std::uint32_t>(this->waiting.size()), this->kvUsed };
-}
-
-std::uint32_t EngineModel::PromptTokens(std::uint64_t aKey) const
-{
-  const auto found = this->running.find(aKey);
-  if (found != this->running.end()) {
-    return found->second.promptTokens;
-  }
-  for (const Stream& stream : this->waiting) {
-    if (stream.request.key == aKey) {
-      return stream.promptTokens;
-    }
-  }
-  return 0;
+           static_cast<std::uint32_t>(this->waiting.size()),
+           static_cast<double>(this->kvUsed) / static_cast<double>(this->options.kvTokens) };
 }
 
 // Tokens of the leading blocks that the prefix cache holds; they count as used.
--- a/src/standins/engine_model.h
+++ b/src/standins/engine_model.h
@@ -58,7 +58,7 @@
 {
   std::uint32_t running = 0;
   std::uint32_t waiting = 0;
-  std::uint64_t kvUsed = 0; // tokens
+  double kvUsedRatio = 0;
 };
 
 struct EngineTotals
@@ -89,8 +89,6 @@
 
   EngineLoad Load() const;
   const EngineTotals& Totals() const { return this->totals; }
-  // Tokens of the prompt of a request that is waiting or running.
-  std::uint32_t PromptTokens(std::uint64_t aKey) const;
   // Events of the prefix cache after a sequence number, oldest first; only the last are kept.
   std::vector<CacheEvent> CacheEvents(std::uint64_t aAfter) const;
 
