Name the agent in a claim, let a query ask without taking the answer over

Cause: a later entry that finds a key claimed by a dead entry must know which agent could have run the call; asking every agent it happens to know proves nothing, since the VM list lags. Ruled out: claiming after the offer, because the slot would be held for the length of an append. A query for that purpose must not steal the answer from a live entry, hence 'take'.

--- a/src/core/claim.h
+++ b/src/core/claim.h
@@ -31,6 +31,7 @@
   LogOffset offset = kNoOffset; // of the winning claim
   RequestId holder;             // request that holds the key (kAsk)
   NodeId holderEntry{};         // entry that claimed it (kAsk)
+  NodeId holderAgent{};         // the only agent that may run the holder's call (kAsk)
   std::uint16_t status = 0;     // of the recorded answer (kReplay)
   std::string answer;           // recorded answer (kReplay)
 };
@@ -46,11 +47,14 @@
   ClaimController& operator=(const ClaimController&) = delete;
 
   // Starts a claim; a decision follows from TakeDecisions, at once for expired or finished keys.
-  void Begin(Now aNow, const RequestId& aId, const std::string& aAccount, const std::string& aKey);
-  // Starts a claim that supersedes the one at aPrevious, after all agents have confirmed with
-  // tombstones that its request never ran.
+  // The claim names aAgent, the only agent that may run the call under it, so that a later entry
+  // knows whom to ask.
+  void Begin(Now aNow, const RequestId& aId, const std::string& aAccount, const std::string& aKey,
+             NodeId aAgent);
+  // Starts a claim that supersedes the one at aPrevious, after its agent has confirmed with
+  // a tombstone that its request never ran, or by the claimant itself when it never granted.
   void BeginAfter(Now aNow, const RequestId& aId, const std::string& aAccount,
-                  const std::string& aKey, LogOffset aPrevious);
+                  const std::string& aKey, NodeId aAgent, LogOffset aPrevious);
   // Records the outcome of a claimed call, so that repeats are answered from the log.
   void Finish(Now aNow, const RequestId& aId, Outcome aOutcome, std::uint16_t aStatus,
               const std::string& aAnswer);
--- a/src/core/messages.h
+++ b/src/core/messages.h
@@ -195,11 +195,12 @@
   std::uint32_t nextChunk = 0;
   std::string account; // the answer is given to the owner only
   bool bury = false;   // if the request has not run, refuse a late grant (tombstone)
+  bool take = true;    // the sender becomes the receiver of the answer; false: only asks
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(id, nextChunk, account, bury);
+    aArchive(id, nextChunk, account, bury, take);
   }
 };
 
