--- /dev/null
+++ b/src/core/assembly.h
@@ -0,0 +1,45 @@
+// Checks that the chunks of one answer arrive in order and whole.
+#pragma once
+
+#include "core/messages.h"
+#include "core/stream_hash.h"
+
+namespace caraway {
+
+enum class ChunkCheck : std::uint8_t
+{
+  kNext,     // the expected chunk: pass it on
+  kRepeated, // received before: ignore it
+  kGap,      // a chunk is missing: ask for it
+};
+
+class Assembly
+{
+public:
+  // aFirst: number of the first chunk that this side receives; earlier ones were passed on by
+  // another entry, so that length and checksum cannot be checked here.
+  explicit Assembly(std::uint32_t aFirst = 0)
+    : next(aFirst)
+    , first(aFirst)
+  {
+  }
+
+  ChunkCheck Add(const Chunk& aChunk);
+  // Whether all chunks that aFinish names have arrived.
+  bool HasAll(const Finish& aFinish) const { return this->next >= aFinish.chunks; }
+  // Whether length and checksum agree with aFinish.
+  bool Matches(const Finish& aFinish) const;
+
+  std::uint32_t Next() const { return this->next; }
+  std::uint32_t Tokens() const { return this->tokens; }
+  bool Empty() const { return this->next == 0; }
+
+private:
+  std::uint32_t next;
+  std::uint32_t first;
+  std::uint32_t tokens = 0;
+  std::uint64_t bytes = 0;
+  StreamHash hash;
+};
+
+} // namespace caraway
--- a/src/core/entry.h
+++ b/src/core/entry.h
@@ -6,6 +6,7 @@
 #include "core/event.h"
 #include "core/messages.h"
 #include "core/options.h"
+#include "core/place.h"
 #include "core/random.h"
 
 #include <memory>
@@ -61,7 +62,9 @@
 class Entry
 {
 public:
-  Entry(const EntryOptions& aOptions, Random& aRandom, EntryPort& aPort);
+  // aName: name of the process in its settings.
+  Entry(const EntryOptions& aOptions, const std::string& aName, Placement& aPlacement,
+        Random& aRandom, EntryPort& aPort);
   ~Entry();
   Entry(const Entry&) = delete;
   Entry& operator=(const Entry&) = delete;
@@ -95,6 +98,9 @@
   void BeginLeaving(Now aNow);
   bool Idle() const;
 
+  // Whether a request with this identifier has been accepted and has no final answer yet. The host
+  // must not submit it a second time.
+  bool Owns(const RequestId& aId) const;
   // Node to which the running request was granted, for the caller's resume header.
   std::optional<NodeId> AgentOf(const RequestId& aId) const;
   const ConfigState& Config() const;
--- a/src/core/messages.h
+++ b/src/core/messages.h
@@ -152,12 +152,13 @@
   std::uint32_t promptTokens = 0;
   std::uint32_t outputTokens = 0;
   Duration retryAfter{};
+  std::uint8_t loadLevel = 0; // quarter of the limit in use when it was dispatched: 0 to 3
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
     aArchive(id, outcome, reason, chunks, bytes, checksum, status, promptTokens, outputTokens,
-             retryAfter);
+             retryAfter, loadLevel);
   }
 };
 
--- a/src/core/options.cpp
+++ b/src/core/options.cpp
@@ -32,6 +32,10 @@
             "how long the old version stays warm after the new one has all traffic" },
   EntryRow{ "max_bad_share", &EntryOptions::maxBadShare, 0.0001, 1,
             "share of traffic of a version that has not proved itself" },
+  EntryRow{ "first_token_target_ms", &EntryOptions::firstTokenTarget, 1, 60000,
+            "time from grant to first token that counts as good for a version" },
+  EntryRow{ "inter_token_target_ms", &EntryOptions::interTokenTarget, 1, 10000,
+            "mean time between tokens that counts as good for a version" },
   EntryRow{ "max_requests", &EntryOptions::maxRequests, 1, 1000000,
             "requests accepted and not yet answered" },
 };
--- a/src/core/options.h
+++ b/src/core/options.h
@@ -24,9 +24,11 @@
   Duration evidencePeriod = seconds(1);
   Duration claimBatchDelay = milliseconds(5);
   Duration claimTimeout = seconds(5);
-  Duration keyWindow = hours(1);     // idempotency keys older than this are refused
-  Duration moveSoak = seconds(30);   // the old version stays warm this long after full share
-  double maxBadShare = 0.02;         // share of a version before it has proved itself
+  Duration keyWindow = hours(1);   // idempotency keys older than this are refused
+  Duration moveSoak = seconds(30); // the old version stays warm this long after full share
+  double maxBadShare = 0.02;       // share of a version before it has proved itself
+  Duration firstTokenTarget = milliseconds(410);
+  Duration interTokenTarget = milliseconds(49);
   std::uint32_t maxRequests = 20000; // accepted and not yet answered
 };
 
