--- a/src/core/config.h
+++ b/src/core/config.h
@@ -85,6 +85,14 @@
   // records in offset order without gaps.
   Applied Apply(const LogRecord& aRecord);
 
+  // Says that the records up to aNext hold nothing of this state (claims, for instance).
+  void SkipTo(LogOffset aNext)
+  {
+    if (aNext > this->next) {
+      this->next = aNext;
+    }
+  }
+
   // First offset that has not been applied.
   LogOffset Next() const { return this->next; }
 
--- a/src/core/entry.h
+++ b/src/core/entry.h
@@ -90,6 +90,9 @@
   void OnLogGap(Now aNow, LogOffset aOldest);
   void OnAppended(Now aNow, std::uint64_t aToken, AppendResult aResult, LogOffset aFirst);
 
+  // Offset that the host should read from the log next.
+  LogOffset NextRead() const;
+
   void OnTimer(Now aNow);
   // When OnTimer wants to be called next; kNever when nothing is due.
   TimePoint NextTimer() const;
