Add links between processes: frames, handshake, heartbeat, backoff

Each frame carries HMAC-SHA256 (128 bits) over direction, sequence number and payload under a session key from both nonces, so tampered, replayed and reordered frames are refused.

--- /dev/null
+++ b/src/runtime/frame.h
@@ -0,0 +1,70 @@
+// Frames between processes: 4-byte length in network order, payload, MAC. The payload is a cereal
+// portable binary Envelope, or empty for a heartbeat.
+#pragma once
+
+#include "core/messages.h"
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+struct _GHmac;
+
+namespace caraway {
+
+constexpr std::size_t kNonceBytes = 16;
+constexpr std::size_t kMacBytes = 16; // HMAC-SHA256 truncated to 128 bits (RFC 2104, section 5)
+constexpr std::size_t kLengthBytes = 4;
+constexpr std::size_t kClusterKeyBytes = 32;
+
+using Nonce = std::array<std::uint8_t, kNonceBytes>;
+using ClusterKey = std::array<std::uint8_t, kClusterKeyBytes>;
+using Mac = std::array<std::uint8_t, kMacBytes>;
+
+// Sender of a frame: the process that opened the connection or the one that accepted it.
+enum class Direction : std::uint8_t
+{
+  kFromDialer = 1,
+  kFromListener = 2,
+};
+
+// Fresh random nonce from the system's source of randomness.
+Nonce MakeNonce();
+
+// Keys of one connection, derived from the shared key and both nonces. Computes the MAC of a frame
+// from its direction, its sequence number and its payload.
+class SessionKey
+{
+public:
+  SessionKey(const ClusterKey& aKey, const Nonce& aDialer, const Nonce& aListener);
+
+  Mac MacOf(Direction aDirection, std::uint64_t aSequence, std::string_view aPayload) const;
+
+private:
+  struct HmacFree
+  {
+    void operator()(_GHmac* aHmac) const;
+  };
+  std::unique_ptr<_GHmac, HmacFree> keyed; // keyed context, copied for each frame
+};
+
+// Compares in constant time.
+bool SameMac(const Mac& aLeft, std::string_view aRight);
+
+std::string EncodeEnvelope(const Envelope& aEnvelope);
+
+// nullopt for anything that is not exactly one envelope.
+std::optional<Envelope> DecodeEnvelope(std::string_view aBytes);
+
+// Appends one frame with aPayload to aBuffer.
+void AppendFrame(std::string& aBuffer, const SessionKey& aKey, Direction aDirection,
+                 std::uint64_t aSequence, std::string_view aPayload);
+
+// Length in the first four bytes of aBytes.
+std::uint32_t ReadLength(std::string_view aBytes);
+
+} // namespace caraway
--- /dev/null
+++ b/src/runtime/link.cpp
@@ -0,0 +1,303 @@
+#include "runtime/link.h"
+
+#include <algorithm>
+#include <array>
+#include <cstring>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <utility>
+
+namespace caraway {
+
+namespace {
+
+constexpr std::size_t kReadBytes = 64 * 1024;
+// Limit of the first frame, whose sender has not yet proved that it holds the key.
+constexpr std::uint32_t kMaxHelloBytes = 4096;
+// A tick this many heartbeats late means that this process itself was paused.
+constexpr int kPausedTicks = 2;
+
+constexpr std::array<std::string_view, 12> kEndNames = {
+  "closed_by_peer",    "socket_error", "silent",       "queue_full",
+  "handshake_timeout", "wrong_mac",    "oversize",     "malformed",
+  "wrong_sender",      "old_incarnation", "replaced",  "local",
+};
+
+void DestroySource(GSource*& aSource)
+{
+  if (aSource != nullptr) {
+    g_source_destroy(aSource);
+    g_source_unref(aSource);
+    aSource = nullptr;
+  }
+}
+
+} // namespace
+
+std::string_view ToString(LinkEnd aEnd)
+{
+  return kEndNames.at(static_cast<std::size_t>(aEnd));
+}
+
+bool IsRefusal(LinkEnd aEnd)
+{
+  switch (aEnd) {
+    case LinkEnd::kHandshakeTimeout:
+    case LinkEnd::kWrongMac:
+    case LinkEnd::kOversize:
+    case LinkEnd::kMalformed:
+    case LinkEnd::kWrongSender:
+    case LinkEnd::kOldIncarnation:
+      return true;
+    default:
+      return false;
+  }
+}
+
+Link::Link(const LinkOptions& aOptions, const ClusterKey& aKey, Direction aDirection,
+           ObjectPtr<GSocketConnection> aConnection, const Clock& aClock, LinkOwner& aOwner)
+  : options(aOptions)
+  , key(aKey)
+  , direction(aDirection)
+  , connection(std::move(aConnection))
+  , socket(g_socket_connection_get_socket(this->connection.get()))
+  , clock(aClock)
+  , owner(aOwner)
+  , nonce(MakeNonce())
+  , tick([this] { this->OnTick(); })
+  , flush([this] { this->Flush(); })
+{
+}
+
+Link::~Link()
+{
+  DestroySource(this->readSource);
+  DestroySource(this->writeSource);
+}
+
+void Link::Start()
+{
+  g_socket_set_blocking(this->socket, FALSE);
+  g_socket_set_option(this->socket, IPPROTO_TCP, TCP_NODELAY, 1, nullptr);
+  this->startedAt = this->clock.Read().steady;
+  this->receivedAt = this->startedAt;
+  this->tickedAt = this->startedAt;
+  this->output.assign(reinterpret_cast<const char*>(this->nonce.data()), this->nonce.size());
+  this->readSource = g_socket_create_source(this->socket, G_IO_IN, nullptr);
+  g_source_set_callback(this->readSource, G_SOURCE_FUNC(&Link::OnReadable), this, nullptr);
+  g_source_attach(this->readSource, g_main_context_get_thread_default());
+  this->flush.ArmAfter(Duration::zero());
+  this->tick.ArmAfter(this->options.heartbeat);
+}
+
+void Link::Send(const Envelope& aEnvelope)
+{
+  if (this->ended || !this->session) {
+    return;
+  }
+  this->AppendPayload(EncodeEnvelope(aEnvelope));
+}
+
+// Frames one payload. The flush comes with the next turn of the main loop, so that messages sent
+// together leave in one system call.
+void Link::AppendPayload(std::string_view aPayload)
+{
+  AppendFrame(this->output, *this->session, this->direction, this->sendSequence++, aPayload);
+  this->sentSinceTick = true;
+  this->flush.ArmAfter(Duration::zero());
+}
+
+void Link::End(LinkEnd aEnd)
+{
+  if (this->ended) {
+    return;
+  }
+  const auto keep = this->shared_from_this();
+  this->ended = true;
+  this->tick.Cancel();
+  this->flush.Cancel();
+  DestroySource(this->readSource);
+  DestroySource(this->writeSource);
+  g_socket_close(this->socket, nullptr);
+  this->owner.OnLinkEnd(*this, aEnd);
+}
+
+int Link::OnReadable(GSocket*, GIOCondition, void* aData)
+{
+  const auto link = static_cast<Link*>(aData)->shared_from_this();
+  link->Read();
+  return link->ended ? G_SOURCE_REMOVE : G_SOURCE_CONTINUE;
+}
+
+int Link::OnWritable(GSocket*, GIOCondition, void* aData)
+{
+  const auto link = static_cast<Link*>(aData)->shared_from_this();
+  DestroySource(link->writeSource);
+  link->Flush();
+  return G_SOURCE_REMOVE;
+}
+
+void Link::Read()
+{
+  static std::array<char, kReadBytes> buffer; // shared by all links of the one main loop
+  GError* raw = nullptr;
+  const gssize count =
+    g_socket_receive(this->socket, buffer.data(), buffer.size(), nullptr, &raw);
+  const ErrorPtr error(raw);
+  if (count == 0) {
+    this->End(LinkEnd::kClosedByPeer);
+    return;
+  }
+  if (count < 0) {
+    if (!g_error_matches(error.get(), G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK)) {
+      this->End(LinkEnd::kSocketError);
+    }
+    return;
+  }
+  this->input.append(buffer.data(), static_cast<std::size_t>(count));
+  if (this->session || this->ReadNonce()) {
+    this->ReadFrames();
+  }
+}
+
+// Takes the peer's nonce, the first bytes on the connection. False while it is incomplete.
+bool Link::ReadNonce()
+{
+  if (this->input.size() < kNonceBytes) {
+    return false;
+  }
+  Nonce other{};
+  std::memcpy(other.data(), this->input.data(), other.size());
+  this->input.erase(0, kNonceBytes);
+  const bool dialer = this->direction == Direction::kFromDialer;
+  this->session.emplace(this->key, dialer ? this->nonce : other, dialer ? other : this->nonce);
+  this->owner.OnLinkReady(*this);
+  return !this->ended;
+}
+
+void Link::ReadFrames()
+{
+  std::size_t offset = 0;
+  while (!this->ended && this->ReadFrame(offset)) {
+  }
+  this->input.erase(0, offset);
+}
+
+// Handles the frame at aOffset and moves aOffset past it; false when it is incomplete.
+bool Link::ReadFrame(std::size_t& aOffset)
+{
+  const std::string_view rest = std::string_view(this->input).substr(aOffset);
+  if (rest.size() < kLengthBytes) {
+    return false;
+  }
+  const std::uint32_t length = ReadLength(rest);
+  const std::uint32_t limit = this->remote ? this->options.maxFrameBytes : kMaxHelloBytes;
+  if (length > limit) {
+    this->End(LinkEnd::kOversize);
+    return false;
+  }
+  const std::size_t whole = kLengthBytes + length + kMacBytes;
+  if (rest.size() < whole) {
+    return false;
+  }
+  aOffset += whole;
+  return this->TakePayload(rest.substr(kLengthBytes, length),
+                           rest.substr(kLengthBytes + length, kMacBytes));
+}
+
+bool Link::TakePayload(std::string_view aPayload, std::string_view aMac)
+{
+  const Mac expected =
+    this->session->MacOf(this->RemoteDirection(), this->receiveSequence, aPayload);
+  if (!SameMac(expected, aMac)) {
+    this->End(LinkEnd::kWrongMac);
+    return false;
+  }
+  ++this->receiveSequence;
+  this->receivedAt = this->clock.Read().steady;
+  if (aPayload.empty()) {
+    return true;
+  }
+  const std::optional<Envelope> envelope = DecodeEnvelope(aPayload);
+  if (!envelope) {
+    this->End(LinkEnd::kMalformed);
+    return false;
+  }
+  this->owner.OnLinkEnvelope(*this, *envelope);
+  return !this->ended;
+}
+
+void Link::Flush()
+{
+  const auto keep = this->shared_from_this();
+  while (!this->ended && this->sent < this->output.size()) {
+    GError* raw = nullptr;
+    const gssize count = g_socket_send(this->socket, this->output.data() + this->sent,
+                                       this->output.size() - this->sent, nullptr, &raw);
+    const ErrorPtr error(raw);
+    if (count < 0) {
+      if (!g_error_matches(error.get(), G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK)) {
+        this->End(LinkEnd::kSocketError);
+        return;
+      }
+      this->WatchWritable();
+      return;
+    }
+    this->sent += static_cast<std::size_t>(count);
+  }
+  this->output.clear();
+  this->sent = 0;
+}
+
+// Waits for room in the socket; ends the link when the peer has left too much unread.
+void Link::WatchWritable()
+{
+  if (this->output.size() - this->sent > this->options.maxQueueBytes) {
+    this->End(LinkEnd::kQueueFull);
+    return;
+  }
+  if (this->sent >= kReadBytes) {
+    this->output.erase(0, this->sent);
+    this->sent = 0;
+  }
+  if (this->writeSource != nullptr) {
+    return;
+  }
+  this->writeSource = g_socket_create_source(this->socket, G_IO_OUT, nullptr);
+  g_source_set_callback(this->writeSource, G_SOURCE_FUNC(&Link::OnWritable), this, nullptr);
+  g_source_attach(this->writeSource, g_main_context_get_thread_default());
+}
+
+// Sends a heartbeat if nothing else was sent, and ends the link when the peer is silent. After a
+// pause of this process the peer's frames may still wait in the socket, so the silence starts anew.
+void Link::OnTick()
+{
+  const auto keep = this->shared_from_this();
+  const TimePoint now = this->clock.Read().steady;
+  const bool paused = now - this->tickedAt > kPausedTicks * this->options.heartbeat;
+  this->tickedAt = now;
+  if (paused) {
+    this->receivedAt = now;
+  }
+  if (!this->remote && now - this->startedAt > this->options.handshakeTimeout) {
+    this->End(LinkEnd::kHandshakeTimeout);
+    return;
+  }
+  if (now - this->receivedAt > this->options.peerTimeout) {
+    this->End(LinkEnd::kSilent);
+    return;
+  }
+  if (this->session && !this->sentSinceTick) {
+    this->AppendPayload({});
+  }
+  this->sentSinceTick = false;
+  this->tick.ArmAfter(this->options.heartbeat);
+}
+
+Direction Link::RemoteDirection() const
+{
+  return this->direction == Direction::kFromDialer ? Direction::kFromListener
+                                                   : Direction::kFromDialer;
+}
+
+} // namespace caraway
--- /dev/null
+++ b/src/runtime/link_hub.cpp
@@ -0,0 +1,279 @@
+#include "runtime/link_hub.h"
+
+#include "runtime/error.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace caraway {
+
+// Keeps one outgoing connection alive.
+struct LinkHub::Dialer
+{
+  Dialer(LinkHub& aHub, Address aAddress)
+    : hub(aHub)
+    , address(std::move(aAddress))
+    , backoff(aHub.options.minBackoff)
+    , retry([this] { this->hub.Connect(*this); })
+  {
+  }
+
+  LinkHub& hub;
+  Address address;
+  Duration backoff;
+  Link* link = nullptr;
+  ObjectPtr<GCancellable> cancellable;
+  Timer retry;
+};
+
+LinkHub::LinkHub(const LinkOptions& aOptions, const ClusterKey& aKey, Peer aSelf,
+                 const Clock& aClock, Random& aRandom, LinkHandler& aHandler)
+  : options(aOptions)
+  , key(aKey)
+  , self(aSelf)
+  , clock(aClock)
+  , random(aRandom)
+  , handler(aHandler)
+  , client(g_socket_client_new())
+{
+  g_socket_client_set_enable_proxy(this->client.get(), FALSE);
+}
+
+LinkHub::~LinkHub()
+{
+  for (const auto& [address, dialer] : this->dialers) {
+    if (dialer->cancellable) {
+      g_cancellable_cancel(dialer->cancellable.get());
+    }
+  }
+  if (this->service) {
+    g_signal_handlers_disconnect_by_data(this->service.get(), this);
+    g_socket_service_stop(this->service.get());
+    g_socket_listener_close(G_SOCKET_LISTENER(this->service.get()));
+  }
+}
+
+std::error_code LinkHub::Listen(const Address& aAddress)
+{
+  this->service.reset(g_socket_service_new());
+  const ObjectPtr<GSocketAddress> address(
+    g_inet_socket_address_new_from_string(aAddress.host.c_str(), aAddress.port));
+  GSocketAddress* bound = nullptr;
+  GError* raw = nullptr;
+  const bool done = g_socket_listener_add_address(
+    G_SOCKET_LISTENER(this->service.get()), address.get(), G_SOCKET_TYPE_STREAM,
+    G_SOCKET_PROTOCOL_TCP, nullptr, &bound, &raw);
+  const ErrorPtr error(raw);
+  if (!done) {
+    this->service.reset();
+    return ErrorOf(error.get());
+  }
+  const ObjectPtr<GSocketAddress> keep(bound);
+  this->port = g_inet_socket_address_get_port(G_INET_SOCKET_ADDRESS(bound));
+  g_signal_connect(this->service.get(), "incoming", G_CALLBACK(&LinkHub::OnIncoming), this);
+  g_socket_service_start(this->service.get());
+  return {};
+}
+
+void LinkHub::Dial(const Address& aAddress)
+{
+  auto& dialer = this->dialers[aAddress];
+  if (!dialer) {
+    dialer = std::make_unique<Dialer>(*this, aAddress);
+    this->Connect(*dialer);
+  }
+}
+
+void LinkHub::HangUp(const Address& aAddress)
+{
+  const auto found = this->dialers.find(aAddress);
+  if (found == this->dialers.end()) {
+    return;
+  }
+  const std::unique_ptr<Dialer> dialer = std::move(found->second);
+  this->dialers.erase(found);
+  if (dialer->cancellable) {
+    g_cancellable_cancel(dialer->cancellable.get());
+  }
+  if (dialer->link != nullptr) {
+    dialer->link->End(LinkEnd::kLocal);
+  }
+}
+
+std::vector<Address> LinkHub::Dialed() const
+{
+  std::vector<Address> addresses;
+  for (const auto& [address, dialer] : this->dialers) {
+    addresses.push_back(address);
+  }
+  return addresses;
+}
+
+void LinkHub::Announce(const Hello& aHello)
+{
+  const std::string encoded = EncodeEnvelope(Envelope{ {}, {}, aHello });
+  if (encoded == this->hello) {
+    return;
+  }
+  this->hello = encoded;
+  this->current = aHello;
+  for (const auto& [link, owned] : this->links) {
+    this->SendHello(*link);
+  }
+}
+
+bool LinkHub::Send(NodeId aTo, const Message& aMessage)
+{
+  const auto found = this->peers.find(aTo);
+  if (found == this->peers.end()) {
+    return false;
+  }
+  found->second->Send(Envelope{ this->self, *found->second->Remote(), aMessage });
+  return true;
+}
+
+int LinkHub::OnIncoming(GSocketService*, GSocketConnection* aConnection, GObject*, void* aData)
+{
+  static_cast<LinkHub*>(aData)->AddLink(Direction::kFromListener, ShareObject(aConnection));
+  return TRUE;
+}
+
+// Starts one attempt to connect.
+void LinkHub::Connect(Dialer& aDialer)
+{
+  aDialer.cancellable.reset(g_cancellable_new());
+  const ObjectPtr<GSocketAddress> address(
+    g_inet_socket_address_new_from_string(aDialer.address.host.c_str(), aDialer.address.port));
+  g_socket_client_connect_async(this->client.get(), G_SOCKET_CONNECTABLE(address.get()),
+                                aDialer.cancellable.get(), &LinkHub::OnConnected, &aDialer);
+}
+
+// A cancelled attempt has no dialer any more, so the result is looked at before the dialer.
+void LinkHub::OnConnected(GObject* aSource, GAsyncResult* aResult, void* aData)
+{
+  GError* raw = nullptr;
+  ObjectPtr<GSocketConnection> connection(
+    g_socket_client_connect_finish(G_SOCKET_CLIENT(aSource), aResult, &raw));
+  const ErrorPtr error(raw);
+  if (g_error_matches(error.get(), G_IO_ERROR, G_IO_ERROR_CANCELLED)) {
+    return;
+  }
+  auto& dialer = *static_cast<Dialer*>(aData);
+  dialer.cancellable.reset();
+  if (!connection) {
+    dialer.hub.Retry(dialer);
+    return;
+  }
+  dialer.link = dialer.hub.AddLink(Direction::kFromDialer, std::move(connection)).get();
+}
+
+// Waits a random time up to the backoff, then doubles the backoff.
+void LinkHub::Retry(Dialer& aDialer)
+{
+  const auto bound = static_cast<std::uint64_t>(aDialer.backoff.count());
+  const Duration jitter(static_cast<Duration::rep>(this->random.Below(bound / 2 + 1)));
+  aDialer.retry.ArmAfter(aDialer.backoff / 2 + jitter);
+  aDialer.backoff = std::min(aDialer.backoff * 2, this->options.maxBackoff);
+}
+
+std::shared_ptr<Link> LinkHub::AddLink(Direction aDirection,
+                                       ObjectPtr<GSocketConnection> aConnection)
+{
+  auto link = std::make_shared<Link>(this->options, this->key, aDirection, std::move(aConnection),
+                                     this->clock, *this);
+  this->links[link.get()] = link;
+  link->Start();
+  return link;
+}
+
+void LinkHub::OnLinkReady(Link& aLink)
+{
+  this->SendHello(aLink);
+}
+
+void LinkHub::SendHello(Link& aLink)
+{
+  aLink.Send(Envelope{ this->self, aLink.Remote().value_or(Peer{}), this->current });
+}
+
+void LinkHub::OnLinkEnvelope(Link& aLink, const Envelope& aEnvelope)
+{
+  if (!aLink.Remote()) {
+    this->Introduce(aLink, aEnvelope);
+    return;
+  }
+  if (aEnvelope.from != *aLink.Remote()) {
+    aLink.End(LinkEnd::kWrongSender);
+    return;
+  }
+  const bool hello = std::holds_alternative<Hello>(aEnvelope.message);
+  const bool unaddressed = hello && aEnvelope.to == Peer{};
+  if (!unaddressed && aEnvelope.to != this->self) {
+    this->handler.OnRefusedFrame("other_incarnation");
+    return;
+  }
+  this->handler.OnPeerMessage(aEnvelope.from, aEnvelope.message);
+}
+
+// Takes the first Hello of a link.
+void LinkHub::Introduce(Link& aLink, const Envelope& aEnvelope)
+{
+  const auto* first = std::get_if<Hello>(&aEnvelope.message);
+  if (first == nullptr || aEnvelope.from.node == this->self.node ||
+      NodeIdOf(first->name) != aEnvelope.from.node) {
+    aLink.End(LinkEnd::kWrongSender);
+    return;
+  }
+  if (!this->Admit(aLink, aEnvelope)) {
+    return;
+  }
+  aLink.SetRemote(aEnvelope.from);
+  this->peers[aEnvelope.from.node] = &aLink;
+  for (const auto& [address, dialer] : this->dialers) {
+    if (dialer->link == &aLink) {
+      dialer->backoff = this->options.minBackoff;
+    }
+  }
+  this->handler.OnPeerUp(aEnvelope.from, *first);
+}
+
+// Decides between a new link and one that stands for the same node: the later life wins, and of one
+// life the later connection.
+bool LinkHub::Admit(Link& aLink, const Envelope& aEnvelope)
+{
+  const auto found = this->peers.find(aEnvelope.from.node);
+  if (found == this->peers.end()) {
+    return true;
+  }
+  if (aEnvelope.from.incarnation < found->second->Remote()->incarnation) {
+    aLink.End(LinkEnd::kOldIncarnation);
+    return false;
+  }
+  found->second->End(LinkEnd::kReplaced);
+  return true;
+}
+
+void LinkHub::OnLinkEnd(Link& aLink, LinkEnd aEnd)
+{
+  for (const auto& [address, dialer] : this->dialers) {
+    if (dialer->link == &aLink) {
+      dialer->link = nullptr;
+      this->Retry(*dialer);
+    }
+  }
+  const std::optional<Peer> remote = aLink.Remote();
+  this->links.erase(&aLink);
+  if (IsRefusal(aEnd)) {
+    this->handler.OnRefusedFrame(ToString(aEnd));
+  }
+  if (!remote) {
+    return;
+  }
+  const auto found = this->peers.find(remote->node);
+  if (found != this->peers.end() && found->second == &aLink) {
+    this->peers.erase(found);
+    this->handler.OnPeerDown(remote->node, aEnd);
+  }
+}
+
+} // namespace caraway
--- /dev/null
+++ b/src/runtime/link_hub.h
@@ -0,0 +1,92 @@
+// All links of one process: listens, dials with jittered backoff, knows each peer by its Hello, and
+// drops envelopes that are meant for another life of this process.
+#pragma once
+
+#include "core/random.h"
+#include "runtime/address.h"
+#include "runtime/link.h"
+
+#include <cstddef>
+#include <map>
+#include <memory>
+#include <string>
+#include <system_error>
+#include <vector>
+
+namespace caraway {
+
+// Receives what happens on the links. Calls come from the main loop, never from inside Send.
+class LinkHandler
+{
+public:
+  virtual ~LinkHandler() = default;
+  virtual void OnPeerUp(Peer aPeer, const Hello& aHello) = 0;
+  virtual void OnPeerDown(NodeId aNode, LinkEnd aEnd) = 0;
+  // Any message but the first Hello; a later Hello comes here.
+  virtual void OnPeerMessage(Peer aFrom, const Message& aMessage) = 0;
+  // A link ended because its peer broke the protocol, or an envelope was dropped.
+  virtual void OnRefusedFrame(std::string_view aCause) = 0;
+};
+
+class LinkHub final : public LinkOwner
+{
+public:
+  LinkHub(const LinkOptions& aOptions, const ClusterKey& aKey, Peer aSelf, const Clock& aClock,
+          Random& aRandom, LinkHandler& aHandler);
+  ~LinkHub() override;
+  LinkHub(const LinkHub&) = delete;
+  LinkHub& operator=(const LinkHub&) = delete;
+
+  // Accepts connections at aAddress; port 0 lets the kernel choose one.
+  std::error_code Listen(const Address& aAddress);
+  // Port of the listener, 0 before Listen.
+  std::uint16_t Port() const { return this->port; }
+
+  // Keeps a connection to aAddress until HangUp.
+  void Dial(const Address& aAddress);
+  void HangUp(const Address& aAddress);
+  std::vector<Address> Dialed() const;
+
+  // Sets the Hello of this process and sends it to all peers if it differs from the last one.
+  void Announce(const Hello& aHello);
+
+  // Sends to a connected peer; false if there is none.
+  bool Send(NodeId aTo, const Message& aMessage);
+
+  bool IsConnected(NodeId aNode) const { return this->peers.contains(aNode); }
+  std::size_t PeerCount() const { return this->peers.size(); }
+
+  void OnLinkReady(Link& aLink) override;
+  void OnLinkEnvelope(Link& aLink, const Envelope& aEnvelope) override;
+  void OnLinkEnd(Link& aLink, LinkEnd aEnd) override;
+
+private:
+  struct Dialer;
+
+  static int OnIncoming(GSocketService* aService, GSocketConnection* aConnection, GObject* aSource,
+                        void* aData);
+  static void OnConnected(GObject* aSource, GAsyncResult* aResult, void* aData);
+  void Connect(Dialer& aDialer);
+  void Retry(Dialer& aDialer);
+  std::shared_ptr<Link> AddLink(Direction aDirection, ObjectPtr<GSocketConnection> aConnection);
+  void Introduce(Link& aLink, const Envelope& aEnvelope);
+  bool Admit(Link& aLink, const Envelope& aEnvelope);
+  void SendHello(Link& aLink);
+
+  LinkOptions options;
+  ClusterKey key;
+  Peer self;
+  const Clock& clock;
+  Random& random;
+  LinkHandler& handler;
+  std::string hello; // encoded form of the last Hello, to see changes
+  Hello current;
+  std::uint16_t port = 0;
+  ObjectPtr<GSocketService> service;
+  ObjectPtr<GSocketClient> client;
+  std::map<Link*, std::shared_ptr<Link>> links;
+  std::map<NodeId, Link*> peers;
+  std::map<Address, std::unique_ptr<Dialer>> dialers;
+};
+
+} // namespace caraway
--- /dev/null
+++ b/src/runtime/timer.cpp
@@ -0,0 +1,45 @@
+#include "runtime/timer.h"
+
+#include <glib.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace caraway {
+
+Timer::Timer(std::function<void()> aCallback)
+  : callback(std::move(aCallback))
+{
+  static GSourceFuncs functions = { nullptr, nullptr, &Timer::Dispatch, nullptr, nullptr, nullptr };
+  this->source = g_source_new(&functions, sizeof(GSource));
+  g_source_set_callback(this->source, nullptr, this, nullptr);
+  g_source_attach(this->source, g_main_context_get_thread_default());
+}
+
+Timer::~Timer()
+{
+  g_source_destroy(this->source);
+  g_source_unref(this->source);
+}
+
+void Timer::ArmAfter(Duration aDelay)
+{
+  const Duration delay = std::max(aDelay, Duration::zero());
+  g_source_set_ready_time(this->source, g_get_monotonic_time() + delay.count());
+}
+
+void Timer::Cancel()
+{
+  g_source_set_ready_time(this->source, -1);
+}
+
+// Disarms before the callback, so that the callback may arm again or destroy the timer.
+int Timer::Dispatch(GSource* aSource, GSourceFunc, void* aData)
+{
+  g_source_set_ready_time(aSource, -1);
+  auto* timer = static_cast<Timer*>(aData);
+  timer->callback();
+  return G_SOURCE_CONTINUE;
+}
+
+} // namespace caraway
