Add AgentIdentity to the agent's constructor

The agent's Hello, its drain record and its orders need the agent's name, place, pool and version, and the fence needs to know whether the endpoint checks fencing numbers itself.

No functional change

--- a/src/core/agent.h
+++ b/src/core/agent.h
@@ -47,10 +47,22 @@
   virtual void Order(LogOffset aFencing, const std::string& aBody) = 0;
 };
 
+// What an agent is, from its settings. Its entries see it in the agent's Hello.
+struct AgentIdentity
+{
+  std::string name;
+  std::string region;
+  std::string failureDomain;
+  std::string pool;           // model or plain service that the endpoint serves
+  std::string version;        // of the endpoint
+  bool checksFencing = false; // the endpoint refuses orders with an old fencing number itself
+};
+
 class Agent
 {
 public:
-  Agent(const AgentOptions& aOptions, Random& aRandom, AgentPort& aPort);
+  Agent(const AgentOptions& aOptions, const AgentIdentity& aIdentity, Random& aRandom,
+        AgentPort& aPort);
   ~Agent();
   Agent(const Agent&) = delete;
   Agent& operator=(const Agent&) = delete;
