--- /dev/null
+++ b/src/core/drain_rate.cpp
@@ -0,0 +1,86 @@
+#include "core/drain_rate.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace caraway {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Duration kMemory = seconds(2); // time constant of the rates
+constexpr std::uint64_t kFewestServed = 8;
+constexpr Duration kShortestRetry = milliseconds(250);
+constexpr Duration kLongestRetry = seconds(30);
+constexpr double kJitter = 0.5; // of the wait, added at random
+constexpr double kLeastRate = 0.05;
+
+double SecondsOf(Duration aTime)
+{
+  return std::chrono::duration<double>(aTime).count();
+}
+
+Duration DurationOf(double aSeconds)
+{
+  const double bounded = std::min(aSeconds, SecondsOf(std::chrono::hours(1)));
+  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(bounded));
+}
+
+} // namespace
+
+void DrainRate::OnArrival(TimePoint aNow, Tier aTier)
+{
+  Count(this->arrivals.at(std::min(aTier, kLowestTier)), aNow);
+}
+
+void DrainRate::OnServed(TimePoint aNow, Tier aTier)
+{
+  Count(this->served.at(std::min(aTier, kLowestTier)), aNow);
+  this->servedCount++;
+}
+
+double DrainRate::ServedPerSecond(TimePoint aNow) const
+{
+  double sum = 0;
+  for (const Rate& rate : this->served) {
+    sum += Value(rate, aNow);
+  }
+  return sum;
+}
+
+Duration DrainRate::WaitFor(TimePoint aNow, Tier aTier, std::size_t aAhead) const
+{
+  if (this->servedCount < kFewestServed) {
+    return Duration::zero();
+  }
+  double rate = this->ServedPerSecond(aNow);
+  for (std::size_t tier = 0; tier < aTier && tier < kTierCount; tier++) {
+    rate -= Value(this->arrivals.at(tier), aNow);
+  }
+  return DurationOf(static_cast<double>(aAhead) / std::max(rate, kLeastRate));
+}
+
+Duration DrainRate::RetryAfter(TimePoint aNow, std::size_t aBacklog, Random& aRandom) const
+{
+  const double rate = std::max(this->ServedPerSecond(aNow), kLeastRate);
+  const Duration drain = DurationOf(static_cast<double>(aBacklog + 1) / rate);
+  const Duration base = std::clamp(drain, kShortestRetry, kLongestRetry);
+  return base + DurationOf(SecondsOf(base) * kJitter * aRandom.Unit());
+}
+
+// Adds one event to a rate that decays with the time constant.
+void DrainRate::Count(Rate& aRate, TimePoint aNow)
+{
+  aRate.perSecond = Value(aRate, aNow) + 1 / SecondsOf(kMemory);
+  aRate.updated = aNow;
+}
+
+double DrainRate::Value(const Rate& aRate, TimePoint aNow)
+{
+  const double age = SecondsOf(aNow - aRate.updated);
+  return aRate.perSecond * std::exp(-std::max(age, 0.0) / SecondsOf(kMemory));
+}
+
+} // namespace caraway
