Split the entry by step and check the invariants in it

The steps of a request now stand in files of their own; the checker stands between the decisions and the event sink.

No functional change.

--- a/src/core/assembly.cpp
+++ b/src/core/assembly.cpp
@@ -17,13 +17,4 @@
   return ChunkCheck::kNext;
 }
 
-bool Assembly::Matches(const Finish& aFinish) const
-{
-  if (this->first > 0) {
-    return true;
-  }
-  return this->next == aFinish.chunks && this->bytes == aFinish.bytes &&
-         this->hash.Digest() == aFinish.checksum;
-}
-
 } // namespace caraway
--- a/src/core/assembly.h
+++ b/src/core/assembly.h
@@ -27,8 +27,10 @@
   ChunkCheck Add(const Chunk& aChunk);
   // Whether all chunks that aFinish names have arrived.
   bool HasAll(const Finish& aFinish) const { return this->next >= aFinish.chunks; }
-  // Whether length and checksum agree with aFinish.
-  bool Matches(const Finish& aFinish) const;
+  // Whether all chunks were received here, so that length and checksum can be checked.
+  bool FromStart() const { return this->first == 0; }
+  std::uint64_t Bytes() const { return this->bytes; }
+  std::uint64_t Checksum() const { return this->hash.Digest(); }
 
   std::uint32_t Next() const { return this->next; }
   std::uint32_t Tokens() const { return this->tokens; }
--- /dev/null
+++ b/src/core/entry_impl.h
@@ -0,0 +1,142 @@
+// State of an entry and the steps of a request through it. The steps stand in entry.cpp
+// (acceptance, timers), entry_claim.cpp (idempotency keys), entry_place.cpp (reservation, offer,
+// grant), entry_answer.cpp (chunks, lost agents, final answers) and entry_state.cpp (peers,
+// configuration, version moves, suspects).
+#pragma once
+
+#include "core/affinity.h"
+#include "core/claim.h"
+#include "core/config_feed.h"
+#include "core/entry.h"
+#include "core/invariant.h"
+#include "core/length.h"
+#include "core/move.h"
+#include "core/peers.h"
+#include "core/pending.h"
+#include "core/quota.h"
+#include "core/suspect.h"
+
+#include <queue>
+#include <unordered_map>
+#include <unordered_set>
+
+namespace caraway {
+
+// Wait that a refused caller is told when no agent named one.
+constexpr Duration kDefaultRetry = std::chrono::seconds(1);
+
+class Entry::Impl
+{
+public:
+  Impl(const EntryOptions& aOptions, const std::string& aName, Placement& aPlacement,
+       Random& aRandom, EntryPort& aPort);
+
+  void Submit(Now aNow, Submission aSubmission);
+  void Resume(Now aNow, const RequestId& aId, const std::string& aAccount, std::uint32_t aNextChunk,
+              std::optional<NodeId> aAgent);
+  void CallerGone(Now aNow, const RequestId& aId, bool aMayResume);
+  void PeerUp(Now aNow, Peer aPeer, const Hello& aHello);
+  void PeerDown(Now aNow, NodeId aNode);
+  void Receive(Now aNow, Peer aFrom, const Message& aMessage);
+  void TakeLogRecords(Now aNow, const std::vector<LogRecord>& aRecords);
+  void AskPeersForConfig();
+  void Appended(Now aNow, std::uint64_t aToken, AppendResult aResult, LogOffset aFirst);
+  void Timer(Now aNow);
+  TimePoint NextTimer() const;
+  void BeginLeaving(Now aNow);
+  std::string StatusJson(Now aNow) const;
+
+  EntryOptions options;
+  std::string name;
+  Placement& placement;
+  Random& random;
+  EntryPort& port;
+  InvariantChecker checker; // also passes events on to the port
+  ConfigFeed feed;
+  ClaimController claims;
+  MoveController moves;
+  PeerTable peers;
+  QuotaTable quotas;
+  LengthEstimator lengths;
+  PrefixAffinity affinity;
+  SuspectTable suspects;
+  std::unordered_map<RequestId, Pending> pending;
+  std::unordered_map<RequestId, RequestId> aliases; // holder of a key -> request that follows it
+  bool leaving = false;
+
+private:
+  struct Due
+  {
+    TimePoint time;
+    RequestId id;
+    friend bool operator>(const Due& aLeft, const Due& aRight) { return aLeft.time > aRight.time; }
+  };
+
+  void On(Now aNow, Peer aFrom, const Hello& aHello) { this->PeerUp(aNow, aFrom, aHello); }
+  void On(Now aNow, Peer aFrom, const Offer& aOffer);
+  void On(Now aNow, Peer aFrom, const Refuse& aRefuse);
+  void On(Now aNow, Peer aFrom, const Chunk& aChunk);
+  void On(Now aNow, Peer aFrom, const Finish& aFinish);
+  void On(Now aNow, Peer aFrom, const QueryReply& aReply);
+  void On(Now aNow, Peer aFrom, const ConfigAsk& aAsk);
+  void On(Now aNow, Peer aFrom, const ConfigTail& aTail);
+  void On(Now aNow, Peer aFrom, const EvidenceReport& aReport);
+  void On(Now aNow, Peer aFrom, const Brake& aBrake);
+  void On(Now aNow, Peer aFrom, const Suspicion& aSuspicion);
+  // Messages that only agents take.
+  template<class Other>
+  void On(Now /*aNow*/, Peer /*aFrom*/, const Other& /*aOther*/)
+  {
+  }
+
+  void Note(Now aNow, EventKind aKind, const Pending& aPending, NodeId aPeer,
+            std::vector<EventField> aFields = {});
+  void RefuseNew(Now aNow, const Submission& aSubmission, Reason aReason, Duration aRetryAfter);
+  Duration Jitter(Duration aBase);
+
+  void BeginClaim(Now aNow, Pending& aPending);
+  void TakeClaimDecisions(Now aNow);
+  void ApplyClaim(Now aNow, Pending& aPending, const ClaimDecision& aDecision);
+  void AskHolder(Now aNow, Pending& aPending, const ClaimDecision& aDecision);
+  void HolderReply(Now aNow, Pending& aPending, const QueryReply& aReply);
+
+  void Place(Now aNow, Pending& aPending);
+  void Reserve(Now aNow, Pending& aPending, NodeId aNode);
+  bool MayRun(const Pending& aPending, NodeId aNode) const;
+  void CloseReservations(Pending& aPending, NodeId aExcept);
+  void Grant(Now aNow, Pending& aPending, Peer aAgent, std::uint64_t aOffer);
+  void NotRunAfterGrant(Now aNow, Pending& aPending, Reason aReason, Duration aRetryAfter);
+  void AgentLost(Now aNow, Pending& aPending);
+  void TryFinish(Now aNow, Pending& aPending);
+  void SendQuery(Now aNow, Pending& aPending, bool aBury);
+  void ResumeReply(Now aNow, Pending& aPending, Peer aFrom, const QueryReply& aReply);
+  void AgentUnreachable(Now aNow, Pending& aPending, Reason aReason);
+  void Finalize(Now aNow, Pending& aPending, FinalAnswer aAnswer);
+  void Judge(Now aNow, const Pending& aPending, const FinalAnswer& aAnswer);
+
+  Pending* FindPending(const RequestId& aId);
+  Pending* FindGranted(const RequestId& aId, const Peer& aFrom);
+  void Schedule(Pending& aPending);
+  void Deadline(Now aNow, Pending& aPending);
+  void DeadlineGranted(Now aNow, Pending& aPending);
+  void RunMoves(Now aNow);
+  void DropBraked(Now aNow);
+  void ConfigChanged(Now aNow, const std::vector<Applied>& aResults);
+  void SendTails(Now aNow);
+  void FlushClaims(Now aNow);
+
+  std::priority_queue<Due, std::vector<Due>, std::greater<>> due;
+  std::unordered_map<NodeId, LogOffset> tailSent;
+  TimePoint tailDue = kNever;
+  std::unordered_set<std::uint64_t> claimTokens;
+  std::uint64_t nextToken = 1;
+  std::vector<Candidate> candidates;
+  std::vector<NodeId> chosen;
+};
+
+inline EventField Field(std::string aKey, std::string aValue)
+{
+  return EventField{ std::move(aKey), std::move(aValue) };
+}
+
+} // namespace caraway
--- /dev/null
+++ b/src/core/entry_place.cpp
@@ -0,0 +1,223 @@
+#include "core/entry_impl.h"
+
+#include <algorithm>
+
+namespace caraway {
+
+namespace {
+
+// Grants of one request in total; all but the last were confirmed never to have run.
+constexpr std::uint32_t kMaxGrants = 3;
+
+// Of two reasons for refusals, the one that tells the caller more.
+Reason MoreTelling(Reason aLeft, Reason aRight)
+{
+  const auto rank = [](Reason aReason) {
+    switch (aReason) {
+      case Reason::kSuspect:
+        return 4;
+      case Reason::kOverload:
+        return 3;
+      case Reason::kNoEndpoint:
+        return 2;
+      case Reason::kDraining:
+        return 1;
+      default:
+        return 0;
+    }
+  };
+  return rank(aLeft) >= rank(aRight) ? aLeft : aRight;
+}
+
+} // namespace
+
+// Whether the request may get a reservation at the agent.
+bool Entry::Impl::MayRun(const Pending& aPending, NodeId aNode) const
+{
+  const PeerState* state = this->peers.Find(aNode);
+  if (state == nullptr || this->feed.State().IsDrained(state->hello.name)) {
+    return false;
+  }
+  if (this->moves.IsBraked(state->hello.pool, state->hello.version)) {
+    return false;
+  }
+  const auto& asked = aPending.asked;
+  return std::find(asked.begin(), asked.end(), aNode) == asked.end();
+}
+
+// Places reservations with agents that were not asked yet; gives up when there are none.
+void Entry::Impl::Place(Now aNow, Pending& aPending)
+{
+  const Submission& submission = aPending.submission;
+  if (!aPending.version || this->moves.IsBraked(submission.pool, *aPending.version)) {
+    aPending.version = this->moves.Choose(aNow, submission.pool, submission.route);
+  }
+  this->peers.Candidates(submission.pool, aPending.version, this->candidates);
+  std::erase_if(this->candidates, [&](const Candidate& aCandidate) {
+    const bool claimedElsewhere =
+      submission.kind == WorkKind::kOnce && aCandidate.node != aPending.claimAgent;
+    return claimedElsewhere || !this->MayRun(aPending, aCandidate.node);
+  });
+  if (this->candidates.empty()) {
+    if (!HasOpenReservation(aPending)) {
+      const Reason reason =
+        aPending.refusedFor == Reason::kNone ? Reason::kNoEndpoint : aPending.refusedFor;
+      const Duration retry =
+        aPending.retryAfter > Duration::zero() ? aPending.retryAfter : this->Jitter(kDefaultRetry);
+      if (reason == Reason::kOverload) {
+        this->checker.OnShed(aNow, submission.id, submission.tier, aPending.lowerTierLeft);
+      }
+      this->Finalize(aNow, aPending, FinalAnswer{ Outcome::kNotRun, reason, retry });
+    }
+    return;
+  }
+  PlaceRequest request;
+  request.affinity = this->affinity.Find(aNow.steady, submission.prefixHash);
+  request.fingerprint = submission.fingerprint;
+  request.suspect = this->suspects.Judge(aNow.steady, submission.fingerprint) != Verdict::kClear;
+  const std::size_t count = this->candidates.size() <= this->options.smallPool
+                              ? this->candidates.size()
+                              : this->options.reservations;
+  this->placement.Pick(this->candidates, request, count, this->random, this->chosen);
+  for (const NodeId node : this->chosen) {
+    this->Reserve(aNow, aPending, node);
+  }
+  this->Note(aNow, EventKind::kReserved, aPending, NodeId{},
+             { Field("agents", std::to_string(this->chosen.size())) });
+  this->Schedule(aPending);
+}
+
+void Entry::Impl::Reserve(Now aNow, Pending& aPending, NodeId aNode)
+{
+  const Submission& submission = aPending.submission;
+  caraway::Reserve message;
+  message.id = submission.id;
+  message.account = submission.account;
+  message.tier = submission.tier;
+  message.kind = submission.kind;
+  message.route = submission.route;
+  message.startWithin = aPending.startBy - aNow.steady;
+  message.endWithin = aPending.endBy - aNow.steady;
+  message.promptTokens = submission.promptTokens;
+  message.outputTokens = aPending.estimate;
+  message.prefixHash = submission.prefixHash;
+  message.fingerprint = submission.fingerprint;
+  if (const Account* account = this->feed.State().FindAccount(submission.account)) {
+    message.weight = account->weight;
+  }
+  aPending.reservations.push_back(Reservation{ this->peers.Find(aNode)->peer, true });
+  aPending.asked.push_back(aNode);
+  this->peers.Reserve(aNode);
+  this->port.Send(aNode, message);
+}
+
+// Withdraws the open reservations, all but the one at aExcept.
+void Entry::Impl::CloseReservations(Pending& aPending, NodeId aExcept)
+{
+  for (Reservation& reservation : aPending.reservations) {
+    if (!reservation.open || reservation.agent.node == aExcept) {
+      continue;
+    }
+    reservation.open = false;
+    this->peers.Release(reservation.agent.node);
+    this->port.Send(reservation.agent.node, Withdraw{ aPending.submission.id });
+  }
+}
+
+void Entry::Impl::On(Now aNow, Peer aFrom, const Offer& aOffer)
+{
+  const auto found = this->pending.find(aOffer.id);
+  const bool wanted = found != this->pending.end() && found->second.phase == Phase::kWaiting;
+  if (!wanted) {
+    const bool granted = found != this->pending.end() && found->second.agent == aFrom;
+    if (!granted) {
+      this->port.Send(aFrom.node, Withdraw{ aOffer.id });
+    }
+    return;
+  }
+  Pending& request = found->second;
+  auto& reservations = request.reservations;
+  const auto reservation =
+    std::find_if(reservations.begin(), reservations.end(), [&](const Reservation& aReservation) {
+      return aReservation.open && aReservation.agent == aFrom;
+    });
+  const PeerState* state = this->peers.Find(aFrom.node);
+  if (reservation == reservations.end() || state == nullptr) {
+    this->port.Send(aFrom.node, Withdraw{ aOffer.id });
+    return;
+  }
+  if (this->moves.IsBraked(state->hello.pool, state->hello.version)) {
+    this->DropBraked(aNow);
+    return;
+  }
+  this->Grant(aNow, request, aFrom, aOffer.offer);
+}
+
+// Sends the body to the agent. From here on the request may run.
+void Entry::Impl::Grant(Now aNow, Pending& aPending, Peer aAgent, std::uint64_t aOffer)
+{
+  this->CloseReservations(aPending, aAgent.node);
+  aPending.phase = Phase::kGranted;
+  aPending.agent = aAgent;
+  aPending.agentLinked = true;
+  aPending.agentVersion = this->peers.Find(aAgent.node)->hello.version;
+  aPending.grantedAt = aNow.steady;
+  aPending.lastHeard = aNow.steady;
+  ++aPending.grants;
+  this->checker.OnGrant(aNow, aPending.submission.id, std::nullopt);
+  caraway::Grant message;
+  message.id = aPending.submission.id;
+  message.offer = aOffer;
+  message.body = aPending.submission.body;
+  message.claim = aPending.claim;
+  this->Note(aNow, EventKind::kGranted, aPending, aAgent.node);
+  this->affinity.Learn(aNow.steady, aPending.submission.prefixHash, aAgent.node);
+  this->Schedule(aPending);
+  this->port.Send(aAgent.node, message);
+}
+
+void Entry::Impl::On(Now aNow, Peer aFrom, const Refuse& aRefuse)
+{
+  const auto found = this->pending.find(aRefuse.id);
+  if (found == this->pending.end() || found->second.phase != Phase::kWaiting) {
+    return;
+  }
+  Pending& request = found->second;
+  for (Reservation& reservation : request.reservations) {
+    if (reservation.open && reservation.agent == aFrom) {
+      reservation.open = false;
+      this->peers.Release(aFrom.node);
+      request.refusedFor = MoreTelling(aRefuse.reason, request.refusedFor);
+      request.lowerTierLeft = request.lowerTierLeft || aRefuse.lowerTierLeft;
+      const bool shorter =
+        request.retryAfter == Duration::zero() || aRefuse.retryAfter < request.retryAfter;
+      request.retryAfter = shorter ? aRefuse.retryAfter : request.retryAfter;
+    }
+  }
+  if (!HasOpenReservation(request)) {
+    this->Place(aNow, request);
+  }
+}
+
+// The agent confirmed that it will never run the request: another one may.
+void Entry::Impl::NotRunAfterGrant(Now aNow, Pending& aPending, Reason aReason,
+                                   Duration aRetryAfter)
+{
+  this->checker.OnGrantVoid(aPending.submission.id);
+  this->peers.Release(aPending.agent->node);
+  aPending.agent.reset();
+  aPending.reservations.clear();
+  aPending.refusedFor = MoreTelling(aReason, aPending.refusedFor);
+  const bool again = aPending.submission.kind != WorkKind::kOnce && !aPending.callerGone &&
+                     aPending.grants < kMaxGrants && aNow.steady < aPending.startBy &&
+                     aReason != Reason::kSuspect && aReason != Reason::kCallerGone;
+  if (again) {
+    aPending.phase = Phase::kWaiting;
+    aPending.retryAfter = Duration::zero();
+    this->Place(aNow, aPending);
+    return;
+  }
+  this->Finalize(aNow, aPending, FinalAnswer{ Outcome::kNotRun, aReason, aRetryAfter });
+}
+
+} // namespace caraway
