--- a/src/core/messages.h
+++ b/src/core/messages.h
@@ -152,12 +152,13 @@
   std::uint32_t promptTokens = 0;
   std::uint32_t outputTokens = 0;
   Duration retryAfter{};
+  std::uint8_t loadLevel = 0; // quarter of the limit in use when it was dispatched: 0 to 3
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
     aArchive(id, outcome, reason, chunks, bytes, checksum, status, promptTokens, outputTokens,
-             retryAfter);
+             retryAfter, loadLevel);
   }
 };
 
@@ -195,11 +196,12 @@
   std::uint32_t nextChunk = 0;
   std::string account; // the answer is given to the owner only
   bool bury = false;   // if the request has not run, refuse a late grant (tombstone)
+  bool take = true;    // the sender becomes the receiver of the answer; false: only asks
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(id, nextChunk, account, bury);
+    aArchive(id, nextChunk, account, bury, take);
   }
 };
 
