--- a/src/standins/delayed.cpp
+++ b/src/standins/delayed.cpp
@@ -21,15 +21,6 @@
   delete static_cast<Callback*>(aData);
 }
 
-gboolean DispatchReady(GSource* aSource, GSourceFunc aCallback, gpointer aData)
-{
-  g_source_set_ready_time(aSource, -1);
-  aCallback(aData);
-  return G_SOURCE_CONTINUE;
-}
-
-GSourceFuncs readyFunctions = { nullptr, nullptr, &DispatchReady, nullptr, nullptr, nullptr };
-
 } // namespace
 
 void CallAfter(Duration aDelay, std::function<void()> aDo)
@@ -39,30 +30,4 @@
                      new Callback(std::move(aDo)), &Delete);
 }
 
-ReadyTimer::ReadyTimer(std::function<void()> aDo)
-  : callback(std::move(aDo))
-  , source(g_source_new(&readyFunctions, sizeof(GSource)))
-{
-  g_source_set_callback(this->source, &ReadyTimer::OnReady, this, nullptr);
-  g_source_attach(this->source, nullptr);
-}
-
-ReadyTimer::~ReadyTimer()
-{
-  g_source_destroy(this->source);
-  g_source_unref(this->source);
-}
-
-// The steady clock and GLib's monotonic time are the same clock.
-void ReadyTimer::Set(TimePoint aTime)
-{
-  g_source_set_ready_time(this->source, aTime == kNever ? -1 : aTime.time_since_epoch().count());
-}
-
-gboolean ReadyTimer::OnReady(gpointer aSelf)
-{
-  static_cast<ReadyTimer*>(aSelf)->callback();
-  return G_SOURCE_CONTINUE;
-}
-
 } // namespace caraway
--- a/src/standins/engine_server.cpp
+++ b/src/standins/engine_server.cpp
@@ -1,6 +1,7 @@
 #include "standins/engine_server.h"
 
 #include "standins/answer.h"
+#include "standins/delayed.h"
 
 #include <nlohmann/json.hpp>
 
@@ -208,7 +209,12 @@
 
 void EngineServer::Wake()
 {
-  this->timer.Set(this->model.NextStep());
+  const TimePoint next = this->model.NextStep();
+  if (next == kNever) {
+    this->timer.Cancel();
+    return;
+  }
+  this->timer.ArmAfter(std::max(Duration::zero(), next - this->clock.Read().steady));
 }
 
 void EngineServer::TakeOrder(const Exchange& aExchange)
--- a/src/standins/engine_server.h
+++ b/src/standins/engine_server.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "runtime/clock.h"
-#include "standins/delayed.h"
+#include "runtime/timer.h"
 #include "standins/engine_model.h"
 #include "standins/faults.h"
 #include "standins/http_service.h"
@@ -67,7 +67,7 @@
   FaultPlan& plan;
   const Clock& clock;
   EngineModel model;
-  ReadyTimer timer;
+  Timer timer; // of the model's next step
   std::uint64_t lastKey = 0;
   std::map<std::uint64_t, Stream> streams;
   std::uint64_t arrivals = 0;
--- a/src/standins/http_service.cpp
+++ b/src/standins/http_service.cpp
@@ -1,30 +1,37 @@
 #include "standins/http_service.h"
 
+#include "runtime/address.h"
+
 #include <nlohmann/json.hpp>
 
 #include <sys/socket.h>
 
-#include <charconv>
 #include <utility>
 
 namespace caraway {
 
 namespace {
 
-// Address of the form ip:port, null if it is malformed.
-GSocketAddress* ParseAddress(const std::string& aAddress)
+// Connections that may wait to be accepted; the default of 10 loses bursts.
+constexpr int kBacklog = 1024;
+
+// Listening socket, null on failure.
+GSocket* ListenOn(const Address& aAddress)
 {
-  const std::size_t colon = aAddress.rfind(':');
-  if (colon == std::string::npos) {
-    return nullptr;
-  }
-  std::uint16_t port = 0;
-  const char* end = aAddress.data() + aAddress.size();
-  const auto parsed = std::from_chars(aAddress.data() + colon + 1, end, port);
-  if (parsed.ec != std::errc() || parsed.ptr != end) {
-    return nullptr;
+  GSocketAddress* address =
+    g_inet_socket_address_new_from_string(aAddress.host.c_str(), aAddress.port);
+  GSocket* socket = g_socket_new(g_socket_address_get_family(address), G_SOCKET_TYPE_STREAM,
+                                 G_SOCKET_PROTOCOL_TCP, nullptr);
+  if (socket != nullptr) {
+    g_socket_set_listen_backlog(socket, kBacklog);
+    const bool listening = g_socket_bind(socket, address, TRUE, nullptr) != FALSE &&
+                           g_socket_listen(socket, nullptr) != FALSE;
+    if (!listening) {
+      g_clear_object(&socket);
+    }
   }
-  return g_inet_socket_address_new_from_string(aAddress.substr(0, colon).c_str(), port);
+  g_object_unref(address);
+  return socket;
 }
 
 } // namespace
@@ -207,16 +214,15 @@
 
 std::optional<std::uint16_t> HttpService::Listen(const std::string& aAddress)
 {
-  GSocketAddress* address = ParseAddress(aAddress);
-  if (address == nullptr) {
+  const std::optional<Address> address = ParseAddress(aAddress);
+  GSocket* socket = address ? ListenOn(*address) : nullptr;
+  if (socket == nullptr) {
     return std::nullopt;
   }
-  GError* error = nullptr;
-  const bool listening =
-    soup_server_listen(this->server, address, static_cast<SoupServerListenOptions>(0), &error);
-  g_object_unref(address);
+  const bool listening = soup_server_listen_socket(
+    this->server, socket, static_cast<SoupServerListenOptions>(0), nullptr);
+  g_object_unref(socket);
   if (!listening) {
-    g_error_free(error);
     return std::nullopt;
   }
   GSList* uris = soup_server_get_uris(this->server);
