Read records and build the configuration from the log

The state is a pure function of the log: base revisions decide between racing operators, repeated change ids are ignored, a record of a newer schema is kept and leaves the last readable one in force. Results of changes and finished moves are bounded.

Ruled out: to skip unreadable records entirely, because the next base revision would then differ between builds.

--- a/src/core/config.h
+++ b/src/core/config.h
@@ -4,6 +4,7 @@
 #include "core/messages.h"
 #include "core/record.h"
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -62,7 +63,8 @@
   kOutdated,  // its base revision is not the current one
   kInvalid,   // malformed, or its body fails the schema
   kUnknown,   // newer schema version or unknown kind: kept and reported
-  kNotConfig, // claims: not part of this state
+  kNotConfig, // claims and snapshots: not part of this state
+  kGap,       // records before it are missing: kept until a snapshot fills the gap
 };
 
 std::string_view ToString(ApplyResult aResult);
@@ -82,11 +84,16 @@
 {
 public:
   // Applies the record at Next(); records below Next() are ignored (kRepeated). The caller passes
-  // records in offset order without gaps.
+  // records in offset order. After a gap (the log's retention cut what is missing) records are kept
+  // and applied as soon as a snapshot, from the log or a peer, covers the gap.
   Applied Apply(const LogRecord& aRecord);
 
   // First offset that has not been applied.
   LogOffset Next() const { return this->next; }
+  // First offset that is neither applied nor kept: where reading goes on.
+  LogOffset ReadFrom() const;
+  // First offset that the newest snapshot read from the log doesn't cover; 0 when none was read.
+  LogOffset SnapshotCovers() const { return this->snapshotCovers; }
 
   const Account* FindAccount(std::string_view aName) const;
   // The account whose key hashes to aKeyHash.
@@ -117,13 +124,31 @@
   bool Restore(std::string_view aText);
 
 private:
-  Applied Store(LogOffset aOffset, Record aRecord);
+  using Key = std::pair<std::string, std::string>; // kind name and name
+
+  Applied ApplyNext(const LogRecord& aRecord);
+  Applied KeepBehindGap(const LogRecord& aRecord);
+  void ApplyKept();
+  ApplyResult Store(LogOffset aOffset, const Record& aRecord, std::vector<Finding>& aFindings);
+  ApplyResult StoreVerdict(LogOffset aOffset, const Record& aRecord,
+                           std::vector<Finding>& aFindings);
+  bool CheckBase(const Record& aRecord, std::vector<Finding>& aFindings) const;
+  void CheckConflicts(const Record& aRecord, std::vector<Finding>& aFindings) const;
+  void Remember(const Applied& aApplied);
+  void Put(const Key& aKey, LogOffset aOffset, const Record& aRecord);
+  void Erase(const Key& aKey);
   void Index(const Stored& aStored);
+  void RemoveIndex(const Record& aRecord);
+  void ForgetOldMoves(const std::string& aPool);
+  bool LoadSnapshot(const nlohmann::json& aRoot);
 
   LogOffset next = 0;
-  std::map<std::pair<std::string, std::string>, Stored> stored; // by kind name and name
-  std::map<std::string, Applied, std::less<>> changes;          // by change id, bounded
-  std::vector<std::string> changeOrder;
+  LogOffset snapshotCovers = 0;
+  std::map<Key, Stored> stored;
+  std::map<Key, Stored> understood; // last readable record behind one of a newer schema
+  std::map<std::string, Applied, std::less<>> changes; // by change id, bounded
+  std::deque<std::string> changeOrder;
+  std::map<LogOffset, LogRecord> kept; // records behind a gap
   std::map<std::string, Account, std::less<>> accounts;
   std::map<std::string, std::string, std::less<>> accountByKey;
   std::map<std::string, Pool, std::less<>> pools;
