--- a/src/core/config.h
+++ b/src/core/config.h
@@ -88,6 +88,14 @@
   // and applied as soon as a snapshot, from the log or a peer, covers the gap.
   Applied Apply(const LogRecord& aRecord);
 
+  // Says that the records up to aNext hold nothing of this state (claims, for instance).
+  void SkipTo(LogOffset aNext)
+  {
+    if (aNext > this->next) {
+      this->next = aNext;
+    }
+  }
+
   // First offset that has not been applied.
   LogOffset Next() const { return this->next; }
   // First offset that is neither applied nor kept: where reading goes on.
