--- a/src/core/answers.cpp
+++ b/src/core/answers.cpp
@@ -3,7 +3,6 @@
 #include "core/uuid.h"
 
 #include <algorithm>
-#include <xxhash.h>
 
 namespace caraway {
 
@@ -14,34 +13,6 @@
 
 } // namespace
 
-struct ChunkHash::State
-{
-  XXH3_state_t* hash = XXH3_createState();
-  State() { XXH3_64bits_reset(this->hash); }
-  ~State() { XXH3_freeState(this->hash); }
-  State(const State&) = delete;
-  State& operator=(const State&) = delete;
-};
-
-ChunkHash::ChunkHash()
-  : state(std::make_unique<State>())
-{
-}
-
-ChunkHash::~ChunkHash() = default;
-ChunkHash::ChunkHash(ChunkHash&&) noexcept = default;
-ChunkHash& ChunkHash::operator=(ChunkHash&&) noexcept = default;
-
-void ChunkHash::Add(std::string_view aData)
-{
-  XXH3_64bits_update(this->state->hash, aData.data(), aData.size());
-}
-
-std::uint64_t ChunkHash::Value() const
-{
-  return XXH3_64bits_digest(this->state->hash);
-}
-
 AnswerStore::AnswerStore(std::uint32_t aMaxBytes, Duration aKeep)
   : maxBytes(aMaxBytes)
   , keep(aKeep)
@@ -82,7 +53,7 @@
   aFinish.id = aId;
   aFinish.chunks = answer->Count();
   aFinish.bytes = answer->bytes;
-  aFinish.checksum = answer->hash.Value();
+  aFinish.checksum = answer->hash.Digest();
   answer->finish = aFinish;
   answer->finishedAt = aNow;
   return &*answer->finish;
--- a/src/core/answers.h
+++ b/src/core/answers.h
@@ -3,31 +3,15 @@
 #pragma once
 
 #include "core/messages.h"
+#include "core/stream_hash.h"
 
 #include <deque>
-#include <memory>
 #include <optional>
 #include <unordered_map>
 #include <vector>
 
 namespace caraway {
 
-// Hash of chunks that arrive one by one; equals HashOf of all of them together.
-class ChunkHash
-{
-public:
-  ChunkHash();
-  ~ChunkHash();
-  ChunkHash(ChunkHash&&) noexcept;
-  ChunkHash& operator=(ChunkHash&&) noexcept;
-  void Add(std::string_view aData);
-  std::uint64_t Value() const;
-
-private:
-  struct State;
-  std::unique_ptr<State> state;
-};
-
 // The answer of one dispatched request.
 struct Answer
 {
@@ -38,7 +22,7 @@
   std::uint32_t first = 0;
   std::uint32_t acked = 0; // chunks below are known to have arrived
   std::uint64_t bytes = 0; // of all chunks, also of forgotten ones
-  ChunkHash hash;
+  StreamHash hash;
   std::optional<Finish> finish; // set once the endpoint's work ended
   TimePoint finishedAt = kNever;
   bool delivered = false; // the entry confirmed the Finish
--- a/src/core/config_feed.h
+++ b/src/core/config_feed.h
@@ -16,7 +16,7 @@
 struct EndpointOrder
 {
   LogOffset fencing = 0;
-  std::string body; // JSON
+  std::string body;     // JSON
   bool isStale = false; // refused: a newer order was seen
 };
 
--- a/src/core/health.cpp
+++ b/src/core/health.cpp
@@ -104,6 +104,21 @@
   return std::max(this->firstFloor, Scaled(aPace.AnswerTime(), this->factor));
 }
 
+std::string_view ToString(BreakerState aState)
+{
+  switch (aState) {
+    case BreakerState::kClosed:
+      return "closed";
+    case BreakerState::kOpen:
+      return "open";
+    case BreakerState::kProbing:
+      return "probing";
+    case BreakerState::kSlowStart:
+      return "slow_start";
+  }
+  return "invalid";
+}
+
 Breaker::Breaker(const AgentOptions& aOptions)
   : delay(aOptions.breakerDelay)
   , nextDelay(aOptions.breakerDelay)
--- a/src/core/health.h
+++ b/src/core/health.h
@@ -57,12 +57,14 @@
 
 enum class BreakerState : std::uint8_t
 {
-  kClosed, // healthy
-  kOpen,   // nothing is offered
+  kClosed,    // healthy
+  kOpen,      // nothing is offered
   kProbing,   // asked the host to probe
   kSlowStart, // offers grow from one at a time
 };
 
+std::string_view ToString(BreakerState aState);
+
 // Keeps work away from a failed endpoint; reopens by probe, then one request at a time, then twice
 // as many after each that comes through.
 class Breaker
--- a/src/core/running.cpp
+++ b/src/core/running.cpp
@@ -4,13 +4,15 @@
 
 namespace caraway {
 
-Running& RunningTable::Add(Running aRunning)
+void RunningTable::Add(Running aRunning)
 {
+  this->tokens += aRunning.Tokens();
+  this->pendingPrompt += aRunning.hasStarted ? 0 : aRunning.promptTokens;
+  this->lastProgress = std::max(this->lastProgress, aRunning.lastProgress);
   this->rows.push_back(std::move(aRunning));
-  return this->rows.back();
 }
 
-Running* RunningTable::Find(const RequestId& aId)
+const Running* RunningTable::Find(const RequestId& aId) const
 {
   const auto found = std::find_if(this->rows.begin(), this->rows.end(),
                                   [&aId](const Running& aRow) { return aRow.id == aId; });
@@ -19,10 +21,12 @@
 
 std::optional<Running> RunningTable::Take(const RequestId& aId)
 {
-  Running* row = this->Find(aId);
+  Running* row = this->Row(aId);
   if (row == nullptr) {
     return std::nullopt;
   }
+  this->tokens -= row->Tokens();
+  this->pendingPrompt -= row->hasStarted ? 0 : row->promptTokens;
   Running taken = std::move(*row);
   if (row != &this->rows.back()) {
     *row = std::move(this->rows.back());
@@ -31,22 +35,31 @@
   return taken;
 }
 
-std::uint64_t RunningTable::Tokens() const
+Duration RunningTable::OnProgress(TimePoint aNow, const RequestId& aId, std::uint32_t aTokens)
 {
-  std::uint64_t sum = 0;
-  for (const Running& row : this->rows) {
-    sum += row.Tokens();
-  }
-  return sum;
+  Running& row = *this->Row(aId);
+  const Duration gap = aNow - row.lastProgress;
+  this->tokens -= row.Tokens();
+  this->pendingPrompt -= row.hasStarted ? 0 : row.promptTokens;
+  row.hasStarted = true;
+  row.isStalled = false;
+  row.lastProgress = aNow;
+  row.outputTokens += aTokens;
+  this->tokens += row.Tokens();
+  this->lastProgress = std::max(this->lastProgress, aNow);
+  return gap;
 }
 
-std::uint32_t RunningTable::PendingPrompt() const
+void RunningTable::MarkStalled(const RequestId& aId)
 {
-  std::uint32_t sum = 0;
-  for (const Running& row : this->rows) {
-    sum += row.hasStarted ? 0 : row.promptTokens;
-  }
-  return sum;
+  this->Row(aId)->isStalled = true;
+}
+
+Running* RunningTable::Row(const RequestId& aId)
+{
+  const auto found = std::find_if(this->rows.begin(), this->rows.end(),
+                                  [&aId](const Running& aRow) { return aRow.id == aId; });
+  return found == this->rows.end() ? nullptr : &*found;
 }
 
 } // namespace caraway
--- a/src/core/shed.cpp
+++ b/src/core/shed.cpp
@@ -9,7 +9,7 @@
 
 using std::chrono::milliseconds;
 
-constexpr Duration kCutMargin = milliseconds(30);  // offer, grant and dispatch after a cut
+constexpr Duration kCutMargin = milliseconds(30); // offer, grant and dispatch after a cut
 constexpr Duration kLongestSpread = milliseconds(150);
 constexpr int kSpreadShare = 3; // spread of cuts: this part of the time to start
 
--- a/src/core/shed.h
+++ b/src/core/shed.h
@@ -18,7 +18,8 @@
 const Running* ChooseVictim(const RunningTable& aRunning, Tier aFor);
 
 // Whether cutting all work that is strictly lower than aFor frees a slot under the limits.
-bool CanMakeRoom(const RunningTable& aRunning, Tier aFor, std::uint32_t aHeld, std::uint32_t aLimit);
+bool CanMakeRoom(const RunningTable& aRunning, Tier aFor, std::uint32_t aHeld,
+                 std::uint32_t aLimit);
 
 // Deadlines of one reservation on its way to a slot.
 struct StartPlan
--- a/src/core/suspect.h
+++ b/src/core/suspect.h
@@ -1,5 +1,6 @@
 // Fingerprints of requests that were running when an endpoint died. One of them may crash every
-// endpoint that runs it, so each runs alone until it has proved itself or crashed a second endpoint.
+// endpoint that runs it, so each runs alone until it has proved itself or crashed a second
+// endpoint.
 #pragma once
 
 #include "core/types.h"
