--- a/src/core/config_feed.cpp
+++ b/src/core/config_feed.cpp
@@ -1,98 +1,131 @@
 #include "core/config_feed.h"
 
+#include <algorithm>
+
 namespace caraway {
 
 namespace {
 
-constexpr std::size_t kMaxKeptRecords = 4096;
-constexpr std::size_t kMaxKeptBytes = std::size_t{ 2 } << 20;
-constexpr std::size_t kMaxRecordsInTail = 256;
+// Text of the state inside a snapshot record; empty for other records.
+std::string SnapshotText(const LogRecord& aRecord)
+{
+  std::vector<Finding> findings;
+  const auto record = DecodeRecord(aRecord.data, findings);
+  if (!record || record->kind != RecordKind::kSnapshot || !record->body.contains("state")) {
+    return {};
+  }
+  const nlohmann::json& state = record->body["state"];
+  return state.is_string() ? state.get<std::string>() : state.dump();
+}
 
 } // namespace
 
-ConfigFeed::ConfigFeed(std::string aNodeName)
-  : nodeName(std::move(aNodeName))
+ConfigFeed::ConfigFeed(std::size_t aKeep)
+  : keep(aKeep)
 {
 }
 
-FeedChange ConfigFeed::Apply(const ConfigTail& aTail)
+LogOffset ConfigFeed::NextRead() const
 {
-  FeedChange change;
-  const bool isSnapshotNewer = !aTail.snapshot.empty() && aTail.snapshotNext > this->state.Next();
-  if (isSnapshotNewer && this->state.Restore(aTail.snapshot)) {
-    this->kept.clear();
-    this->keptBytes = 0;
-    change.isChanged = true;
-    this->CollectOrder(change);
-  }
-  for (const LogRecord& record : aTail.records) {
-    if (record.offset > this->state.Next()) {
-      break;
+  return this->held.empty() ? this->state.Next() : this->held.back().offset + 1;
+}
+
+std::vector<Applied> ConfigFeed::TakeRecords(const std::vector<LogRecord>& aRecords)
+{
+  std::vector<Applied> results;
+  for (const LogRecord& record : aRecords) {
+    if (record.offset < this->state.Next()) {
+      continue;
     }
     if (record.offset == this->state.Next()) {
-      this->ApplyRecord(record, change);
+      this->ApplyOne(record, results);
+      continue;
     }
+    this->held.push_back(record);
+    this->RestoreFrom(record);
+    this->ApplyHeld(results);
   }
-  if (aTail.next > this->state.Next()) {
-    change.ask = ConfigAsk{ this->state.Next() };
-  }
-  return change;
+  return results;
 }
 
-std::optional<ConfigTail> ConfigFeed::Answer(const ConfigAsk& aAsk) const
+std::vector<Applied> ConfigFeed::TakeTail(const ConfigTail& aTail)
 {
-  const LogOffset next = this->state.Next();
-  if (aAsk.from >= next) {
-    return std::nullopt;
+  std::vector<Applied> results;
+  if (!aTail.snapshot.empty() && aTail.snapshotNext > this->state.Next()) {
+    if (this->state.Restore(aTail.snapshot)) {
+      this->recent.clear();
+      this->keptFrom = this->state.Next();
+    }
+  }
+  for (const LogRecord& record : aTail.records) {
+    if (record.offset >= this->state.Next()) {
+      this->state.SkipTo(record.offset);
+      this->ApplyOne(record, results);
+    }
   }
+  this->state.SkipTo(aTail.next);
+  this->ApplyHeld(results);
+  return results;
+}
+
+ConfigTail ConfigFeed::Tail(LogOffset aFrom) const
+{
   ConfigTail tail;
-  tail.next = next;
-  if (this->kept.empty() || aAsk.from < this->kept.front().offset) {
+  tail.next = this->state.Next();
+  if (aFrom < this->keptFrom) {
     tail.snapshot = this->state.Snapshot();
-    tail.snapshotNext = next;
+    tail.snapshotNext = this->state.Next();
     return tail;
   }
-  const LogOffset skipped = aAsk.from - this->kept.front().offset;
-  for (std::size_t i = skipped; i < this->kept.size(); i++) {
-    if (tail.records.size() == kMaxRecordsInTail) {
-      break;
+  for (const LogRecord& record : this->recent) {
+    if (record.offset >= aFrom) {
+      tail.records.push_back(record);
     }
-    tail.records.push_back(this->kept[i]);
   }
   return tail;
 }
 
-void ConfigFeed::ApplyRecord(const LogRecord& aRecord, FeedChange& aChange)
+void ConfigFeed::ApplyOne(const LogRecord& aRecord, std::vector<Applied>& aResults)
 {
-  const Applied applied = this->state.Apply(aRecord);
-  this->Keep(aRecord);
-  aChange.isChanged = true;
-  const bool isOrder = applied.result == ApplyResult::kApplied &&
-                       applied.kind == RecordKind::kOrder && applied.name == this->nodeName;
-  if (isOrder) {
-    this->CollectOrder(aChange);
+  Applied applied = this->state.Apply(aRecord);
+  if (applied.result == ApplyResult::kNotConfig || applied.kind == RecordKind::kSnapshot) {
+    return;
   }
+  this->Keep(aRecord);
+  aResults.push_back(std::move(applied));
 }
 
-// Takes the current order for this node through the fence.
-void ConfigFeed::CollectOrder(FeedChange& aChange)
+// Jumps over the part of the log that was cut, if the record is a snapshot that covers it.
+void ConfigFeed::RestoreFrom(const LogRecord& aRecord)
 {
-  const ConfigState::Stored* stored = this->state.Find(RecordKind::kOrder, this->nodeName);
-  if (stored == nullptr || this->fence.Newest() == stored->revision) {
+  const std::string text = SnapshotText(aRecord);
+  if (text.empty()) {
     return;
   }
-  const bool isAdmitted = this->fence.Admit(stored->revision);
-  aChange.orders.push_back(
-    EndpointOrder{ stored->revision, stored->record.body.dump(), !isAdmitted });
+  if (this->state.Restore(text)) {
+    this->recent.clear();
+    this->keptFrom = this->state.Next();
+  }
+}
+
+// Applies held records that have become consecutive, and drops those that are covered.
+void ConfigFeed::ApplyHeld(std::vector<Applied>& aResults)
+{
+  while (!this->held.empty() && this->held.front().offset <= this->state.Next()) {
+    const LogRecord record = this->held.front();
+    this->held.pop_front();
+    if (record.offset == this->state.Next()) {
+      this->ApplyOne(record, aResults);
+    }
+  }
 }
 
 void ConfigFeed::Keep(const LogRecord& aRecord)
 {
-  this->kept.push_back(aRecord);
-  this->keptBytes += aRecord.data.size();
-  while (this->kept.size() > kMaxKeptRecords || this->keptBytes > kMaxKeptBytes) {
-    this->keptBytes -= this->kept.front().data.size();
-    this->kept.pop_front();
+  this->recent.push_back(aRecord);
+  while (this->recent.size() > this->keep) {
+    this->keptFrom = this->recent.front().offset + 1;
+    this->recent.pop_front();
   }
 }
 
--- a/src/core/config_feed.h
+++ b/src/core/config_feed.h
@@ -1,57 +1,45 @@
-// Configuration at an agent: the tail of the log that its entries pass on, what it can pass on
-// itself, and the orders to its endpoint that the log holds.
+// Brings configuration from the log or from peers into a ConfigState, and passes it on to peers.
 #pragma once
 
 #include "core/config.h"
-#include "core/fence.h"
+#include "core/messages.h"
 
 #include <deque>
-#include <optional>
-#include <string>
 #include <vector>
 
 namespace caraway {
 
-// An order to the endpoint, to be given once.
-struct EndpointOrder
-{
-  LogOffset fencing = 0;
-  std::string body;     // JSON
-  bool isStale = false; // refused: a newer order was seen
-};
-
-// What a tail changed.
-struct FeedChange
-{
-  bool isChanged = false;
-  std::optional<ConfigAsk> ask; // records are missing before the tail
-  std::vector<EndpointOrder> orders;
-};
-
 class ConfigFeed
 {
 public:
-  explicit ConfigFeed(std::string aNodeName);
+  // aKeep: number of records kept for peers that are a little behind; others get a snapshot.
+  explicit ConfigFeed(std::size_t aKeep);
+
+  // Consecutive records as read from the log. If they begin behind Next(), the log has cut what was
+  // missing: they are held until a snapshot record covers the gap.
+  std::vector<Applied> TakeRecords(const std::vector<LogRecord>& aRecords);
+  // What a peer sent. Claims may be left out of it.
+  std::vector<Applied> TakeTail(const ConfigTail& aTail);
 
-  FeedChange Apply(const ConfigTail& aTail);
-  // Records from the offset on, or a snapshot if they are no longer kept. Nothing if the asker is
-  // ahead.
-  std::optional<ConfigTail> Answer(const ConfigAsk& aAsk) const;
+  // Everything from aFrom on.
+  ConfigTail Tail(LogOffset aFrom) const;
 
+  // Offset to read from the log next: beyond Next() while records are held.
+  LogOffset NextRead() const;
+  LogOffset Next() const { return this->state.Next(); }
   const ConfigState& State() const { return this->state; }
-  // The configuration wants this node to take no new work.
-  bool IsDrained() const { return this->state.IsDrained(this->nodeName); }
 
 private:
-  void ApplyRecord(const LogRecord& aRecord, FeedChange& aChange);
-  void CollectOrder(FeedChange& aChange);
+  void ApplyOne(const LogRecord& aRecord, std::vector<Applied>& aResults);
+  void RestoreFrom(const LogRecord& aRecord);
+  void ApplyHeld(std::vector<Applied>& aResults);
   void Keep(const LogRecord& aRecord);
 
-  std::string nodeName;
   ConfigState state;
-  Fence fence;
-  std::deque<LogRecord> kept; // consecutive, the last one is at state.Next() - 1
-  std::size_t keptBytes = 0;
+  std::size_t keep;
+  LogOffset keptFrom = 0; // every configuration record from here to Next() is in `recent`
+  std::deque<LogRecord> recent;
+  std::deque<LogRecord> held;
 };
 
 } // namespace caraway
--- a/src/core/suspect.cpp
+++ b/src/core/suspect.cpp
@@ -95,4 +95,15 @@
   }
 }
 
+std::vector<Suspicion> SuspectTable::All(TimePoint aNow) const
+{
+  std::vector<Suspicion> result;
+  for (const auto& [fingerprint, suspect] : this->suspects) {
+    if (suspect.forgetAt > aNow) {
+      result.push_back(Suspicion{ fingerprint, suspect.crashes, suspect.forgetAt - aNow });
+    }
+  }
+  return result;
+}
+
 } // namespace caraway
--- a/src/core/suspect.h
+++ b/src/core/suspect.h
@@ -3,11 +3,12 @@
 // endpoint.
 #pragma once
 
-#include "core/types.h"
+#include "core/messages.h"
 
 #include <cstdint>
 #include <deque>
 #include <unordered_map>
+#include <vector>
 
 namespace caraway {
 
@@ -41,6 +42,8 @@
   Verdict Judge(TimePoint aNow, std::uint64_t aFingerprint) const;
   // Time until the fingerprint is forgotten; zero if it is not suspect.
   Duration ForgetAfter(TimePoint aNow, std::uint64_t aFingerprint) const;
+  // All suspects, with the time that each has left.
+  std::vector<Suspicion> All(TimePoint aNow) const;
   std::size_t Size() const { return this->suspects.size(); }
 
 private:
