--- /dev/null
+++ b/src/runtime/log.h
@@ -0,0 +1,35 @@
+// Log of a process: one line of key=value pairs on standard error for each event.
+#pragma once
+
+#include "core/event.h"
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace caraway {
+
+enum class LogLevel : std::uint8_t
+{
+  kDebug,
+  kInfo,
+  kWarning,
+  kError,
+};
+
+// Level of its name in the settings; kInfo for anything else.
+LogLevel LogLevelOf(std::string_view aName);
+
+// Sets up easylogging++ to write lines of at least aLevel to standard error, each with the time
+// and the name of the process.
+void StartLog(LogLevel aLevel, const std::string& aProcess);
+
+bool IsLogged(LogLevel aLevel);
+
+// Writes one line: event=aEvent and the fields.
+void LogEvent(LogLevel aLevel, std::string_view aEvent, const std::vector<EventField>& aFields);
+
+// Appends " key=value"; values with spaces, quotes or control characters are quoted and escaped.
+void AppendField(std::string& aLine, std::string_view aKey, std::string_view aValue);
+
+} // namespace caraway
