--- /dev/null
+++ b/src/runtime/agent_host.cpp
@@ -0,0 +1,217 @@
+#include "runtime/agent_host.h"
+
+#include "runtime/log.h"
+
+#include <nlohmann/json.hpp>
+
+namespace caraway {
+
+namespace {
+
+// Hints of free slots and speed are only told this often; they are stale by nature.
+constexpr Duration kHintPeriod = std::chrono::milliseconds(500);
+
+// True when aNew differs in more than its hints.
+bool DiffersInFacts(const Hello& aOld, const Hello& aNew)
+{
+  return aOld.leaving != aNew.leaving || aOld.configOffset != aNew.configOffset ||
+         aOld.name != aNew.name;
+}
+
+} // namespace
+
+AgentHost::AgentHost(const AgentSettings& aSettings, Peer aSelf, const Clock& aClock,
+                     Random& aRandom, Observer& aObserver)
+  : settings(aSettings)
+  , clock(aClock)
+  , observer(aObserver)
+  , endpoint(FormatAddress(aSettings.endpoint), *this)
+  , hub(aSettings.links, aSettings.clusterKey, aSelf, aClock, aRandom, *this)
+  , agent(aSettings.options, aRandom, *this)
+  , timer([this] {
+    this->armedFor = kNever;
+    this->agent.OnTimer(this->clock.Read());
+    this->AfterInput();
+  })
+  , hintTimer([this] {
+    this->hintArmed = false;
+    this->AnnounceChanges();
+  })
+{
+}
+
+std::error_code AgentHost::Start()
+{
+  const std::error_code error = this->hub.Listen(this->settings.listen);
+  if (!error) {
+    this->AfterInput();
+  }
+  return error;
+}
+
+std::string AgentHost::StatusJson() const
+{
+  auto status = nlohmann::json::parse(this->agent.StatusJson(this->clock.Read()), nullptr, false);
+  if (!status.is_object()) {
+    status = nlohmann::json::object();
+  }
+  status["name"] = this->settings.name;
+  status["role"] = "agent";
+  status["region"] = this->settings.region;
+  status["failure_domain"] = this->settings.failureDomain;
+  status["pool"] = this->settings.pool;
+  status["version"] = this->settings.version;
+  status["leaving"] = this->leaving;
+  status["ready"] = !this->leaving;
+  status["config_offset"] = this->agent.Config().Next();
+  status["links"] = this->hub.PeerCount();
+  return status.dump();
+}
+
+void AgentHost::BeginLeaving()
+{
+  if (this->leaving) {
+    return;
+  }
+  this->leaving = true;
+  this->agent.BeginLeaving(this->clock.Read());
+  this->AfterInput();
+}
+
+bool AgentHost::IsDone() const
+{
+  return this->leaving && this->agent.Idle() && this->hub.IsFlushed();
+}
+
+void AgentHost::Send(NodeId aTo, const Message& aMessage)
+{
+  this->hub.Send(aTo, aMessage);
+}
+
+void AgentHost::Dispatch(const RequestId& aId, WorkKind aKind, const std::string& aRoute,
+                         const std::string& aBody)
+{
+  this->endpoint.Dispatch(aId, aKind, aRoute, aBody);
+}
+
+void AgentHost::Abort(const RequestId& aId)
+{
+  this->endpoint.Abort(aId);
+}
+
+void AgentHost::Probe()
+{
+  this->endpoint.Probe();
+}
+
+void AgentHost::Order(LogOffset aFencing, const std::string& aBody)
+{
+  this->endpoint.Order(aFencing, aBody);
+}
+
+void AgentHost::Note(const Event& aEvent)
+{
+  this->observer.Note(aEvent);
+}
+
+void AgentHost::OnPeerUp(Peer aPeer, const Hello& aHello)
+{
+  this->observer.LearnName(aPeer.node, aHello.name);
+  this->agent.OnPeerUp(this->clock.Read(), aPeer, aHello);
+  this->observer.Meters().SetLinks(this->hub.PeerCount());
+  this->AfterInput();
+}
+
+void AgentHost::OnPeerDown(NodeId aNode, LinkEnd aEnd)
+{
+  LogEvent(LogLevel::kInfo, "link_end",
+           { { "peer", this->observer.NameOf(aNode) }, { "cause", std::string(ToString(aEnd)) } });
+  this->agent.OnPeerDown(this->clock.Read(), aNode);
+  this->observer.Meters().SetLinks(this->hub.PeerCount());
+  this->AfterInput();
+}
+
+void AgentHost::OnPeerMessage(Peer aFrom, const Message& aMessage)
+{
+  this->agent.OnMessage(this->clock.Read(), aFrom, aMessage);
+  this->AfterInput();
+}
+
+void AgentHost::OnRefusedFrame(std::string_view aCause)
+{
+  this->observer.Meters().CountRefusedFrame(aCause);
+  Event event{ this->clock.Read().steady, EventKind::kSecurity, {}, {}, {}, {}, {} };
+  event.fields.push_back({ "cause", std::string(aCause) });
+  this->observer.Note(event);
+}
+
+void AgentHost::OnWorkChunk(const RequestId& aId, std::uint32_t aTokens, const std::string& aData)
+{
+  this->agent.OnWorkChunk(this->clock.Read(), aId, aTokens, aData);
+  this->AfterInput();
+}
+
+void AgentHost::OnWorkEnd(const RequestId& aId, const WorkResult& aResult)
+{
+  this->agent.OnWorkEnd(this->clock.Read(), aId, aResult);
+  this->AfterInput();
+}
+
+void AgentHost::OnProbe(bool aReachable)
+{
+  this->agent.OnProbe(this->clock.Read(), aReachable);
+  this->AfterInput();
+}
+
+void AgentHost::OnOrderDone(LogOffset aFencing, bool aAccepted)
+{
+  this->agent.OnOrderDone(this->clock.Read(), aFencing, aAccepted);
+  this->AfterInput();
+}
+
+// Follows every input: arms the timer and tells entries what changed.
+void AgentHost::AfterInput()
+{
+  this->AnnounceChanges();
+  const TimePoint next = this->agent.NextTimer();
+  if (next >= this->armedFor) {
+    return;
+  }
+  this->armedFor = next;
+  this->timer.ArmAfter(next - this->clock.Read().steady);
+}
+
+// Tells facts at once, hints at most once in each period.
+void AgentHost::AnnounceChanges()
+{
+  const TimePoint now = this->clock.Read().steady;
+  const Hello hello = this->CurrentHello();
+  const Duration sinceHints = now - this->hintsSentAt;
+  if (!DiffersInFacts(this->announced, hello) && sinceHints < kHintPeriod) {
+    if (!this->hintArmed) {
+      this->hintArmed = true;
+      this->hintTimer.ArmAfter(kHintPeriod - sinceHints);
+    }
+    return;
+  }
+  this->announced = hello;
+  this->hintsSentAt = now;
+  this->observer.Meters().SetConfigOffset(hello.configOffset);
+  this->hub.Announce(hello);
+}
+
+// The decisions know what changes; the settings know who the process is.
+Hello AgentHost::CurrentHello() const
+{
+  Hello hello = this->agent.CurrentHello();
+  hello.role = Role::kAgent;
+  hello.name = this->settings.name;
+  hello.region = this->settings.region;
+  hello.failureDomain = this->settings.failureDomain;
+  hello.pool = this->settings.pool;
+  hello.version = this->settings.version;
+  hello.leaving = this->leaving;
+  return hello;
+}
+
+} // namespace caraway
--- a/src/runtime/link.cpp
+++ b/src/runtime/link.cpp
@@ -86,7 +86,7 @@
   this->readSource = g_socket_create_source(this->socket, G_IO_IN, nullptr);
   g_source_set_callback(this->readSource, G_SOURCE_FUNC(&Link::OnReadable), this, nullptr);
   g_source_attach(this->readSource, g_main_context_get_thread_default());
-  this->flush.ArmAfter(Duration::zero());
+  this->ArmFlush();
   this->tick.ArmAfter(this->options.heartbeat);
 }
 
@@ -104,7 +104,15 @@
 {
   AppendFrame(this->output, *this->session, this->direction, this->sendSequence++, aPayload);
   this->sentSinceTick = true;
-  this->flush.ArmAfter(Duration::zero());
+  this->ArmFlush();
+}
+
+void Link::ArmFlush()
+{
+  if (!this->flushArmed) {
+    this->flushArmed = true;
+    this->flush.ArmAfter(Duration::zero());
+  }
 }
 
 void Link::End(LinkEnd aEnd)
@@ -230,6 +238,7 @@
 void Link::Flush()
 {
   const auto keep = this->shared_from_this();
+  this->flushArmed = false;
   while (!this->ended && this->sent < this->output.size()) {
     GError* raw = nullptr;
     const gssize count = g_socket_send(this->socket, this->output.data() + this->sent,
--- a/src/runtime/link.h
+++ b/src/runtime/link.h
@@ -79,6 +79,9 @@
   // Ends the link and reports it.
   void End(LinkEnd aEnd);
 
+  // True when the socket took everything that was queued.
+  bool IsFlushed() const { return this->sent == this->output.size(); }
+
   // The other end, known since its first Hello.
   const std::optional<Peer>& Remote() const { return this->remote; }
   void SetRemote(Peer aPeer) { this->remote = aPeer; }
@@ -93,6 +96,7 @@
   bool ReadFrame(std::size_t& aOffset);
   bool TakePayload(std::string_view aPayload, std::string_view aMac);
   void AppendPayload(std::string_view aPayload);
+  void ArmFlush();
   void Flush();
   void WatchWritable();
   void OnTick();
@@ -118,6 +122,7 @@
   TimePoint receivedAt;
   TimePoint tickedAt;
   bool sentSinceTick = false;
+  bool flushArmed = false;
   bool ended = false;
   GSource* readSource = nullptr;
   GSource* writeSource = nullptr;
--- a/src/runtime/link_hub.cpp
+++ b/src/runtime/link_hub.cpp
@@ -109,6 +109,19 @@
   return addresses;
 }
 
+bool LinkHub::IsUp(const Address& aAddress) const
+{
+  const auto found = this->dialers.find(aAddress);
+  return found != this->dialers.end() && found->second->link != nullptr &&
+         found->second->link->Remote().has_value();
+}
+
+bool LinkHub::IsFlushed() const
+{
+  return std::all_of(this->links.begin(), this->links.end(),
+                     [](const auto& aItem) { return aItem.second->IsFlushed(); });
+}
+
 void LinkHub::Announce(const Hello& aHello)
 {
   const std::string encoded = EncodeEnvelope(Envelope{ {}, {}, aHello });
@@ -258,6 +271,8 @@
   for (const auto& [address, dialer] : this->dialers) {
     if (dialer->link == &aLink) {
       dialer->link = nullptr;
+      const bool superseded = aEnd == LinkEnd::kReplaced || aEnd == LinkEnd::kOldIncarnation;
+      dialer->backoff = superseded ? this->options.maxBackoff : dialer->backoff;
       this->Retry(*dialer);
     }
   }
--- a/src/runtime/link_hub.h
+++ b/src/runtime/link_hub.h
@@ -46,6 +46,10 @@
   void Dial(const Address& aAddress);
   void HangUp(const Address& aAddress);
   std::vector<Address> Dialed() const;
+  // True when a peer answers at the dialed address.
+  bool IsUp(const Address& aAddress) const;
+  // True when the sockets took everything that was sent.
+  bool IsFlushed() const;
 
   // Sets the Hello of this process and sends it to all peers if it differs from the last one.
   void Announce(const Hello& aHello);
--- /dev/null
+++ b/src/runtime/membership.cpp
@@ -0,0 +1,58 @@
+#include "runtime/membership.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace caraway {
+
+namespace {
+
+// True if aTo is one of the next kEntryPeers entries after aFrom on the ring of all entries.
+bool IsSuccessor(const std::vector<NodeId>& aRing, NodeId aFrom, NodeId aTo)
+{
+  const auto place = [&](NodeId aNode) {
+    return static_cast<std::size_t>(std::ranges::lower_bound(aRing, aNode) - aRing.begin());
+  };
+  const std::size_t steps = (place(aTo) + aRing.size() - place(aFrom)) % aRing.size();
+  return steps >= 1 && steps <= kEntryPeers;
+}
+
+std::vector<NodeId> RingOf(NodeId aSelf, std::span<const Vm> aVms)
+{
+  std::vector<NodeId> ring{ aSelf };
+  for (const Vm& vm : aVms) {
+    if (vm.role == Role::kEntry) {
+      ring.push_back(NodeIdOf(vm.name));
+    }
+  }
+  std::ranges::sort(ring);
+  const auto rest = std::ranges::unique(ring);
+  ring.erase(rest.begin(), rest.end());
+  return ring;
+}
+
+// Of a pair in which each follows the other on the ring, only the lower one connects.
+bool ConnectsTo(const std::vector<NodeId>& aRing, NodeId aSelf, NodeId aOther)
+{
+  if (aSelf == aOther || !IsSuccessor(aRing, aSelf, aOther)) {
+    return false;
+  }
+  return aSelf < aOther || !IsSuccessor(aRing, aOther, aSelf);
+}
+
+} // namespace
+
+std::set<Address> ChoosePeers(const std::string& aSelf, std::span<const Vm> aVms)
+{
+  const NodeId self = NodeIdOf(aSelf);
+  const std::vector<NodeId> ring = RingOf(self, aVms);
+  std::set<Address> chosen;
+  for (const Vm& vm : aVms) {
+    if (vm.role == Role::kAgent || ConnectsTo(ring, self, NodeIdOf(vm.name))) {
+      chosen.insert(Address{ vm.address, vm.port });
+    }
+  }
+  return chosen;
+}
+
+} // namespace caraway
--- /dev/null
+++ b/src/runtime/membership.h
@@ -0,0 +1,20 @@
+// Choice of the peers to connect to, from the platform's list of VMs.
+#pragma once
+
+#include "runtime/address.h"
+#include "runtime/log_client.h"
+
+#include <set>
+#include <span>
+#include <string>
+
+namespace caraway {
+
+// Other entries that an entry connects to.
+constexpr std::size_t kEntryPeers = 3;
+
+// Addresses that the entry called aSelf keeps connections to: the agents, and a few other entries,
+// chosen so that all entries form one connected graph and no pair connects twice.
+std::set<Address> ChoosePeers(const std::string& aSelf, std::span<const Vm> aVms);
+
+} // namespace caraway
