Detect a gap before a configuration tail

Cause: an entry that believed a tail delivered over a link that broke would let the agent skip records. A tail now names the first offset it covers; a receiver that is behind it asks.

--- a/src/core/agent_config.cpp
+++ b/src/core/agent_config.cpp
@@ -17,6 +17,10 @@
 FeedChange AgentConfig::Apply(const ConfigTail& aTail)
 {
   FeedChange change;
+  if (this->feed.Misses(aTail)) {
+    change.ask = ConfigAsk{ this->feed.Next() };
+    return change;
+  }
   const LogOffset before = this->feed.Next();
   this->feed.TakeTail(aTail);
   change.isChanged = this->feed.Next() != before;
--- a/src/core/agent_config.h
+++ b/src/core/agent_config.h
@@ -22,6 +22,7 @@
 struct FeedChange
 {
   bool isChanged = false;
+  std::optional<ConfigAsk> ask; // records are missing before the tail
   std::vector<EndpointOrder> orders;
 };
 
--- a/src/core/agent_impl.h
+++ b/src/core/agent_impl.h
@@ -3,8 +3,8 @@
 #pragma once
 
 #include "core/agent.h"
+#include "core/agent_config.h"
 #include "core/answers.h"
-#include "core/config_feed.h"
 #include "core/drain_rate.h"
 #include "core/evidence_totals.h"
 #include "core/health.h"
@@ -166,7 +166,7 @@
   Breaker breaker;
   std::unique_ptr<Limiter> limiter;
   DrainRate drain;
-  ConfigFeed feed;
+  AgentConfig feed;
   EvidenceTotals evidence;
   std::map<NodeId, PeerState> peers;
   std::vector<BrokenWork> broken;
--- a/src/core/config_feed.cpp
+++ b/src/core/config_feed.cpp
@@ -48,9 +48,18 @@
   return results;
 }
 
+bool ConfigFeed::Misses(const ConfigTail& aTail) const
+{
+  const LogOffset reached = std::max(this->state.Next(), aTail.snapshotNext);
+  return aTail.from > reached;
+}
+
 std::vector<Applied> ConfigFeed::TakeTail(const ConfigTail& aTail)
 {
   std::vector<Applied> results;
+  if (this->Misses(aTail)) {
+    return results;
+  }
   if (!aTail.snapshot.empty() && aTail.snapshotNext > this->state.Next()) {
     if (this->state.Restore(aTail.snapshot)) {
       this->recent.clear();
@@ -71,6 +80,7 @@
 ConfigTail ConfigFeed::Tail(LogOffset aFrom) const
 {
   ConfigTail tail;
+  tail.from = aFrom;
   tail.next = this->state.Next();
   if (aFrom < this->keptFrom) {
     tail.snapshot = this->state.Snapshot();
--- a/src/core/config_feed.h
+++ b/src/core/config_feed.h
@@ -18,7 +18,9 @@
   // Consecutive records as read from the log. If they begin behind Next(), the log has cut what was
   // missing: they are held until a snapshot record covers the gap.
   std::vector<Applied> TakeRecords(const std::vector<LogRecord>& aRecords);
-  // What a peer sent. Claims may be left out of it.
+  // Whether records are missing between this state and what a peer sent.
+  bool Misses(const ConfigTail& aTail) const;
+  // What a peer sent; nothing is applied if records are missing before it. Claims may be left out.
   std::vector<Applied> TakeTail(const ConfigTail& aTail);
 
   // Everything from aFrom on.
--- a/src/core/entry_state.cpp
+++ b/src/core/entry_state.cpp
@@ -126,8 +126,12 @@
   (void)aNow;
 }
 
-void Entry::Impl::On(Now aNow, Peer /*aFrom*/, const ConfigTail& aTail)
+void Entry::Impl::On(Now aNow, Peer aFrom, const ConfigTail& aTail)
 {
+  if (this->feed.Misses(aTail)) {
+    this->port.Send(aFrom.node, ConfigAsk{ this->feed.Next() });
+    return;
+  }
   this->ConfigChanged(aNow, this->feed.TakeTail(aTail));
 }
 
--- a/src/core/messages.h
+++ b/src/core/messages.h
@@ -262,6 +262,7 @@
 // Consecutive configuration: a snapshot (when the asker is too far behind), then records.
 struct ConfigTail
 {
+  LogOffset from = 0;         // first offset that is covered
   LogOffset next = 0;         // first offset that is not covered
   std::string snapshot;       // empty, or the JSON text of ConfigState::Snapshot
   LogOffset snapshotNext = 0; // first offset that the snapshot does not cover
@@ -270,7 +271,7 @@
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(next, snapshot, snapshotNext, records);
+    aArchive(from, next, snapshot, snapshotNext, records);
   }
 };
 
