Add callers' HTTP, operators' HTTP, command line, shutdown and the daemons entry and agent

Calls that are refused before they are read whole get their answer on the bare connection, because libsoup would read and buffer the rest of the request first.

--- /dev/null
+++ b/src/daemons/agent.cpp
@@ -0,0 +1,53 @@
+// caraway-agent: the only process that talks to its endpoint.
+#include "runtime/admin_server.h"
+#include "runtime/agent_host.h"
+#include "runtime/command_line.h"
+#include "runtime/log.h"
+#include "runtime/process.h"
+
+#include <iostream>
+
+namespace {
+
+using namespace caraway;
+
+int Fail(const char* aWhat, const Address& aAddress, const std::error_code& aError)
+{
+  std::cerr << "caraway-agent: " << aWhat << " " << FormatAddress(aAddress) << ": "
+            << aError.message() << "\n";
+  return 1;
+}
+
+int Run(const AgentSettings& aSettings)
+{
+  StartLog(LogLevelOf(aSettings.logLevel), aSettings.name);
+  ProcessContext context(aSettings);
+  AgentHost host(aSettings, context.self, context.clock, context.random, context.observer);
+  AdminServer admin(aSettings.name, host, context.clock, context.observer, context.metrics);
+  if (const auto error = host.Start()) {
+    return Fail("listen", aSettings.listen, error);
+  }
+  if (const auto error = admin.Start(aSettings.admin)) {
+    return Fail("admin", aSettings.admin, error);
+  }
+  LogEvent(LogLevel::kInfo, "started", { { "listen", FormatAddress(aSettings.listen) } });
+  MainLoop loop(
+    host, [] { return true; }, [] {});
+  return loop.Run();
+}
+
+} // namespace
+
+int main(int aCount, char** aArguments)
+{
+  const CommandLine line =
+    ReadCommandLine(aCount, aArguments, "caraway-agent", CARAWAY_VERSION,
+                    [](const std::string& aText, std::vector<Finding>& aFindings) {
+                      ReadAgentSettings(aText, aFindings);
+                    });
+  if (line.exitCode) {
+    return *line.exitCode;
+  }
+  std::vector<Finding> findings;
+  return Run(*ReadAgentSettings(line.settingsText, findings));
+}
--- a/src/runtime/address.cpp
+++ b/src/runtime/address.cpp
@@ -18,8 +18,7 @@
     host = host.substr(1, host.size() - 2);
   }
   Address address{ std::string(host), 0 };
-  const auto [end, error] =
-    std::from_chars(port.data(), port.data() + port.size(), address.port);
+  const auto [end, error] = std::from_chars(port.data(), port.data() + port.size(), address.port);
   const bool whole = error == std::errc{} && end == port.data() + port.size();
   if (!whole || !g_hostname_is_ip_address(address.host.c_str())) {
     return std::nullopt;
--- a/src/runtime/link.cpp
+++ b/src/runtime/link.cpp
@@ -18,9 +18,9 @@
 constexpr int kPausedTicks = 2;
 
 constexpr std::array<std::string_view, 12> kEndNames = {
-  "closed_by_peer",    "socket_error", "silent",       "queue_full",
-  "handshake_timeout", "wrong_mac",    "oversize",     "malformed",
-  "wrong_sender",      "old_incarnation", "replaced",  "local",
+  "closed_by_peer",    "socket_error",    "silent",   "queue_full",
+  "handshake_timeout", "wrong_mac",       "oversize", "malformed",
+  "wrong_sender",      "old_incarnation", "replaced", "local",
 };
 
 void DestroySource(GSource*& aSource)
@@ -149,8 +149,7 @@
 {
   static std::array<char, kReadBytes> buffer; // shared by all links of the one main loop
   GError* raw = nullptr;
-  const gssize count =
-    g_socket_receive(this->socket, buffer.data(), buffer.size(), nullptr, &raw);
+  const gssize count = g_socket_receive(this->socket, buffer.data(), buffer.size(), nullptr, &raw);
   const ErrorPtr error(raw);
   if (count == 0) {
     this->End(LinkEnd::kClosedByPeer);
--- a/src/runtime/link_hub.cpp
+++ b/src/runtime/link_hub.cpp
@@ -60,9 +60,9 @@
     g_inet_socket_address_new_from_string(aAddress.host.c_str(), aAddress.port));
   GSocketAddress* bound = nullptr;
   GError* raw = nullptr;
-  const bool done = g_socket_listener_add_address(
-    G_SOCKET_LISTENER(this->service.get()), address.get(), G_SOCKET_TYPE_STREAM,
-    G_SOCKET_PROTOCOL_TCP, nullptr, &bound, &raw);
+  const bool done = g_socket_listener_add_address(G_SOCKET_LISTENER(this->service.get()),
+                                                  address.get(), G_SOCKET_TYPE_STREAM,
+                                                  G_SOCKET_PROTOCOL_TCP, nullptr, &bound, &raw);
   const ErrorPtr error(raw);
   if (!done) {
     this->service.reset();
--- a/src/runtime/metrics.cpp
+++ b/src/runtime/metrics.cpp
@@ -42,9 +42,9 @@
   , refusedFrames(CounterFamily(this->registry, "caraway_refused_frames_total",
                                 "Frames between processes that were refused, by cause"))
   , events(CounterFamily(this->registry, "caraway_events_total", "Events by kind"))
-  , violations(CounterFamily(this->registry, "caraway_violations_total",
-                             "Invariants found not to hold")
-                 .Add({}))
+  , violations(
+      CounterFamily(this->registry, "caraway_violations_total", "Invariants found not to hold")
+        .Add({}))
   , links(SingleGauge(this->registry, "caraway_links", "Peers connected"))
   , configOffset(SingleGauge(this->registry, "caraway_config_offset",
                              "First log offset that has not been applied"))
--- a/src/runtime/observer.cpp
+++ b/src/runtime/observer.cpp
@@ -100,10 +100,11 @@
   query.request = aRequest;
   for (const TimelineEntry& entry : this->timeline.Select(query)) {
     std::vector<EventField> fields = this->FieldsOf(entry.event);
-    fields.insert(fields.begin(),
-                  { EventField{ "kind", std::string(ToString(entry.event.kind)) },
-                    EventField{ "seq", std::to_string(entry.sequence) },
-                    EventField{ "wall_ms", std::to_string(entry.wall.time_since_epoch().count()) } });
+    fields.insert(
+      fields.begin(),
+      { EventField{ "kind", std::string(ToString(entry.event.kind)) },
+        EventField{ "seq", std::to_string(entry.sequence) },
+        EventField{ "wall_ms", std::to_string(entry.wall.time_since_epoch().count()) } });
     LogEvent(LogLevel::kError, "history", fields);
   }
 }
--- /dev/null
+++ b/src/runtime/process.cpp
@@ -0,0 +1,102 @@
+#include "runtime/process.h"
+
+#include "runtime/frame.h"
+#include "runtime/log.h"
+
+#include <csignal>
+#include <cstring>
+#include <glib-unix.h>
+#include <utility>
+
+namespace caraway {
+
+namespace {
+
+constexpr Duration kLookPeriod = std::chrono::milliseconds(50);
+// Time for peers to read the last frames before the connections close.
+constexpr Duration kLinger = std::chrono::milliseconds(250);
+constexpr int kExitInterrupted = 1;
+
+} // namespace
+
+Peer MakeSelf(const std::string& aName, const Clock& aClock)
+{
+  const std::chrono::microseconds wall = aClock.Read().wall.time_since_epoch();
+  return Peer{ NodeIdOf(aName), Incarnation{ static_cast<std::uint64_t>(wall.count()) } };
+}
+
+std::uint64_t ChooseSeed(const CommonSettings& aSettings)
+{
+  if (aSettings.seed) {
+    return *aSettings.seed;
+  }
+  const Nonce nonce = MakeNonce();
+  std::uint64_t seed = 0;
+  std::memcpy(&seed, nonce.data(), sizeof(seed));
+  return seed;
+}
+
+ProcessContext::ProcessContext(const CommonSettings& aSettings)
+  : random(ChooseSeed(aSettings))
+  , timeline(aSettings.timelineEvents)
+  , observer(this->clock, this->metrics, this->timeline)
+  , self(MakeSelf(aSettings.name, this->clock))
+{
+}
+
+MainLoop::MainLoop(AdminView& aView, std::function<bool()> aDone, std::function<void()> aOnLeaving)
+  : view(aView)
+  , done(std::move(aDone))
+  , onLeaving(std::move(aOnLeaving))
+  , loop(g_main_loop_new(nullptr, FALSE))
+  , look([this] { this->Look(); })
+{
+}
+
+MainLoop::~MainLoop()
+{
+  g_main_loop_unref(this->loop);
+}
+
+int MainLoop::Run()
+{
+  std::signal(SIGPIPE, SIG_IGN);
+  const guint terminate = g_unix_signal_add(SIGTERM, &MainLoop::OnSignal, this);
+  const guint interrupt = g_unix_signal_add(SIGINT, &MainLoop::OnSignal, this);
+  this->look.ArmAfter(kLookPeriod);
+  g_main_loop_run(this->loop);
+  g_source_remove(terminate);
+  g_source_remove(interrupt);
+  return this->exitCode;
+}
+
+int MainLoop::OnSignal(void* aData)
+{
+  auto* self = static_cast<MainLoop*>(aData);
+  if (++self->signals > 1) {
+    self->exitCode = kExitInterrupted;
+    g_main_loop_quit(self->loop);
+    return G_SOURCE_CONTINUE;
+  }
+  LogEvent(LogLevel::kInfo, "signal", {});
+  self->view.BeginLeaving();
+  return G_SOURCE_CONTINUE;
+}
+
+// Ends the loop when a leaving process has been done for the time that its peers get.
+void MainLoop::Look()
+{
+  if (this->view.IsLeaving()) {
+    this->onLeaving();
+  }
+  const bool finished = this->view.IsLeaving() && this->view.IsDone() && this->done();
+  if (finished && this->lingering) {
+    LogEvent(LogLevel::kInfo, "left", {});
+    g_main_loop_quit(this->loop);
+    return;
+  }
+  this->lingering = finished;
+  this->look.ArmAfter(finished ? kLinger : kLookPeriod);
+}
+
+} // namespace caraway
--- /dev/null
+++ b/src/runtime/refused_connection.cpp
@@ -0,0 +1,92 @@
+#include "runtime/refused_connection.h"
+
+#include "runtime/answer_format.h"
+
+#include <libsoup/soup.h>
+
+#include <utility>
+
+namespace caraway {
+
+namespace {
+
+constexpr Duration kLingerTime = std::chrono::seconds(2);
+
+std::string RawAnswer(const Rejection& aRejection)
+{
+  const std::string body = RejectionJson(aRejection);
+  std::string answer = "HTTP/1.1 " + std::to_string(aRejection.status) + " " +
+                       soup_status_get_phrase(aRejection.status) + "\r\n";
+  answer += "Content-Type: application/json\r\nConnection: close\r\nCaraway-Outcome: not_run\r\n";
+  answer += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+  return answer;
+}
+
+} // namespace
+
+RefusedConnection::RefusedConnection(ObjectPtr<GIOStream> aStream, const Rejection& aRejection,
+                                     std::function<void()> aDone)
+  : stream(std::move(aStream))
+  , cancellable(g_cancellable_new())
+  , answer(RawAnswer(aRejection))
+  , done(std::move(aDone))
+  , limit([this] { this->done(); })
+{
+  this->limit.ArmAfter(kLingerTime);
+  g_output_stream_write_all_async(g_io_stream_get_output_stream(this->stream.get()),
+                                  this->answer.data(), this->answer.size(), G_PRIORITY_DEFAULT,
+                                  this->cancellable.get(), &RefusedConnection::OnWritten, this);
+}
+
+// Cancelled operations report to no one: their callbacks see the error before the object.
+RefusedConnection::~RefusedConnection()
+{
+  g_cancellable_cancel(this->cancellable.get());
+  g_io_stream_close_async(this->stream.get(), G_PRIORITY_DEFAULT, nullptr, nullptr, nullptr);
+}
+
+void RefusedConnection::OnWritten(GObject* aSource, GAsyncResult* aResult, void* aData)
+{
+  GError* raw = nullptr;
+  const bool written =
+    g_output_stream_write_all_finish(G_OUTPUT_STREAM(aSource), aResult, nullptr, &raw);
+  const ErrorPtr error(raw);
+  if (g_error_matches(error.get(), G_IO_ERROR, G_IO_ERROR_CANCELLED)) {
+    return;
+  }
+  auto* self = static_cast<RefusedConnection*>(aData);
+  if (!written) {
+    self->done();
+    return;
+  }
+  if (G_IS_SOCKET_CONNECTION(self->stream.get())) {
+    GSocket* socket = g_socket_connection_get_socket(G_SOCKET_CONNECTION(self->stream.get()));
+    g_socket_shutdown(socket, FALSE, TRUE, nullptr);
+  }
+  self->Drain();
+}
+
+void RefusedConnection::Drain()
+{
+  g_input_stream_read_async(g_io_stream_get_input_stream(this->stream.get()), this->rest.data(),
+                            this->rest.size(), G_PRIORITY_DEFAULT, this->cancellable.get(),
+                            &RefusedConnection::OnRead, this);
+}
+
+void RefusedConnection::OnRead(GObject* aSource, GAsyncResult* aResult, void* aData)
+{
+  GError* raw = nullptr;
+  const gssize count = g_input_stream_read_finish(G_INPUT_STREAM(aSource), aResult, &raw);
+  const ErrorPtr error(raw);
+  if (g_error_matches(error.get(), G_IO_ERROR, G_IO_ERROR_CANCELLED)) {
+    return;
+  }
+  auto* self = static_cast<RefusedConnection*>(aData);
+  if (count <= 0) {
+    self->done();
+    return;
+  }
+  self->Drain();
+}
+
+} // namespace caraway
--- a/src/runtime/settings.cpp
+++ b/src/runtime/settings.cpp
@@ -24,8 +24,8 @@
 template<class Owner>
 struct SettingRow
 {
-  using Member = std::variant<std::string Owner::*, Address Owner::*, std::uint32_t Owner::*,
-                              bool Owner::*>;
+  using Member =
+    std::variant<std::string Owner::*, Address Owner::*, std::uint32_t Owner::*, bool Owner::*>;
   const char* name;
   Member member;
   bool required;
@@ -179,14 +179,14 @@
     }
     const double number = value->get<double>();
     if (const auto* duration = std::get_if<Duration Owner::*>(&aRow.member)) {
-      aOwner.**duration = std::chrono::round<Duration>(
-        std::chrono::duration<double, std::milli>(number));
+      aOwner.** duration =
+        std::chrono::round<Duration>(std::chrono::duration<double, std::milli>(number));
     } else if (const auto* count = std::get_if<std::uint32_t Owner::*>(&aRow.member)) {
       if (std::floor(number) != number) {
         this->Report(aRow.name, "must be a whole number");
         return;
       }
-      aOwner.**count = static_cast<std::uint32_t>(number);
+      aOwner.** count = static_cast<std::uint32_t>(number);
     } else {
       aOwner.*std::get<double Owner::*>(aRow.member) = number;
     }
@@ -274,8 +274,8 @@
     const bool valid =
       aValue.is_number() && aValue.get<double>() >= aLow && aValue.get<double>() <= aHigh;
     if (!valid) {
-      this->Report(aName, "must be a number from " + FormatNumber(aLow) + " to " +
-                            FormatNumber(aHigh));
+      this->Report(aName,
+                   "must be a number from " + FormatNumber(aLow) + " to " + FormatNumber(aHigh));
     }
     return valid;
   }
@@ -522,13 +522,12 @@
 template<class Rows>
 void WriteSettings(std::ostream& aOut, const Rows& aRows)
 {
-  using Owner = std::remove_cvref_t<decltype([]<class T>(const SettingRow<T>&) -> T {
-    return {};
-  }(*std::begin(aRows)))>;
+  using Owner = std::remove_cvref_t<decltype(
+    []<class T>(const SettingRow<T>&) -> T { return {}; }(*std::begin(aRows)))>;
   const Owner defaults{};
   for (const auto& row : aRows) {
-    const std::string value = std::visit(
-      [&](auto aMember) { return FormatDefault(defaults.*aMember); }, row.member);
+    const std::string value =
+      std::visit([&](auto aMember) { return FormatDefault(defaults.*aMember); }, row.member);
     aOut << "| `" << row.name << "` | " << TypeOf(row) << " | "
          << (row.required ? "required" : value) << " | " << row.help << " |\n";
   }
@@ -554,8 +553,8 @@
   const Owner defaults{};
   WriteHead(aOut, aTitle);
   for (const OptionRow<Owner>& row : aTable) {
-    const std::string value = std::visit(
-      [&](auto aMember) { return FormatDefault(defaults.*aMember); }, row.member);
+    const std::string value =
+      std::visit([&](auto aMember) { return FormatDefault(defaults.*aMember); }, row.member);
     aOut << "| `" << row.name << "` | " << FormatNumber(row.low) << " to " << FormatNumber(row.high)
          << " | " << value << " | " << row.help << " |\n";
   }
--- /dev/null
+++ b/src/runtime/soup_listen.cpp
@@ -0,0 +1,40 @@
+#include "runtime/soup_listen.h"
+
+#include "runtime/error.h"
+
+namespace caraway {
+
+std::error_code ListenAt(SoupServer* aServer, const Address& aAddress, bool aTls)
+{
+  const ObjectPtr<GSocketAddress> address(
+    g_inet_socket_address_new_from_string(aAddress.host.c_str(), aAddress.port));
+  const auto options = static_cast<SoupServerListenOptions>(aTls ? SOUP_SERVER_LISTEN_HTTPS : 0);
+  GError* raw = nullptr;
+  const bool done = soup_server_listen(aServer, address.get(), options, &raw);
+  const ErrorPtr error(raw);
+  return done ? std::error_code{} : ErrorOf(error.get());
+}
+
+std::uint16_t PortOf(SoupServer* aServer)
+{
+  GSList* uris = soup_server_get_uris(aServer);
+  const int port = uris != nullptr ? g_uri_get_port(static_cast<GUri*>(uris->data)) : 0;
+  g_slist_free_full(uris, reinterpret_cast<GDestroyNotify>(g_uri_unref));
+  return static_cast<std::uint16_t>(port);
+}
+
+std::string HeaderOf(SoupServerMessage* aMessage, const char* aName)
+{
+  const char* value =
+    soup_message_headers_get_one(soup_server_message_get_request_headers(aMessage), aName);
+  return value != nullptr ? value : "";
+}
+
+void Reply(SoupServerMessage* aMessage, std::uint16_t aStatus, const char* aType,
+           const std::string& aBody)
+{
+  soup_server_message_set_status(aMessage, aStatus, nullptr);
+  soup_server_message_set_response(aMessage, aType, SOUP_MEMORY_COPY, aBody.data(), aBody.size());
+}
+
+} // namespace caraway
