--- a/src/core/agent.cpp
+++ b/src/core/agent.cpp
@@ -12,8 +12,9 @@
 constexpr Duration kHelloPause = seconds(1);
 constexpr Duration kEvidencePause = seconds(1);
 constexpr Duration kAskPause = seconds(1);
-constexpr double kSpeedChange = 0.25; // of the decode speed, worth a new Hello
-constexpr double kSlotsChange = 0.25; // of the free slots, worth a new Hello
+constexpr std::size_t kMaxSuspicions = 64; // told to a new peer
+constexpr double kSpeedChange = 0.25;      // of the decode speed, worth a new Hello
+constexpr double kSlotsChange = 0.25;      // of the free slots, worth a new Hello
 
 bool IsNotable(double aOld, double aNew, double aShare)
 {
@@ -28,6 +29,7 @@
   , identity(aIdentity)
   , random(aRandom)
   , port(aPort)
+  , checker(aPort)
   , queue(aOptions.maxQueue)
   , answers(aOptions.maxKeptBytes, aOptions.keepAnswer)
   , tombstones(aOptions.maxTombstones, aOptions.tombstoneTime)
@@ -42,13 +44,17 @@
 
 void Agent::Impl::OnPeerUp(Now aNow, Peer aPeer, const Hello& aHello)
 {
-  const auto known = this->peers.find(aPeer.node);
-  if (known != this->peers.end()) {
+  if (this->peers.contains(aPeer.node)) {
     this->OnPeerDown(aNow, aPeer.node);
   }
   this->peers[aPeer.node] = PeerState{ aPeer };
   this->Note(aNow, EventKind::kPeerUp, RequestId{}, aPeer.node, aHello.name);
   this->AskConfig(aNow, aPeer.node, aHello.configOffset);
+  std::vector<Suspicion> known = this->suspects.All(aNow.steady);
+  known.resize(std::min(known.size(), kMaxSuspicions));
+  for (const Suspicion& suspicion : known) {
+    this->port.Send(aPeer.node, suspicion);
+  }
 }
 
 // The entry's reservations are void; its running work goes on until somebody asks for it or the
@@ -99,9 +105,7 @@
 void Agent::Impl::On(Now aNow, Peer aFrom, const ConfigTail& aTail)
 {
   const FeedChange change = this->feed.Apply(aTail);
-  if (change.ask.has_value()) {
-    this->AskConfig(aNow, aFrom.node, aTail.next);
-  }
+  this->AskConfig(aNow, aFrom.node, aTail.next);
   for (const EndpointOrder& order : change.orders) {
     if (order.isStale) {
       this->Note(aNow, EventKind::kSecurity, RequestId{}, aFrom.node, "",
@@ -114,6 +118,7 @@
   if (!change.isChanged) {
     return;
   }
+  this->checker.OnConfigNext(aNow, this->feed.State().Next());
   this->Note(aNow, EventKind::kConfig, RequestId{}, aFrom.node, "",
              { { "next", std::to_string(this->feed.State().Next()) } });
   const bool isDrained = this->feed.IsDrained();
@@ -195,6 +200,7 @@
     return;
   }
   this->isLeaving = true;
+  this->checker.OnLeaving(aNow);
   this->HandBack(aNow);
 }
 
@@ -244,6 +250,7 @@
   status["tombstones"] = this->tombstones.Size();
   status["suspects"] = this->suspects.Size();
   status["peers"] = this->peers.size();
+  status["violations"] = this->checker.Violations();
   status["config_next"] = this->feed.State().Next();
   return status.dump();
 }
@@ -326,7 +333,7 @@
   event.account = aAccount;
   event.subject = this->identity.name;
   event.fields = std::move(aFields);
-  this->port.Note(event);
+  this->checker.Note(event);
 }
 
 void Agent::Impl::Violate(Now aNow, const RequestId& aId, const std::string& aText)
--- a/src/core/agent_admission.cpp
+++ b/src/core/agent_admission.cpp
@@ -58,7 +58,7 @@
   if (tombstone == Tombstone::kForgotten) {
     return Reason::kKeyExpired;
   }
-  if (tombstone != Tombstone::kNone || this->IsReserved(aReserve.id)) {
+  if (!MayRun(tombstone) || this->IsReserved(aReserve.id)) {
     return Reason::kKeyInUse;
   }
   if (this->IsBanned(aNow, aReserve.fingerprint)) {
@@ -321,8 +321,8 @@
   } else {
     refuse.retryAfter = kBriefRetry;
   }
-  if (isOverload && refuse.lowerTierLeft) {
-    this->Violate(aNow, request.id, "higher tier refused while lower-tier work could make room");
+  if (isOverload) {
+    this->checker.OnShed(aNow, request.id, request.tier, refuse.lowerTierLeft);
   }
   this->Note(
     aNow, EventKind::kRefused, request.id, aReservation.entry.node, request.account,
--- a/src/core/agent_impl.h
+++ b/src/core/agent_impl.h
@@ -3,11 +3,12 @@
 #pragma once
 
 #include "core/agent.h"
+#include "core/agent_config.h"
 #include "core/answers.h"
-#include "core/config_feed.h"
 #include "core/drain_rate.h"
 #include "core/evidence_totals.h"
 #include "core/health.h"
+#include "core/invariant.h"
 #include "core/limit.h"
 #include "core/queue.h"
 #include "core/running.h"
@@ -129,6 +130,7 @@
   void OnWorkFailed(Now aNow, WorkEnd aEnd);
   void Replay(NodeId aTo, const Answer& aAnswer, std::uint32_t aFrom);
   void SayNotRun(Now aNow, NodeId aTo, const RequestId& aId, Reason aReason);
+  void SayUnknown(NodeId aTo, const RequestId& aId, Reason aReason);
   RunState StateOf(const Query& aQuery, const Answer* aAnswer) const;
 
   // Health.
@@ -155,6 +157,7 @@
   AgentIdentity identity;
   Random& random;
   AgentPort& port;
+  InvariantChecker checker;
   ReservationQueue queue;
   std::vector<OpenOffer> offers;
   RunningTable running;
@@ -166,7 +169,7 @@
   Breaker breaker;
   std::unique_ptr<Limiter> limiter;
   DrainRate drain;
-  ConfigFeed feed;
+  AgentConfig feed;
   EvidenceTotals evidence;
   std::map<NodeId, PeerState> peers;
   std::vector<BrokenWork> broken;
--- a/src/core/agent_work.cpp
+++ b/src/core/agent_work.cpp
@@ -25,7 +25,7 @@
   const OpenOffer* offer = this->FindOffer(aGrant.id);
   const bool isLive = offer != nullptr && offer->number == aGrant.offer &&
                       offer->reservation.entry == aFrom && offer->expires > aNow.steady;
-  if (!isLive || this->tombstones.Find(aGrant.id) != Tombstone::kNone) {
+  if (!isLive || !MayRun(this->tombstones.Find(aGrant.id))) {
     this->RefuseGrant(aNow, aFrom, aGrant);
     return;
   }
@@ -53,11 +53,7 @@
   this->Note(aNow, EventKind::kSecurity, aGrant.id, aFrom.node, "",
              { { "reason", "grant without a live offer" } });
   if (tombstone == Tombstone::kRan || tombstone == Tombstone::kForgotten) {
-    Finish finish;
-    finish.id = aGrant.id;
-    finish.outcome = Outcome::kUnknown;
-    finish.reason = Reason::kKeyInUse;
-    this->port.Send(aFrom.node, finish);
+    this->SayUnknown(aFrom.node, aGrant.id, Reason::kKeyInUse);
     return;
   }
   const OpenOffer* offer = this->FindOffer(aGrant.id);
@@ -73,14 +69,13 @@
   this->OfferSlots(aNow);
 }
 
-// Says that a request has not run, and makes sure that it never will.
+// Says that a request has not run. Grants of the past stay refused; the entry may reserve again.
 void Agent::Impl::SayNotRun(Now aNow, NodeId aTo, const RequestId& aId, Reason aReason)
 {
-  this->tombstones.Add(aNow, aId, Tombstone::kBuried);
-  if (this->tombstones.Find(aId) != Tombstone::kBuried) {
-    this->Violate(aNow, aId, "not_run of a dispatched request");
+  if (!this->checker.OnNotRun(aNow, aId)) {
     return;
   }
+  this->tombstones.Add(aNow, aId, Tombstone::kVoid);
   Finish finish;
   finish.id = aId;
   finish.outcome = Outcome::kNotRun;
@@ -89,13 +84,22 @@
   this->port.Send(aTo, finish);
 }
 
+// Says that the request may have run, without an answer at hand.
+void Agent::Impl::SayUnknown(NodeId aTo, const RequestId& aId, Reason aReason)
+{
+  Finish finish;
+  finish.id = aId;
+  finish.reason = aReason;
+  this->port.Send(aTo, finish);
+}
+
 // Hands the request to the endpoint; the only place that does.
 void Agent::Impl::Dispatch(Now aNow, const OpenOffer& aOffer, const Grant& aGrant)
 {
   const Reserve& request = aOffer.reservation.request;
-  if (this->tombstones.Find(request.id) != Tombstone::kNone ||
+  if (!this->checker.OnDispatch(aNow, request.id, request.kind, aGrant.claim) ||
       !this->answers.Begin(request.id, request.account, aOffer.reservation.entry)) {
-    this->Violate(aNow, request.id, "second dispatch");
+    this->SayUnknown(aOffer.reservation.entry.node, request.id, Reason::kKeyInUse);
     return;
   }
   this->tombstones.Add(aNow, request.id, Tombstone::kRan);
@@ -248,6 +252,7 @@
   if (row == nullptr || !row->IsCuttable()) {
     return;
   }
+  this->checker.OnCut(aNow, aId, aReason);
   const Running taken = *this->running.Take(aId);
   this->port.Abort(aId);
   this->Note(
@@ -278,10 +283,7 @@
   }
   const Tombstone tombstone = this->tombstones.Find(aCancel.id);
   if (tombstone == Tombstone::kRan || tombstone == Tombstone::kForgotten) {
-    Finish finish;
-    finish.id = aCancel.id;
-    finish.reason = aCancel.reason;
-    this->port.Send(aFrom.node, finish);
+    this->SayUnknown(aFrom.node, aCancel.id, aCancel.reason);
     return;
   }
   this->On(aNow, aFrom, Withdraw{ aCancel.id });
@@ -335,8 +337,8 @@
     return RunState::kForgotten;
   }
   const Tombstone tombstone = this->tombstones.Find(aQuery.id);
-  const bool neverRan = tombstone == Tombstone::kNone || tombstone == Tombstone::kBuried;
-  return neverRan ? RunState::kNeverRan : RunState::kForgotten;
+  const bool mayHaveRun = tombstone == Tombstone::kRan || tombstone == Tombstone::kForgotten;
+  return mayHaveRun ? RunState::kForgotten : RunState::kNeverRan;
 }
 
 // Sends the chunks from a number on, and the Finish if there is one.
--- a/src/core/answers.cpp
+++ b/src/core/answers.cpp
@@ -215,6 +215,7 @@
 {
   const auto [place, isNew] = this->states.try_emplace(aId, aState);
   if (!isNew) {
+    place->second = MayRun(place->second) ? aState : place->second;
     return;
   }
   this->order.push_back(Entry{ aId, aNow.steady, aNow.wall });
--- a/src/core/answers.h
+++ b/src/core/answers.h
@@ -80,11 +80,18 @@
 enum class Tombstone : std::uint8_t
 {
   kNone,
+  kVoid,      // said not to have run; grants of the past are refused, it may be reserved again
   kBuried,    // never ran, and never will here
   kRan,       // was dispatched
   kForgotten, // so old that it may have been dispatched and forgotten
 };
 
+// A request in this state may be reserved and dispatched.
+inline bool MayRun(Tombstone aState)
+{
+  return aState == Tombstone::kNone || aState == Tombstone::kVoid;
+}
+
 // Remembers which requests were dispatched or buried. When it has to forget, it keeps the newest
 // creation time of what was forgotten and answers kForgotten for anything as old as that.
 class TombstoneTable
@@ -92,6 +99,7 @@
 public:
   TombstoneTable(std::uint32_t aCapacity, Duration aKeep);
 
+  // Sets the state; kBuried and kRan stay what they are.
   void Add(Now aNow, const RequestId& aId, Tombstone aState);
   Tombstone Find(const RequestId& aId) const;
   void Expire(Now aNow);
