--- a/src/runtime/agent_host.cpp
+++ b/src/runtime/agent_host.cpp
@@ -18,6 +18,18 @@
          aOld.name != aNew.name;
 }
 
+AgentIdentity IdentityOf(const AgentSettings& aSettings)
+{
+  AgentIdentity identity;
+  identity.name = aSettings.name;
+  identity.region = aSettings.region;
+  identity.failureDomain = aSettings.failureDomain;
+  identity.pool = aSettings.pool;
+  identity.version = aSettings.version;
+  identity.checksFencing = aSettings.engineChecksFencing;
+  return identity;
+}
+
 } // namespace
 
 AgentHost::AgentHost(const AgentSettings& aSettings, Peer aSelf, const Clock& aClock,
@@ -27,7 +39,7 @@
   , observer(aObserver)
   , endpoint(FormatAddress(aSettings.endpoint), *this)
   , hub(aSettings.links, aSettings.clusterKey, aSelf, aClock, aRandom, *this)
-  , agent(aSettings.options, aRandom, *this)
+  , agent(aSettings.options, IdentityOf(aSettings), aRandom, *this)
   , timer([this] {
     this->armedFor = kNever;
     this->agent.OnTimer(this->clock.Read());
