--- a/src/core/config.cpp
+++ b/src/core/config.cpp
@@ -12,7 +12,6 @@
 
 constexpr std::size_t kMaxChanges = 4096;    // results of changes that are remembered
 constexpr std::size_t kMaxFinishedMoves = 8; // of one pool
-constexpr std::size_t kMaxKept = 100000;     // records behind a gap
 constexpr std::size_t kMaxFindings = 16;     // kept with the result of a change
 
 constexpr std::array<std::string_view, 7> kResultNames = {
@@ -181,16 +180,12 @@
     return applied;
   }
   if (aRecord.offset > this->next) {
-    return this->KeepBehindGap(aRecord);
+    Applied applied;
+    applied.offset = aRecord.offset;
+    applied.result = ApplyResult::kGap;
+    return applied;
   }
-  Applied applied = this->ApplyNext(aRecord);
-  this->ApplyKept();
-  return applied;
-}
-
-LogOffset ConfigState::ReadFrom() const
-{
-  return this->kept.empty() ? this->next : this->kept.rbegin()->first + 1;
+  return this->ApplyNext(aRecord);
 }
 
 // Applies the record at `next` and moves on, whatever the record holds.
@@ -221,45 +216,6 @@
   return applied;
 }
 
-// Keeps a record whose predecessors are missing. A snapshot that covers the gap ends it.
-Applied ConfigState::KeepBehindGap(const LogRecord& aRecord)
-{
-  Applied applied;
-  applied.offset = aRecord.offset;
-  applied.result = ApplyResult::kGap;
-  if (aRecord.offset < this->ReadFrom() && !this->kept.empty()) {
-    return applied;
-  }
-  if (aRecord.offset != this->ReadFrom()) {
-    this->kept.clear();
-  }
-  std::vector<Finding> findings;
-  const std::optional<Record> record = DecodeRecord(aRecord.data, findings);
-  const bool keepData = record && IsConfig(*record);
-  this->kept[aRecord.offset] = { aRecord.offset, keepData ? aRecord.data : std::string() };
-  if (this->kept.size() > kMaxKept) {
-    this->kept.erase(this->kept.begin());
-  }
-  const auto covers = record ? CoversOf(*record, aRecord.offset) : std::nullopt;
-  if (covers && *covers >= this->kept.begin()->first &&
-      this->Restore(record->body["state"].dump())) {
-    this->snapshotCovers = std::max(this->snapshotCovers, *covers);
-  }
-  return applied;
-}
-
-// Applies the records kept behind a gap as far as they join on.
-void ConfigState::ApplyKept()
-{
-  while (!this->kept.empty() && this->kept.begin()->first <= this->next) {
-    const LogRecord record = std::move(this->kept.begin()->second);
-    this->kept.erase(this->kept.begin());
-    if (record.offset == this->next) {
-      this->ApplyNext(record);
-    }
-  }
-}
-
 // Applies a configuration record whose change is new.
 ApplyResult ConfigState::Store(LogOffset aOffset, const Record& aRecord,
                                std::vector<Finding>& aFindings)
@@ -574,10 +530,8 @@
   } catch (const std::exception&) {
     return false;
   }
-  restored.kept = std::move(this->kept);
   restored.snapshotCovers = this->snapshotCovers;
   *this = std::move(restored);
-  this->ApplyKept();
   return true;
 }
 
--- a/src/core/config.h
+++ b/src/core/config.h
@@ -64,7 +64,7 @@
   kInvalid,   // malformed, or its body fails the schema
   kUnknown,   // newer schema version or unknown kind: kept and reported
   kNotConfig, // claims and snapshots: not part of this state
-  kGap,       // records before it are missing: kept until a snapshot fills the gap
+  kGap,       // records before it are missing: not applied
 };
 
 std::string_view ToString(ApplyResult aResult);
@@ -83,9 +83,8 @@
 class ConfigState
 {
 public:
-  // Applies the record at Next(); records below Next() are ignored (kRepeated). The caller passes
-  // records in offset order. After a gap (the log's retention cut what is missing) records are kept
-  // and applied as soon as a snapshot, from the log or a peer, covers the gap.
+  // Applies the record at Next(). Records below Next() are ignored (kRepeated), and so are records
+  // above it (kGap): what lies between may be configuration.
   Applied Apply(const LogRecord& aRecord);
 
   // Says that the records up to aNext hold nothing of this state (claims, for instance).
@@ -98,8 +97,6 @@
 
   // First offset that has not been applied.
   LogOffset Next() const { return this->next; }
-  // First offset that is neither applied nor kept: where reading goes on.
-  LogOffset ReadFrom() const;
   // First offset that the newest snapshot read from the log doesn't cover; 0 when none was read.
   LogOffset SnapshotCovers() const { return this->snapshotCovers; }
 
@@ -135,8 +132,6 @@
   using Key = std::pair<std::string, std::string>; // kind name and name
 
   Applied ApplyNext(const LogRecord& aRecord);
-  Applied KeepBehindGap(const LogRecord& aRecord);
-  void ApplyKept();
   ApplyResult Store(LogOffset aOffset, const Record& aRecord, std::vector<Finding>& aFindings);
   ApplyResult StoreVerdict(LogOffset aOffset, const Record& aRecord,
                            std::vector<Finding>& aFindings);
@@ -156,7 +151,6 @@
   std::map<Key, Stored> understood; // last readable record behind one of a newer schema
   std::map<std::string, Applied, std::less<>> changes; // by change id, bounded
   std::deque<std::string> changeOrder;
-  std::map<LogOffset, LogRecord> kept; // records behind a gap
   std::map<std::string, Account, std::less<>> accounts;
   std::map<std::string, std::string, std::less<>> accountByKey;
   std::map<std::string, Pool, std::less<>> pools;
--- a/src/core/config_feed.cpp
+++ b/src/core/config_feed.cpp
@@ -11,13 +11,21 @@
 {
   std::vector<Finding> findings;
   const auto record = DecodeRecord(aRecord.data, findings);
-  if (!record || record->kind != RecordKind::kSnapshot || !record->body.contains("state")) {
+  const bool isSnapshot = record && record->kind == RecordKind::kSnapshot;
+  if (!isSnapshot || record->schemaVersion > kSchemaVersion || !record->body.contains("state")) {
     return {};
   }
   const nlohmann::json& state = record->body["state"];
   return state.is_string() ? state.get<std::string>() : state.dump();
 }
 
+bool IsClaim(const LogRecord& aRecord)
+{
+  std::vector<Finding> findings;
+  const auto record = DecodeRecord(aRecord.data, findings);
+  return record && record->kind == RecordKind::kClaim;
+}
+
 } // namespace
 
 ConfigFeed::ConfigFeed(std::size_t aKeep)
@@ -41,7 +49,7 @@
       this->ApplyOne(record, results);
       continue;
     }
-    this->held.push_back(record);
+    this->Hold(record);
     this->RestoreFrom(record);
     this->ApplyHeld(results);
   }
@@ -85,6 +93,18 @@
   return tail;
 }
 
+// Keeps a record whose predecessors are missing. What was held before a further gap is of no use.
+void ConfigFeed::Hold(const LogRecord& aRecord)
+{
+  if (!this->held.empty() && aRecord.offset < this->NextRead()) {
+    return;
+  }
+  if (aRecord.offset != this->NextRead()) {
+    this->held.clear();
+  }
+  this->held.push_back(IsClaim(aRecord) ? LogRecord{ aRecord.offset, {} } : aRecord);
+}
+
 void ConfigFeed::ApplyOne(const LogRecord& aRecord, std::vector<Applied>& aResults)
 {
   Applied applied = this->state.Apply(aRecord);
@@ -114,7 +134,9 @@
   while (!this->held.empty() && this->held.front().offset <= this->state.Next()) {
     const LogRecord record = this->held.front();
     this->held.pop_front();
-    if (record.offset == this->state.Next()) {
+    if (record.data.empty()) {
+      this->state.SkipTo(record.offset + 1);
+    } else if (record.offset == this->state.Next()) {
       this->ApplyOne(record, aResults);
     }
   }
--- a/src/core/config_feed.h
+++ b/src/core/config_feed.h
@@ -31,6 +31,7 @@
 
 private:
   void ApplyOne(const LogRecord& aRecord, std::vector<Applied>& aResults);
+  void Hold(const LogRecord& aRecord);
   void RestoreFrom(const LogRecord& aRecord);
   void ApplyHeld(std::vector<Applied>& aResults);
   void Keep(const LogRecord& aRecord);
--- a/tests/core/config_test.cpp
+++ b/tests/core/config_test.cpp
@@ -1,4 +1,5 @@
 #include "core/config.h"
+#include "core/config_feed.h"
 #include "core/snapshot.h"
 #include "property.h"
 #include "records.h"
@@ -36,6 +37,13 @@
   return aState;
 }
 
+void ReadFrom(ConfigFeed& aFeed, const Log& aLog, LogOffset aFrom)
+{
+  for (LogOffset offset = aFrom; offset < aLog.size(); ++offset) {
+    aFeed.TakeRecords({ { offset, aLog[offset] } });
+  }
+}
+
 // State after the first aCount records.
 ConfigState ReplayHead(const Log& aLog, std::size_t aCount)
 {
@@ -207,12 +215,14 @@
   append(snapshot);
   append(
     EncodeRecord(MakeRecord(RecordKind::kAccount, "late", "c4", std::nullopt, AccountBody('c'))));
-  const ConfigState late = Replay(log, 2);
+  ConfigFeed late(100);
+  ReadFrom(late, log, 2);
   BOOST_TEST(late.Next() == 5U);
-  BOOST_TEST(late.Snapshot() == full.Snapshot());
-  const ConfigState blind = Replay(log, 4);
+  BOOST_TEST(late.State().Snapshot() == full.Snapshot());
+  ConfigFeed blind(100);
+  ReadFrom(blind, log, 4);
   BOOST_TEST(blind.Next() == 0U);
-  BOOST_TEST(blind.ReadFrom() == 5U);
+  BOOST_TEST(blind.NextRead() == 5U);
 }
 
 BOOST_AUTO_TEST_CASE(a_snapshot_never_takes_the_state_back)
@@ -306,18 +316,18 @@
                EncodeRecord(MakeSnapshotRecord(head, "s")));
     const ConfigState full = Replay(log);
     const auto oldest = *rc::gen::inRange<std::size_t>(0, covers + 1);
-    ConfigState reader;
+    ConfigFeed reader(3);
     LogOffset seen = 0;
     for (LogOffset offset = oldest; offset < log.size(); ++offset) {
       const auto back = *rc::gen::inRange<std::size_t>(0, 3);
       const auto from = std::max<LogOffset>(oldest, offset > back ? offset - back : 0);
       for (LogOffset again = from; again <= offset; ++again) {
-        reader.Apply({ again, log[again] });
+        reader.TakeRecords({ { again, log[again] } });
         RC_ASSERT(reader.Next() >= seen);
         seen = reader.Next();
       }
     }
-    RC_ASSERT(reader.Snapshot() == full.Snapshot());
+    RC_ASSERT(reader.State().Snapshot() == full.Snapshot());
   });
 }
 
