--- a/src/core/claim.h
+++ b/src/core/claim.h
@@ -48,18 +48,27 @@
 
   // Starts a claim; a decision follows from TakeDecisions, at once for expired or finished keys.
   // The claim names aAgent, the only agent that may run the call under it, so that a later entry
-  // knows whom to ask.
+  // knows whom to ask. aBodyHash: hash of the call, so that a key is not used for two different
+  // calls; 0 leaves that unchecked.
   void Begin(Now aNow, const RequestId& aId, const std::string& aAccount, const std::string& aKey,
-             NodeId aAgent);
+             NodeId aAgent, std::uint64_t aBodyHash = 0);
   // Starts a claim that supersedes the one at aPrevious, after its agent has confirmed with
   // a tombstone that its request never ran, or by the claimant itself when it never granted.
   void BeginAfter(Now aNow, const RequestId& aId, const std::string& aAccount,
-                  const std::string& aKey, NodeId aAgent, LogOffset aPrevious);
+                  const std::string& aKey, NodeId aAgent, LogOffset aPrevious,
+                  std::uint64_t aBodyHash = 0);
   // Records the outcome of a claimed call, so that repeats are answered from the log.
   void Finish(Now aNow, const RequestId& aId, Outcome aOutcome, std::uint16_t aStatus,
               const std::string& aAnswer);
 
+  // Every record of the log in offset order, not only claims.
   void OnRecord(Now aNow, const LogRecord& aRecord);
+  // The log's oldest record. At the start of reading every claim inside the key window is at or
+  // behind it, because the window is shorter than the log's retention.
+  void OnOldest(Now aNow, LogOffset aOldest);
+  // Offset of the record that OnRecord wants next. Keys that may have been claimed in records that
+  // were left out are refused.
+  LogOffset NextRead() const;
   void OnAppended(Now aNow, std::uint64_t aToken, AppendResult aResult, LogOffset aFirst);
 
   // Records to append now as one batch, empty when none are due.
