--- a/src/core/answers.h
+++ b/src/core/answers.h
@@ -3,31 +3,15 @@
 #pragma once
 
 #include "core/messages.h"
+#include "core/stream_hash.h"
 
 #include <deque>
-#include <memory>
 #include <optional>
 #include <unordered_map>
 #include <vector>
 
 namespace caraway {
 
-// Hash of chunks that arrive one by one; equals HashOf of all of them together.
-class ChunkHash
-{
-public:
-  ChunkHash();
-  ~ChunkHash();
-  ChunkHash(ChunkHash&&) noexcept;
-  ChunkHash& operator=(ChunkHash&&) noexcept;
-  void Add(std::string_view aData);
-  std::uint64_t Value() const;
-
-private:
-  struct State;
-  std::unique_ptr<State> state;
-};
-
 // The answer of one dispatched request.
 struct Answer
 {
@@ -38,7 +22,7 @@
   std::uint32_t first = 0;
   std::uint32_t acked = 0; // chunks below are known to have arrived
   std::uint64_t bytes = 0; // of all chunks, also of forgotten ones
-  ChunkHash hash;
+  StreamHash hash;
   std::optional<Finish> finish; // set once the endpoint's work ended
   TimePoint finishedAt = kNever;
   bool delivered = false; // the entry confirmed the Finish
@@ -96,11 +80,18 @@
 enum class Tombstone : std::uint8_t
 {
   kNone,
+  kVoid,      // said not to have run; grants of the past are refused, it may be reserved again
   kBuried,    // never ran, and never will here
   kRan,       // was dispatched
   kForgotten, // so old that it may have been dispatched and forgotten
 };
 
+// A request in this state may be reserved and dispatched.
+inline bool MayRun(Tombstone aState)
+{
+  return aState == Tombstone::kNone || aState == Tombstone::kVoid;
+}
+
 // Remembers which requests were dispatched or buried. When it has to forget, it keeps the newest
 // creation time of what was forgotten and answers kForgotten for anything as old as that.
 class TombstoneTable
@@ -108,6 +99,7 @@
 public:
   TombstoneTable(std::uint32_t aCapacity, Duration aKeep);
 
+  // Sets the state; kBuried and kRan stay what they are.
   void Add(Now aNow, const RequestId& aId, Tombstone aState);
   Tombstone Find(const RequestId& aId) const;
   void Expire(Now aNow);
