--- a/src/runtime/endpoint_client.cpp
+++ b/src/runtime/endpoint_client.cpp
@@ -1,6 +1,7 @@
 #include "runtime/endpoint_client.h"
 
 #include "core/uuid.h"
+#include "runtime/sse_reader.h"
 
 #include <nlohmann/json.hpp>
 
@@ -14,12 +15,10 @@
 using Json = nlohmann::json;
 
 constexpr Duration kControlTimeout = std::chrono::seconds(5);
-constexpr std::size_t kMaxErrorBody = 65536;           // bytes kept of an error's body
-constexpr std::size_t kMaxLine = std::size_t(1) << 20; // bytes of one line of a stream
+constexpr std::size_t kMaxErrorBody = 65536; // bytes kept of an error's body
 constexpr std::uint16_t kFirstErrorStatus = 400;
 constexpr std::uint16_t kFirstServerError = 500;
 constexpr std::uint16_t kStatusOk = 200;
-constexpr std::string_view kDataField = "data:";
 constexpr std::string_view kDone = "[DONE]";
 
 // Engines are always asked for a stream with usage, whatever the caller asked for.
@@ -95,44 +94,25 @@
     return whole ? WorkEnd::kComplete : WorkEnd::kBroken;
   }
 
-  // Splits the stream of server-sent events into lines and passes on the text in them.
+  // Passes on the text of all events that the read completed as one chunk.
   void ReadStream(std::string_view aData)
   {
-    this->rest.append(aData);
     Gathered gathered;
-    std::size_t start = 0;
-    for (std::size_t end = this->rest.find('\n'); end != std::string::npos;
-         end = this->rest.find('\n', start)) {
-      this->ReadLine(std::string_view(this->rest).substr(start, end - start), gathered);
-      start = end + 1;
-    }
-    this->rest.erase(0, start);
-    if (this->rest.size() > kMaxLine) {
-      this->rest.clear();
-      this->failed = true;
-    }
+    const bool fits =
+      this->reader.Feed(aData, [&](std::string_view aValue) { this->ReadValue(aValue, gathered); });
+    this->failed |= !fits;
     if (gathered.tokens > 0) {
       this->owner.handler.OnWorkChunk(this->id, gathered.tokens, gathered.text);
     }
   }
 
-  void ReadLine(std::string_view aLine, Gathered& aGathered)
+  void ReadValue(std::string_view aValue, Gathered& aGathered)
   {
-    if (!aLine.starts_with(kDataField)) {
-      return;
-    }
-    aLine.remove_prefix(kDataField.size());
-    while (!aLine.empty() && (aLine.front() == ' ')) {
-      aLine.remove_prefix(1);
-    }
-    while (!aLine.empty() && (aLine.back() == '\r')) {
-      aLine.remove_suffix(1);
-    }
-    if (aLine == kDone) {
+    if (aValue == kDone) {
       this->done = true;
       return;
     }
-    this->ReadEvent(Json::parse(aLine, nullptr, false), aGathered);
+    this->ReadEvent(Json::parse(aValue, nullptr, false), aGathered);
   }
 
   void ReadEvent(const Json& aEvent, Gathered& aGathered)
@@ -161,7 +141,7 @@
   WorkKind kind;
   EndpointClient& owner;
   WorkResult result;
-  std::string rest; // of the last, unfinished line
+  SseReader reader;
   bool done = false;
   bool failed = false; // the stream carried an error or is malformed
 };
