--- a/tests/core/entry_fixture.h
+++ b/tests/core/entry_fixture.h
@@ -90,6 +90,7 @@
     submission.account = "shop";
     submission.pool = "model";
     submission.route = "/v1/chat/completions";
+    submission.tier = 1;
     submission.startWithin = seconds(1);
     submission.endWithin = seconds(20);
     submission.body = "body-" + std::to_string(aNumber);
