--- a/src/core/agent.cpp
+++ b/src/core/agent.cpp
@@ -107,13 +107,7 @@
   const FeedChange change = this->feed.Apply(aTail);
   this->AskConfig(aNow, aFrom.node, aTail.next);
   for (const EndpointOrder& order : change.orders) {
-    if (order.isStale) {
-      this->Note(aNow, EventKind::kSecurity, RequestId{}, aFrom.node, "",
-                 { { "reason", ToString(Reason::kStaleOrder).data() },
-                   { "fencing", std::to_string(order.fencing) } });
-    } else {
-      this->port.Order(order.fencing, order.body);
-    }
+    this->port.Order(order.fencing, order.body);
   }
   if (!change.isChanged) {
     return;
--- a/src/core/agent_config.cpp
+++ b/src/core/agent_config.cpp
@@ -1,5 +1,7 @@
 #include "core/agent_config.h"
 
+#include <algorithm>
+
 namespace caraway {
 
 namespace {
@@ -25,7 +27,7 @@
   this->feed.TakeTail(aTail);
   change.isChanged = this->feed.Next() != before;
   if (change.isChanged) {
-    this->CollectOrder(change);
+    this->CollectOrders(change);
   }
   return change;
 }
@@ -38,16 +40,20 @@
   return this->feed.Tail(aAsk.from);
 }
 
-// Takes the current order for this node through the fence.
-void AgentConfig::CollectOrder(FeedChange& aChange)
+// Takes the orders for this node that the fence has not seen, in the order of the log.
+void AgentConfig::CollectOrders(FeedChange& aChange)
 {
-  const ConfigState::Stored* stored = this->State().Find(RecordKind::kOrder, this->nodeName);
-  if (stored == nullptr || this->fence.Newest() == stored->revision) {
-    return;
+  std::vector<const ConfigState::Stored*> orders = this->State().List(RecordKind::kOrder);
+  std::sort(orders.begin(), orders.end(), [](const auto* aLeft, const auto* aRight) {
+    return aLeft->revision < aRight->revision;
+  });
+  for (const ConfigState::Stored* stored : orders) {
+    const nlohmann::json& body = stored->record.body;
+    const bool isMine = body.value("node", std::string()) == this->nodeName;
+    if (isMine && body.contains("order") && this->fence.Admit(stored->revision)) {
+      aChange.orders.push_back(EndpointOrder{ stored->revision, body["order"].dump() });
+    }
   }
-  const bool isAdmitted = this->fence.Admit(stored->revision);
-  aChange.orders.push_back(
-    EndpointOrder{ stored->revision, stored->record.body.dump(), !isAdmitted });
 }
 
 } // namespace caraway
--- a/src/core/agent_config.h
+++ b/src/core/agent_config.h
@@ -14,8 +14,7 @@
 struct EndpointOrder
 {
   LogOffset fencing = 0;
-  std::string body;     // JSON
-  bool isStale = false; // refused: a newer order was seen
+  std::string body; // JSON
 };
 
 // What a tail changed.
@@ -41,7 +40,7 @@
   bool IsDrained() const { return this->feed.State().IsDrained(this->nodeName); }
 
 private:
-  void CollectOrder(FeedChange& aChange);
+  void CollectOrders(FeedChange& aChange);
 
   std::string nodeName;
   ConfigFeed feed;
