Include what place_test uses; the tests of core did not compile without it

tests/core/place_test.cpp names seconds and milliseconds, which options.h declares. Seen red in this tree: entry/a_refusal_while_lower_tier_work_is_left_is_a_violation (entry_test.cpp:98).

No functional change

--- a/tests/core/place_test.cpp
+++ b/tests/core/place_test.cpp
@@ -1,5 +1,6 @@
 #include "core/affinity.h"
 #include "core/length.h"
+#include "core/options.h"
 #include "core/place.h"
 #include "core/quota.h"
 
