--- a/src/core/move.cpp
+++ b/src/core/move.cpp
@@ -58,10 +58,15 @@
 {
 public:
   void AddOwn(const Counts& aCounts) { this->own = this->own + aCounts; }
+  // What this entry has counted so far is on its way to the agents.
+  void MarkSent() { this->sent = this->own; }
 
   // Takes an agent's total; returns what is new in it and not from this entry.
   Counts Advance(NodeId aAgent, const Counts& aTotal)
   {
+    if (this->agents.empty()) {
+      this->fleet = this->sent;
+    }
     const auto [agent, isFirst] = this->agents.try_emplace(aAgent);
     const bool restarted = aTotal.Total() < agent->second.last;
     if (isFirst || restarted) {
@@ -92,6 +97,7 @@
   std::map<NodeId, Agent> agents;
   Counts fleet;
   Counts own;
+  Counts sent;
   Counts taken;
 };
 
@@ -584,6 +590,7 @@
     for (std::size_t index = 0; index < route.levels.size(); ++index) {
       Level& level = route.levels[index];
       for (const bool isNew : { false, true }) {
+        (isNew ? level.othersNew : level.othersOld).MarkSent();
         Evidence& unsent = isNew ? level.unsentNew : level.unsentOld;
         if (unsent.good + unsent.bad + unsent.slow == 0) {
           continue;
