--- a/src/core/entry.cpp
+++ b/src/core/entry.cpp
@@ -27,6 +27,7 @@
   , moves(aOptions, aRandom, checker)
   , affinity(kAffinitySets, kAffinityAge)
   , suspects(kMaxSuspects, kSuspectTime)
+  , snapshots(SnapshotOptions{}, aRandom)
 {
 }
 
@@ -204,6 +205,7 @@
   if (this->tailDue <= aNow.steady) {
     this->SendTails(aNow);
   }
+  this->WriteSnapshot(aNow);
 }
 
 TimePoint Entry::Impl::NextTimer() const
@@ -211,6 +213,7 @@
   TimePoint next = this->due.empty() ? kNever : this->due.top().time;
   next = std::min(next, this->claims.NextTimer());
   next = std::min(next, this->moves.NextTimer());
+  next = std::min(next, this->snapshots.NextTimer());
   return std::min(next, this->tailDue);
 }
 
@@ -295,9 +298,9 @@
   this->impl->TakeLogRecords(aNow, aRecords);
 }
 
-void Entry::OnLogGap(Now /*aNow*/, LogOffset /*aOldest*/)
+void Entry::OnLogOldest(Now aNow, LogOffset aOldest)
 {
-  this->impl->AskPeersForConfig();
+  this->impl->TakeLogOldest(aNow, aOldest);
 }
 
 void Entry::OnAppended(Now aNow, std::uint64_t aToken, AppendResult aResult, LogOffset aFirst)
@@ -305,11 +308,6 @@
   this->impl->Appended(aNow, aToken, aResult, aFirst);
 }
 
-LogOffset Entry::NextRead() const
-{
-  return this->impl->feed.NextRead();
-}
-
 void Entry::OnTimer(Now aNow)
 {
   this->impl->Timer(aNow);
--- a/src/core/entry.h
+++ b/src/core/entry.h
@@ -86,12 +86,11 @@
 
   // Consecutive records read from the log, or received from peers by the runtime.
   void OnLogRecords(Now aNow, const std::vector<LogRecord>& aRecords);
-  // The log's first retained offset is behind what was applied: only a snapshot helps.
-  void OnLogGap(Now aNow, LogOffset aOldest);
+  // The log's first retained offset, as of the read that follows. Whatever was cut before it was
+  // applied comes from a peer or from a snapshot in the log.
+  void OnLogOldest(Now aNow, LogOffset aOldest);
   void OnAppended(Now aNow, std::uint64_t aToken, AppendResult aResult, LogOffset aFirst);
 
-  // Offset that the host should read from the log next.
-  LogOffset NextRead() const;
 
   void OnTimer(Now aNow);
   // When OnTimer wants to be called next; kNever when nothing is due.
--- a/src/core/entry_claim.cpp
+++ b/src/core/entry_claim.cpp
@@ -24,10 +24,10 @@
   const Submission& submission = aPending.submission;
   if (aPending.holderClaim == kNoOffset) {
     this->claims.Begin(aNow, submission.id, submission.account, submission.idempotencyKey,
-                       aPending.claimAgent);
+                       aPending.claimAgent, HashOf(submission.body));
   } else {
     this->claims.BeginAfter(aNow, submission.id, submission.account, submission.idempotencyKey,
-                            aPending.claimAgent, aPending.holderClaim);
+                            aPending.claimAgent, aPending.holderClaim, HashOf(submission.body));
   }
   this->TakeClaimDecisions(aNow);
   this->FlushClaims(aNow);
--- a/src/core/entry_impl.h
+++ b/src/core/entry_impl.h
@@ -14,6 +14,7 @@
 #include "core/peers.h"
 #include "core/pending.h"
 #include "core/quota.h"
+#include "core/snapshot.h"
 #include "core/suspect.h"
 
 #include <queue>
@@ -39,7 +40,7 @@
   void PeerDown(Now aNow, NodeId aNode);
   void Receive(Now aNow, Peer aFrom, const Message& aMessage);
   void TakeLogRecords(Now aNow, const std::vector<LogRecord>& aRecords);
-  void AskPeersForConfig();
+  void TakeLogOldest(Now aNow, LogOffset aOldest);
   void Appended(Now aNow, std::uint64_t aToken, AppendResult aResult, LogOffset aFirst);
   void Timer(Now aNow);
   TimePoint NextTimer() const;
@@ -60,6 +61,7 @@
   LengthEstimator lengths;
   PrefixAffinity affinity;
   SuspectTable suspects;
+  SnapshotController snapshots;
   std::unordered_map<RequestId, Pending> pending;
   std::unordered_map<RequestId, RequestId> aliases; // holder of a key -> request that follows it
   bool leaving = false;
@@ -123,6 +125,7 @@
   void DropBraked(Now aNow);
   void ConfigChanged(Now aNow, const std::vector<Applied>& aResults);
   void SendTails(Now aNow);
+  void WriteSnapshot(Now aNow);
   void FlushClaims(Now aNow);
 
   std::priority_queue<Due, std::vector<Due>, std::greater<>> due;
--- a/src/core/entry_state.cpp
+++ b/src/core/entry_state.cpp
@@ -154,6 +154,7 @@
   }
   this->moves.OnConfig(aNow, this->feed.State());
   this->RunMoves(aNow);
+  this->WriteSnapshot(aNow);
 }
 
 // Sends agents what they have not got, many records in one message.
@@ -173,8 +174,13 @@
   }
 }
 
-void Entry::Impl::AskPeersForConfig()
+// Asks a peer for what the log has cut before this entry read it.
+void Entry::Impl::TakeLogOldest(Now aNow, LogOffset aOldest)
 {
+  this->claims.OnOldest(aNow, aOldest);
+  if (aOldest <= this->feed.Next()) {
+    return;
+  }
   for (const auto& [node, state] : this->peers.All()) {
     if (state.hello.configOffset > this->feed.Next()) {
       this->port.Send(node, ConfigAsk{ this->feed.Next() });
@@ -183,6 +189,14 @@
   }
 }
 
+// Writes a snapshot into the log when many records followed the last one.
+void Entry::Impl::WriteSnapshot(Now aNow)
+{
+  if (const auto record = this->snapshots.Poll(aNow, this->feed.State())) {
+    this->port.Append(this->nextToken++, { *record });
+  }
+}
+
 void Entry::Impl::Appended(Now aNow, std::uint64_t aToken, AppendResult aResult, LogOffset aFirst)
 {
   if (this->claimTokens.erase(aToken) > 0) {
--- a/src/runtime/entry_host.cpp
+++ b/src/runtime/entry_host.cpp
@@ -232,8 +232,8 @@
   const Now now = this->clock.Read();
   this->logRead = true;
   this->followBackoff = kMinFollowBackoff;
+  this->entry.OnLogOldest(now, aOldest);
   if (this->cursor < aOldest) {
-    this->entry.OnLogGap(now, aOldest);
     this->cursor = aOldest;
   } else if (!aRecords.empty()) {
     this->entry.OnLogRecords(now, aRecords);
