Learn the limit with a memory of windows and unload a slowed endpoint at once

Cause: AIMD on single windows overshot and then cut its limit repeatedly while old work ended. Ruled out: doubling until the first decrease; decreasing while more is in flight than the limit. After: p95 over five windows, growth only after a full window at the limit, a median over the target lowers the limit in proportion at once. AIMD stays the law of agents.

--- a/src/core/limit.cpp
+++ b/src/core/limit.cpp
@@ -12,21 +12,20 @@
 
 constexpr Duration kShortWindow = milliseconds(100);
 constexpr Duration kLongWindow = milliseconds(500);
-constexpr std::uint32_t kManySamples = 40; // close a short window
-constexpr std::uint32_t kFewSamples = 8;   // close a long window
-constexpr double kGoal = 0.9;              // share of the target that the limit aims at
+constexpr double kManySamples = 40; // close a short window
+constexpr double kFewSamples = 8;   // close a long window
+constexpr double kMemory = 0.8;     // weight kept by the windows before
+constexpr double kGoal = 0.9;       // share of the target that the limit aims at
 constexpr double kSmallestRatio = 1.0 / 16;
 constexpr double kBucketsPerDoubling = 8;
 constexpr double kPrefillRise = 1.001; // of the lowest prefill time, for each sample
-constexpr double kDecrease = 0.8;      // AIMD: kept after a window over the target
-constexpr double kStrongDecrease = 0.5;
-constexpr double kStrongRatio = 1.5; // over the target: decrease strongly
-constexpr double kSlowStart = 1.5;   // AIMD: growth before the first decrease
-constexpr double kLeastGradient = 0.5;
+constexpr double kDecrease = 0.9;      // AIMD: kept after a window over the target
+constexpr double kSlowStart = 1.25;    // AIMD: growth before the first decrease
+constexpr double kLeastGradient = 0.7;
 constexpr double kMostGradient = 1.25;
 constexpr double kSmoothing = 0.5;
 constexpr std::uint64_t kNoTokenLimit = std::numeric_limits<std::uint64_t>::max() / 4;
-constexpr std::uint64_t kLeastTokens = 1024;
+constexpr double kLeastTokens = 1024;
 
 double SecondsOf(Duration aTime)
 {
@@ -35,7 +34,7 @@
 
 } // namespace
 
-void RatioWindow::Add(double aRatio)
+void RatioHistogram::Add(double aRatio)
 {
   const double place = std::log2(std::max(aRatio, kSmallestRatio) / kSmallestRatio);
   const auto bucket = static_cast<std::size_t>(place * kBucketsPerDoubling);
@@ -43,10 +42,18 @@
   this->count++;
 }
 
-double RatioWindow::P95() const
+void RatioHistogram::Merge(const RatioHistogram& aOther, double aKept)
 {
-  const std::uint32_t above = this->count / 20;
-  std::uint32_t seen = 0;
+  for (std::size_t bucket = 0; bucket < kBuckets; bucket++) {
+    this->buckets.at(bucket) = this->buckets.at(bucket) * aKept + aOther.buckets.at(bucket);
+  }
+  this->count = this->count * aKept + aOther.count;
+}
+
+double RatioHistogram::Quantile(double aShare) const
+{
+  const double above = this->count * (1 - aShare);
+  double seen = 0;
   for (std::size_t bucket = kBuckets; bucket-- > 0;) {
     seen += this->buckets.at(bucket);
     if (seen > above) {
@@ -57,12 +64,26 @@
   return 0;
 }
 
-void RatioWindow::Clear()
+void RatioHistogram::Clear()
 {
   this->buckets.fill(0);
   this->count = 0;
 }
 
+void RatioWindow::Close()
+{
+  this->memory.Merge(this->current, kMemory);
+  this->median = this->current.Quantile(0.5);
+  this->p95 = this->memory.Quantile(0.95);
+  this->current.Clear();
+}
+
+void RatioWindow::Clear()
+{
+  this->current.Clear();
+  this->memory.Clear();
+}
+
 Limiter::Limiter(const AgentOptions& aOptions)
   : options(aOptions)
   , limit(aOptions.initialLimit)
@@ -117,57 +138,84 @@
     this->windowStart = aNow;
   }
   const Duration age = aNow - this->windowStart;
-  const std::uint32_t count = this->gaps.Count() + this->firsts.Count();
+  const double count = this->gaps.Count() + this->firsts.Count();
   const bool isShortDone = age >= kShortWindow && count >= kManySamples;
   const bool isLongDone = age >= kLongWindow && count >= kFewSamples;
   if (!isShortDone && !isLongDone) {
     return;
   }
-  const double ratio = std::max(this->gaps.P95(), this->firsts.P95());
-  const double next = this->Next(this->limit, ratio, aInFlight);
-  const double lowest = this->options.minLimit;
-  const double highest = std::max(this->options.maxLimit, this->options.minLimit);
-  this->limit = std::clamp(next, lowest, highest);
-  this->AdjustTokens(ratio, aInFlight);
-  this->gaps.Clear();
-  this->firsts.Clear();
+  this->gaps.Close();
+  this->firsts.Close();
   this->windowStart = aNow;
+  if (this->IsAdaptive()) {
+    this->Adjust(aInFlight);
+  }
 }
 
-// Tokens in flight follow the same windows: cut below what was in flight when it was too much.
-void Limiter::AdjustTokens(double aRatio, const InFlight& aInFlight)
+// While more is in flight than the limit, only a still slower endpoint changes it: the times tell
+// of the work that is ending, not of the limit.
+void Limiter::Adjust(const InFlight& aInFlight)
 {
-  if (aRatio > 1) {
-    const double kept = aRatio > kStrongRatio ? kStrongDecrease : kDecrease;
-    const std::uint64_t base = std::min(this->tokenLimit, aInFlight.tokens);
-    const auto cut = static_cast<std::uint64_t>(static_cast<double>(base) * kept);
-    this->tokenLimit = std::max(cut, kLeastTokens);
-  } else if (aRatio < kGoal && this->tokenLimit < kNoTokenLimit) {
-    this->tokenLimit += this->tokenLimit / 8;
+  const double median = std::max(this->gaps.Median(), this->firsts.Median());
+  if (median > 1) {
+    this->Unload(median, aInFlight);
+    return;
+  }
+  const double before = this->limit;
+  const bool isFull = aInFlight.isWanted && aInFlight.requests >= this->Limit();
+  const bool isDraining = aInFlight.requests > this->Limit();
+  if (!isDraining) {
+    const double ratio = std::max(this->gaps.P95(), this->firsts.P95());
+    this->SetLimit(this->Next(this->limit, ratio, isFull && this->wasFull));
+    if (this->tokenLimit < kNoTokenLimit && ratio < kGoal) {
+      this->tokenLimit += this->tokenLimit / 8;
+    }
+  }
+  this->wasFull = isFull;
+  if (this->limit < before) {
+    this->gaps.Clear();
+    this->firsts.Clear();
   }
 }
 
-double AimdLimiter::Next(double aLimit, double aRatio, const InFlight& aInFlight)
+// Lowers both limits to what would have met the target, were the times in proportion to the load.
+void Limiter::Unload(double aMedian, const InFlight& aInFlight)
+{
+  const double kept = kGoal / aMedian;
+  this->SetLimit(std::min(this->limit, aInFlight.requests * kept));
+  const double tokens = std::max(static_cast<double>(aInFlight.tokens) * kept, kLeastTokens);
+  this->tokenLimit = std::min(this->tokenLimit, static_cast<std::uint64_t>(tokens));
+  this->gaps.Clear();
+  this->firsts.Clear();
+  this->wasFull = false;
+}
+
+void Limiter::SetLimit(double aLimit)
+{
+  const double lowest = this->options.minLimit;
+  const double highest = std::max(this->options.maxLimit, this->options.minLimit);
+  this->limit = std::clamp(aLimit, lowest, highest);
+}
+
+double AimdLimiter::Next(double aLimit, double aRatio, bool aIsFull)
 {
   if (aRatio > 1) {
     this->hasDecreased = true;
-    const double used = std::min<double>(aLimit, aInFlight.requests);
-    return used * (aRatio > kStrongRatio ? kStrongDecrease : kDecrease);
+    return aLimit * kDecrease;
   }
-  if (aRatio >= kGoal || !aInFlight.isWanted) {
+  if (aRatio >= kGoal || !aIsFull) {
     return aLimit;
   }
   return this->hasDecreased ? aLimit + 1 : aLimit * kSlowStart;
 }
 
-double GradientLimiter::Next(double aLimit, double aRatio, const InFlight& aInFlight)
+double GradientLimiter::Next(double aLimit, double aRatio, bool aIsFull)
 {
   const double gradient = std::clamp(kGoal / aRatio, kLeastGradient, kMostGradient);
-  if (gradient > 1 && !aInFlight.isWanted) {
+  if (gradient > 1 && !aIsFull) {
     return aLimit;
   }
-  const double target = aLimit * gradient;
-  return aLimit + (target - aLimit) * kSmoothing;
+  return aLimit + aLimit * (gradient - 1) * kSmoothing;
 }
 
 std::unique_ptr<Limiter> MakeLimiter(const AgentOptions& aOptions)
--- a/src/core/limit.h
+++ b/src/core/limit.h
@@ -11,19 +11,42 @@
 
 namespace caraway {
 
-// 95th percentile of the ratios of measured times to their targets inside a short window.
-class RatioWindow
+// Distribution of the ratios of measured times to their targets, in buckets.
+class RatioHistogram
 {
 public:
   void Add(double aRatio);
-  double P95() const;
-  std::uint32_t Count() const { return this->count; }
+  // Adds the other histogram, after its own counts have decayed by aKept.
+  void Merge(const RatioHistogram& aOther, double aKept);
+  // Ratio that the part aShare of all values does not exceed; 0 without values.
+  double Quantile(double aShare) const;
+  double Count() const { return this->count; }
   void Clear();
 
 private:
   static constexpr std::size_t kBuckets = 64;
-  std::array<std::uint32_t, kBuckets> buckets{};
-  std::uint32_t count = 0;
+  std::array<double, kBuckets> buckets{};
+  double count = 0;
+};
+
+// Times of one kind: the current window, and the windows before it with decaying weight.
+class RatioWindow
+{
+public:
+  void Add(double aRatio) { this->current.Add(aRatio); }
+  double Count() const { return this->current.Count(); }
+  // Ends the window. Median() is of the window, P95() of it and of the ones before.
+  void Close();
+  double Median() const { return this->median; }
+  double P95() const { return this->p95; }
+  // Forgets the windows before, which tell of another limit.
+  void Clear();
+
+private:
+  RatioHistogram current;
+  RatioHistogram memory;
+  double median = 0;
+  double p95 = 0;
 };
 
 // What is in flight at the endpoint.
@@ -34,8 +57,9 @@
   bool isWanted = false;      // more would be in flight if the limit allowed it
 };
 
-// Collects the times and closes a window when it holds enough of them; what the limit becomes after
-// a window is left to the law.
+// Collects the times and closes a window when it holds enough of them. A window whose median misses
+// the target unloads the endpoint at once: the limit falls in proportion, and holds until the work
+// above it has ended. Otherwise the law decides from the 95th percentile.
 class Limiter
 {
 public:
@@ -48,6 +72,7 @@
   void OnTokens(TimePoint aNow, Duration aGap, std::uint32_t aTokens, const InFlight& aInFlight);
   void OnFirstToken(TimePoint aNow, Duration aWait, std::uint32_t aPromptTokens,
                     const InFlight& aInFlight);
+  virtual bool IsAdaptive() const { return true; }
   // The endpoint failed or came back: learning starts again.
   void Reset();
 
@@ -59,12 +84,15 @@
 
 protected:
   // New limit after a window. aRatio: the 95th percentile over the target, worst of both kinds.
-  virtual double Next(double aLimit, double aRatio, const InFlight& aInFlight) = 0;
+  // aIsFull: the limit was in use and more work waited.
+  virtual double Next(double aLimit, double aRatio, bool aIsFull) = 0;
   virtual void OnReset() {}
 
 private:
   void Consider(TimePoint aNow, const InFlight& aInFlight);
-  void AdjustTokens(double aRatio, const InFlight& aInFlight);
+  void Adjust(const InFlight& aInFlight);
+  void Unload(double aMedian, const InFlight& aInFlight);
+  void SetLimit(double aLimit);
 
   AgentOptions options;
   double limit;
@@ -72,10 +100,11 @@
   RatioWindow gaps;
   RatioWindow firsts;
   double prefillPerToken = 0; // seconds, lowest seen, rising slowly
+  bool wasFull = false;       // at the end of the window before
   TimePoint windowStart = kNever;
 };
 
-// Additive increase, multiplicative decrease; doubles until the first decrease.
+// Additive increase, multiplicative decrease; grows faster until the first decrease.
 class AimdLimiter final : public Limiter
 {
 public:
@@ -83,7 +112,7 @@
   std::string_view Name() const override { return "aimd"; }
 
 protected:
-  double Next(double aLimit, double aRatio, const InFlight& aInFlight) override;
+  double Next(double aLimit, double aRatio, bool aIsFull) override;
   void OnReset() override { this->hasDecreased = false; }
 
 private:
@@ -98,7 +127,7 @@
   std::string_view Name() const override { return "gradient"; }
 
 protected:
-  double Next(double aLimit, double aRatio, const InFlight& aInFlight) override;
+  double Next(double aLimit, double aRatio, bool aIsFull) override;
 };
 
 // Keeps the initial limit; the baseline.
@@ -107,9 +136,10 @@
 public:
   using Limiter::Limiter;
   std::string_view Name() const override { return "fixed"; }
+  bool IsAdaptive() const override { return false; }
 
 protected:
-  double Next(double aLimit, double, const InFlight&) override { return aLimit; }
+  double Next(double aLimit, double, bool) override { return aLimit; }
 };
 
 // The law that agents use.
