--- a/src/core/entry.cpp
+++ b/src/core/entry.cpp
@@ -8,7 +8,7 @@
 #include "core/peers.h"
 #include "core/pending.h"
 #include "core/quota.h"
-#include "core/suspicions.h"
+#include "core/suspect.h"
 #include "core/uuid.h"
 
 #include <algorithm>
@@ -23,7 +23,8 @@
 constexpr std::size_t kKeptRecords = 1024;
 constexpr std::size_t kAffinitySets = 4096;
 constexpr Duration kAffinityAge = std::chrono::minutes(5);
-constexpr std::size_t kMaxSuspicions = 4096;
+constexpr std::uint32_t kMaxSuspects = 4096;
+constexpr Duration kSuspectTime = std::chrono::minutes(10);
 constexpr Duration kDefaultRetry = std::chrono::seconds(1);
 // Records for agents wait this long to share a message.
 constexpr Duration kTailDelay = std::chrono::milliseconds(200);
@@ -71,7 +72,7 @@
     , claims(aOptions, NodeIdOf(aName))
     , moves(aOptions, aRandom, aPort)
     , affinity(kAffinitySets, kAffinityAge)
-    , suspicions(kMaxSuspicions)
+    , suspects(kMaxSuspects, kSuspectTime)
   {
   }
 
@@ -102,7 +103,7 @@
   QuotaTable quotas;
   LengthEstimator lengths;
   PrefixAffinity affinity;
-  SuspicionTable suspicions;
+  SuspectTable suspects;
   std::unordered_map<RequestId, Pending> pending;
   std::unordered_map<RequestId, RequestId> aliases; // holder of a key -> request that follows it
   bool leaving = false;
@@ -460,7 +461,7 @@
   PlaceRequest request;
   request.affinity = this->affinity.Find(aNow.steady, submission.prefixHash);
   request.fingerprint = submission.fingerprint;
-  request.suspect = this->suspicions.IsSuspect(aNow.steady, submission.fingerprint);
+  request.suspect = this->suspects.Judge(aNow.steady, submission.fingerprint) != Verdict::kClear;
   const std::size_t count = this->candidates.size() <= this->options.smallPool
                               ? this->candidates.size()
                               : this->options.reservations;
@@ -989,7 +990,7 @@
   event.subject = aHello.name;
   this->port.Note(event);
   this->tailSent.erase(aPeer.node);
-  for (const Suspicion& suspicion : this->suspicions.All(aNow.steady)) {
+  for (const Suspicion& suspicion : this->suspects.All(aNow.steady)) {
     this->port.Send(aPeer.node, suspicion);
   }
   // Requests granted to this agent over an earlier link: take their answers up again.
@@ -1223,7 +1224,8 @@
 // Keeps the suspicion and passes it on once, so that no endpoint of the pool is hit unwarned.
 void Entry::Impl::On(Now aNow, Peer aFrom, const Suspicion& aSuspicion)
 {
-  if (!this->suspicions.Learn(aNow.steady, aSuspicion)) {
+  if (!this->suspects.OnSuspicion(aNow.steady, aSuspicion.fingerprint, aSuspicion.crashes,
+                                  aSuspicion.forgetAfter)) {
     return;
   }
   for (const auto& [node, state] : this->peers.All()) {
