--- a/src/bench/engine_model.cpp
+++ b/src/bench/engine_model.cpp
@@ -104,12 +104,6 @@
   return static_cast<std::uint32_t>(this->running.size() + this->waiting.size());
 }
 
-std::uint32_t EngineModel::PrefillOf(const RequestId& aId) const
-{
-  const auto found = this->prefillOf.find(aId);
-  return found == this->prefillOf.end() ? 0 : found->second;
-}
-
 // Moves waiting requests into the batch in the order of arrival while their KV cache fits.
 void EngineModel::Admit()
 {
@@ -177,6 +171,7 @@
                  [](const Stream& aStream) { return aStream.crashes && aStream.prefillLeft == 0; });
   if (crasher != this->running.end()) {
     this->Crash();
+    this->schedule.After(this->profile.restartTime, [this] { this->Restart(); });
     return;
   }
   // The receiver may cancel and start streams while it is called, so the batch is walked over a
--- a/src/bench/engine_model.h
+++ b/src/bench/engine_model.h
@@ -21,6 +21,7 @@
   std::uint32_t prefillChunk = 256; // most prompt tokens in one step
   std::uint32_t kvTokens = 28000;   // prompt and output tokens that fit at once
   std::uint32_t cachedPrefixes = 64;
+  Duration restartTime = seconds(3); // after a request has crashed the engine
 };
 
 class EngineModel final : public Endpoint
@@ -38,8 +39,8 @@
   std::uint32_t Load() const override;
 
   std::uint64_t PrefillTokens() const { return this->prefilled; }
-  // Prompt tokens computed for one request.
-  std::uint32_t PrefillOf(const RequestId& aId) const;
+  // Prompt tokens computed for each request.
+  const std::unordered_map<RequestId, std::uint32_t>& PrefillOf() const { return this->prefillOf; }
 
 private:
   struct Stream
--- a/src/bench/host.cpp
+++ b/src/bench/host.cpp
@@ -181,7 +181,8 @@
 
 void EntryHost::Create()
 {
-  this->entry = std::make_unique<Entry>(this->options, this->random, *this);
+  this->entry =
+    std::make_unique<Entry>(this->options, this->random, static_cast<EntryPort&>(*this));
   this->toldOffset = 0;
   this->toldLeaving = false;
   this->PollLog(this->life);
@@ -356,7 +357,8 @@
 
 void AgentHost::Create()
 {
-  this->agent = std::make_unique<Agent>(this->options, this->identity, this->random, *this);
+  this->agent = std::make_unique<Agent>(this->options, this->identity, this->random,
+                                        static_cast<AgentPort&>(*this));
 }
 
 // The process dies: its connections to the endpoint close.
--- a/src/bench/log_model.h
+++ b/src/bench/log_model.h
@@ -4,6 +4,7 @@
 
 #include "bench/schedule.h"
 #include "core/messages.h"
+#include "core/options.h"
 #include "core/random.h"
 
 #include <deque>
