--- a/src/bench/host.cpp
+++ b/src/bench/host.cpp
@@ -181,8 +181,9 @@
 
 void EntryHost::Create()
 {
+  EntryPort& port = *this;
   this->entry =
-    std::make_unique<Entry>(this->options, this->random, static_cast<EntryPort&>(*this));
+    std::make_unique<Entry>(this->options, this->Name(), this->placement, this->random, port);
   this->toldOffset = 0;
   this->toldLeaving = false;
   this->PollLog(this->life);
@@ -357,8 +358,8 @@
 
 void AgentHost::Create()
 {
-  this->agent = std::make_unique<Agent>(this->options, this->identity, this->random,
-                                        static_cast<AgentPort&>(*this));
+  AgentPort& port = *this;
+  this->agent = std::make_unique<Agent>(this->options, this->identity, this->random, port);
 }
 
 // The process dies: its connections to the endpoint close.
--- a/src/bench/host.h
+++ b/src/bench/host.h
@@ -6,6 +6,7 @@
 #include "bench/site.h"
 #include "core/agent.h"
 #include "core/entry.h"
+#include "core/place.h"
 
 #include <deque>
 #include <functional>
@@ -124,6 +125,7 @@
   EntryOptions options;
   CallerSide& callers;
   Random random;
+  LateBindingPlacement placement;
   std::unique_ptr<Entry> entry;
   LogOffset toldOffset = 0;
   bool toldLeaving = false;
--- a/src/bench/report.cpp
+++ b/src/bench/report.cpp
@@ -1,9 +1,9 @@
 #include "bench/report.h"
 
+#include <boost/format.hpp>
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
-#include <format>
 #include <ostream>
 
 namespace caraway::bench {
@@ -16,9 +16,18 @@
 constexpr std::array<std::string_view, 6> kColours = { "#1b6ca8", "#c0392b", "#d68910",
                                                        "#7d3c98", "#239b56", "#566573" };
 
+// Puts the values into the places of a printf-like pattern.
+template<class... Values>
+std::string Fill(const char* aPattern, const Values&... aValues)
+{
+  boost::format text(aPattern);
+  ((text % aValues), ...);
+  return text.str();
+}
+
 std::string Percent(double aShare)
 {
-  return std::format("{:.1f}%", aShare * 100);
+  return Fill("%.1f%%", aShare * 100);
 }
 
 nlohmann::json TierJson(const TierResult& aTier)
@@ -53,7 +62,7 @@
   json["control_messages_per_request"] = aResult.controlPerRequest;
   json["messages_per_request"] = aResult.messagesPerRequest;
   json["violations"] = aResult.violations;
-  json["signature"] = std::format("{:016x}", aResult.signature);
+  json["signature"] = Fill("%016x", aResult.signature);
   return json;
 }
 
@@ -76,16 +85,14 @@
   for (const RunResult& result : aResults) {
     highest = std::max(highest, result.load);
   }
-  aOut << std::format(
-    "<svg width=\"{}\" height=\"{}\" font-family=\"sans-serif\" font-size=\"11\">",
-    kPlotWidth + 180, kPlotHeight + 2 * kPlotMargin);
-  aOut << std::format("<text x=\"{}\" y=\"18\">goodput of tier {} by load</text>", kPlotMargin,
-                      aTier);
+  aOut << Fill("<svg width=\"%s\" height=\"%s\" font-family=\"sans-serif\" font-size=\"11\">",
+               kPlotWidth + 180, kPlotHeight + 2 * kPlotMargin);
+  aOut << Fill("<text x=\"%s\" y=\"18\">goodput of tier %s by load</text>", kPlotMargin, aTier);
   for (int step = 0; step <= 4; ++step) {
     const double y = kPlotMargin + kPlotHeight * (1 - step / 4.0);
-    aOut << std::format("<line x1=\"{0}\" x2=\"{1}\" y1=\"{2}\" y2=\"{2}\" stroke=\"#ddd\"/>"
-                        "<text x=\"2\" y=\"{2}\">{3}%</text>",
-                        kPlotMargin, kPlotMargin + kPlotWidth, y, step * 25);
+    aOut << Fill("<line x1=\"%1%\" x2=\"%2%\" y1=\"%3%\" y2=\"%3%\" stroke=\"#ddd\"/>"
+                 "<text x=\"2\" y=\"%3%\">%4%%%</text>",
+                 kPlotMargin, kPlotMargin + kPlotWidth, y, step * 25);
   }
   std::size_t colour = 0;
   for (const std::string& policy : PoliciesOf(aResults)) {
@@ -94,14 +101,14 @@
       if (result.policy == policy) {
         const double x = kPlotMargin + kPlotWidth * result.load / highest;
         const double y = kPlotMargin + kPlotHeight * (1 - result.tiers.at(aTier).Share());
-        points += std::format("{:.1f},{:.1f} ", x, y);
+        points += Fill("%.1f,%.1f ", x, y);
       }
     }
     const std::string_view stroke = kColours.at(colour % kColours.size());
-    aOut << std::format("<polyline points=\"{}\" fill=\"none\" stroke=\"{}\" stroke-width=\"2\"/>"
-                        "<text x=\"{}\" y=\"{}\" fill=\"{}\">{}</text>",
-                        points, stroke, kPlotMargin + kPlotWidth + 10,
-                        kPlotMargin + 16.0 * static_cast<double>(colour), stroke, policy);
+    aOut << Fill("<polyline points=\"%s\" fill=\"none\" stroke=\"%s\" stroke-width=\"2\"/>"
+                 "<text x=\"%s\" y=\"%s\" fill=\"%s\">%s</text>",
+                 points, stroke, kPlotMargin + kPlotWidth + 10,
+                 kPlotMargin + 16.0 * static_cast<double>(colour), stroke, policy);
     ++colour;
   }
   aOut << "</svg>\n";
@@ -109,16 +116,16 @@
 
 void PrintRow(std::ostream& aOut, const RunResult& aResult)
 {
-  aOut << std::format("<tr><td>{}</td><td>{:.2f}</td><td>{:.1f}</td>", aResult.policy, aResult.load,
-                      aResult.goodPerSecond);
+  aOut << Fill("<tr><td>%s</td><td>%.2f</td><td>%.1f</td>", aResult.policy, aResult.load,
+               aResult.goodPerSecond);
   for (const TierResult& tier : aResult.tiers) {
     aOut << "<td>" << Percent(tier.Share()) << "</td>";
   }
-  aOut << std::format("<td>{:.0f} / {:.0f} / {:.0f}</td><td>{:.1f} / {:.1f} / {:.1f}</td>",
-                      aResult.firstToken[0], aResult.firstToken[1], aResult.firstToken[2],
-                      aResult.interToken[0], aResult.interToken[1], aResult.interToken[2]);
-  aOut << std::format("<td>{}</td><td>{:.1f}</td><td>{:016x}</td></tr>\n",
-                      Percent(aResult.WastedShare()), aResult.controlPerRequest, aResult.signature);
+  aOut << Fill("<td>%.0f / %.0f / %.0f</td><td>%.1f / %.1f / %.1f</td>", aResult.firstToken[0],
+               aResult.firstToken[1], aResult.firstToken[2], aResult.interToken[0],
+               aResult.interToken[1], aResult.interToken[2]);
+  aOut << Fill("<td>%s</td><td>%.1f</td><td>%016x</td></tr>\n", Percent(aResult.WastedShare()),
+               aResult.controlPerRequest, aResult.signature);
 }
 
 } // namespace
@@ -135,34 +142,32 @@
 
 void PrintText(std::ostream& aOut, const RunResult& aResult)
 {
-  aOut << std::format("policy={} load={:.2f} capacity={:.1f}/s good={:.1f}/s ({} of capacity)\n",
-                      aResult.policy, aResult.load, aResult.capacity, aResult.goodPerSecond,
-                      Percent(aResult.goodPerSecond / aResult.capacity));
+  aOut << Fill("policy=%s load=%.2f capacity=%.1f/s good=%.1f/s (%s of capacity)\n", aResult.policy,
+               aResult.load, aResult.capacity, aResult.goodPerSecond,
+               Percent(aResult.goodPerSecond / aResult.capacity));
   for (std::size_t i = 0; i < aResult.tiers.size(); ++i) {
     const TierResult& tier = aResult.tiers.at(i);
-    aOut << std::format("  tier {} calls={} goodput={:.4f} late={} refused={} cut={} unknown={}\n",
-                        i, tier.calls, tier.Share(), tier.late, tier.refused, tier.cut,
-                        tier.unknown);
+    aOut << Fill("  tier %s calls=%s goodput=%.4f late=%s refused=%s cut=%s unknown=%s\n", i,
+                 tier.calls, tier.Share(), tier.late, tier.refused, tier.cut, tier.unknown);
   }
-  aOut << std::format(
-    "  first_token_ms p50={:.1f} p95={:.1f} p99={:.1f}  inter_token_ms p50={:.1f} "
-    "p95={:.1f} p99={:.1f}\n",
-    aResult.firstToken[0], aResult.firstToken[1], aResult.firstToken[2], aResult.interToken[0],
-    aResult.interToken[1], aResult.interToken[2]);
-  aOut << std::format("  prefill_wasted={} of {} ({:.2f}%)  messages_per_request control={:.1f} "
-                      "all={:.1f}  violations={}\n  refusals",
-                      aResult.prefillWasted, aResult.prefillRun, aResult.WastedShare() * 100,
-                      aResult.controlPerRequest, aResult.messagesPerRequest, aResult.violations);
+  aOut << Fill("  first_token_ms p50=%.1f p95=%.1f p99=%.1f  inter_token_ms p50=%.1f "
+               "p95=%.1f p99=%.1f\n",
+               aResult.firstToken[0], aResult.firstToken[1], aResult.firstToken[2],
+               aResult.interToken[0], aResult.interToken[1], aResult.interToken[2]);
+  aOut << Fill("  prefill_wasted=%s of %s (%.2f%%)  messages_per_request control=%.1f "
+               "all=%.1f  violations=%s\n  refusals",
+               aResult.prefillWasted, aResult.prefillRun, aResult.WastedShare() * 100,
+               aResult.controlPerRequest, aResult.messagesPerRequest, aResult.violations);
   for (const auto& [reason, count] : aResult.refusals) {
     aOut << " " << reason << "=" << count;
   }
-  aOut << std::format("\n  decisions={} signature={:016x}\n", aResult.decisions, aResult.signature);
+  aOut << Fill("\n  decisions=%s signature=%016x\n", aResult.decisions, aResult.signature);
 }
 
 void PrintJson(std::ostream& aOut, std::span<const RunResult> aResults)
 {
   nlohmann::json json;
-  json["signature"] = std::format("{:016x}", SignatureOf(aResults));
+  json["signature"] = Fill("%016x", SignatureOf(aResults));
   json["runs"] = nlohmann::json::array();
   for (const RunResult& result : aResults) {
     json["runs"].push_back(ResultJson(result));
@@ -185,7 +190,7 @@
   for (const RunResult& result : aResults) {
     PrintRow(aOut, result);
   }
-  aOut << std::format("</table><p>signature={:016x}</p></body></html>\n", SignatureOf(aResults));
+  aOut << Fill("</table><p>signature=%016x</p></body></html>\n", SignatureOf(aResults));
 }
 
 } // namespace caraway::bench
