--- a/src/bench/callers.cpp
+++ b/src/bench/callers.cpp
@@ -11,6 +11,29 @@
 // Time in which a caller notices that its connection broke and connects again.
 constexpr Duration kReconnect = milliseconds(100);
 
+// What the arrivals of one workload need.
+struct Feeder
+{
+  Workload& workload;
+  Site& site;
+  TimePoint start;
+  TimePoint end;
+  std::function<void(const Job&)> submit;
+};
+
+// Plans the next arrival, which plans the one after it.
+void FeedNext(const std::shared_ptr<Feeder>& aFeeder)
+{
+  const TimePoint time = aFeeder->start + aFeeder->workload.NextArrival();
+  if (time >= aFeeder->end) {
+    return;
+  }
+  aFeeder->site.schedule.At(time, [aFeeder] {
+    aFeeder->submit(aFeeder->workload.NewJob(aFeeder->site.schedule.Read().wall));
+    FeedNext(aFeeder);
+  });
+}
+
 } // namespace
 
 bool WantsRetry(const Job& aJob, const FinalAnswer& aAnswer)
@@ -29,16 +52,8 @@
 
 void Feed(Workload& aWorkload, Site& aSite, TimePoint aEnd, std::function<void(const Job&)> aSubmit)
 {
-  const TimePoint start = aSite.schedule.Time();
-  auto next = std::make_shared<std::function<void()>>();
-  *next = [&aWorkload, &aSite, aEnd, start, next = next.get(), submit = std::move(aSubmit)] {
-    submit(aWorkload.NewJob(aSite.schedule.Read().wall));
-    const TimePoint time = start + aWorkload.NextArrival();
-    if (time < aEnd) {
-      aSite.schedule.At(time, *next);
-    }
-  };
-  aSite.schedule.At(start + aWorkload.NextArrival(), [next] { (*next)(); });
+  FeedNext(std::make_shared<Feeder>(
+    Feeder{ aWorkload, aSite, aSite.schedule.Time(), aEnd, std::move(aSubmit) }));
 }
 
 Callers::Callers(Site& aSite)
