--- a/src/bench/callers.cpp
+++ b/src/bench/callers.cpp
@@ -2,6 +2,7 @@
 
 #include "core/uuid.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace caraway::bench {
@@ -101,9 +102,15 @@
 void Callers::Leave(const RequestId& aId, bool aMayResume)
 {
   const auto found = this->open.find(aId);
-  if (found != this->open.end()) {
-    found->second.entry->CallerGone(aId, aMayResume);
+  if (found == this->open.end()) {
+    return;
+  }
+  for (Observer* observer : this->site.observers) {
+    observer->OnCallerLeft(this->site.jobs.at(aId));
   }
+  EntryHost* entry = found->second.entry;
+  this->open.erase(found);
+  entry->CallerGone(aId, aMayResume);
 }
 
 void Callers::OnEntryLost(const EntryHost& aEntry)
@@ -136,17 +143,18 @@
 {
   const Job& job = this->site.jobs.at(aId);
   const auto found = this->open.find(aId);
+  if (found == this->open.end()) {
+    return;
+  }
   std::string data = aData;
   if (this->site.tamper != nullptr && !this->site.tamper->PassPart(job, data)) {
     return;
   }
-  if (found != this->open.end()) {
-    OpenCall& call = found->second;
-    if (call.parts == 0) {
-      call.agent = call.entry->AgentOf(aId);
-    }
-    ++call.parts;
+  OpenCall& call = found->second;
+  if (call.parts == 0) {
+    call.agent = call.entry->AgentOf(aId);
   }
+  ++call.parts;
   for (Observer* observer : this->site.observers) {
     observer->OnPart(job, data);
   }
@@ -155,6 +163,9 @@
 void Callers::OnFinal(const RequestId& aId, const FinalAnswer& aAnswer)
 {
   const Job& job = this->site.jobs.at(aId);
+  if (!this->open.contains(aId)) {
+    return;
+  }
   FinalAnswer answer = aAnswer;
   if (this->site.tamper != nullptr && !this->site.tamper->PassFinal(job, answer)) {
     return;
@@ -179,4 +190,11 @@
   return ids;
 }
 
+std::size_t Callers::OpenAt(const EntryHost& aEntry) const
+{
+  return static_cast<std::size_t>(
+    std::count_if(this->open.begin(), this->open.end(),
+                  [&aEntry](const auto& aCall) { return aCall.second.entry == &aEntry; }));
+}
+
 } // namespace caraway::bench
--- a/src/bench/callers.h
+++ b/src/bench/callers.h
@@ -45,6 +45,7 @@
 
   // Requests without a final answer.
   std::vector<RequestId> Open() const;
+  std::size_t OpenAt(const EntryHost& aEntry) const;
 
 private:
   struct OpenCall
--- a/src/bench/host.h
+++ b/src/bench/host.h
@@ -25,6 +25,7 @@
   const std::string& Name() const { return this->name; }
   NodeId Node() const { return this->node; }
   bool Alive() const { return this->alive; }
+  bool Paused() const { return this->paused; }
   bool Leaving() const { return this->leaving; }
 
   // Begins a new life, with the next incarnation. The caller connects it.
@@ -146,6 +147,8 @@
   const Endpoint& TheEndpoint() const { return *this->endpoint; }
   EndpointEvents& Events() { return *this; }
   const AgentIdentity& Identity() const { return this->identity; }
+  // Requests that are at the endpoint.
+  std::size_t OpenWork() const { return this->open.size(); }
 
   bool Idle() const override;
   const ConfigState& Config() const override;
--- a/src/bench/site.h
+++ b/src/bench/site.h
@@ -24,6 +24,10 @@
   virtual void OnFinal(const Job& /*aJob*/, const FinalAnswer& /*aAnswer*/) {}
   virtual void OnEvent(NodeId /*aNode*/, const Event& /*aEvent*/) {}
   virtual void OnLeaving(NodeId /*aNode*/) {}
+  // A leaving process has ended; aOpen: requests that it still had in hand.
+  virtual void OnLeft(NodeId /*aNode*/, std::size_t /*aOpen*/) {}
+  // The connection of a caller broke and stays away.
+  virtual void OnCallerLeft(const Job& /*aJob*/) {}
 };
 
 // Seams at which a test breaks the program on purpose, to see that a check fires.
--- a/src/bench/world.cpp
+++ b/src/bench/world.cpp
@@ -196,6 +196,21 @@
   this->LeaveHost(this->AgentAt(aIndex), aRestart);
 }
 
+// Tells the observers what a leaving process that calls itself idle still has in hand.
+void World::ReportLeft(const Host& aHost)
+{
+  std::size_t open = 0;
+  for (const auto& entry : this->entries) {
+    open += entry.get() == &aHost ? this->callers.OpenAt(*entry) : 0;
+  }
+  for (const auto& agent : this->agents) {
+    open += agent.get() == &aHost ? agent->OpenWork() : 0;
+  }
+  for (Observer* observer : this->site.observers) {
+    observer->OnLeft(aHost.Node(), open);
+  }
+}
+
 void World::AwaitIdle(Host& aHost, Duration aRestart)
 {
   const Peer self = aHost.Self();
@@ -207,6 +222,7 @@
       this->AwaitIdle(aHost, aRestart);
       return;
     }
+    this->ReportLeft(aHost);
     aHost.Kill();
     this->Restart(aHost, aRestart);
   });
--- a/src/bench/world.h
+++ b/src/bench/world.h
@@ -70,6 +70,7 @@
   void Restart(Host& aHost, Duration aDelay);
   void LeaveHost(Host& aHost, Duration aRestart);
   void PauseHost(Host& aHost, Duration aTime);
+  void ReportLeft(const Host& aHost);
   // Kills a leaving process when it is idle.
   void AwaitIdle(Host& aHost, Duration aRestart);
 
