--- a/src/bench/host.cpp
+++ b/src/bench/host.cpp
@@ -186,6 +186,7 @@
     std::make_unique<Entry>(this->options, this->Name(), this->placement, this->random, port);
   this->toldOffset = 0;
   this->toldLeaving = false;
+  this->cursor = 0;
   this->PollLog(this->life);
 }
 
@@ -202,21 +203,21 @@
   }
   this->site.schedule.After(kLogPoll, [this, aLife] { this->PollLog(aLife); });
   const LogModel& log = this->site.log;
-  const LogOffset from = this->entry->NextRead();
   if (log.Down()) {
     return;
   }
-  if (from < log.Oldest()) {
-    this->Run(
-      [this] { this->entry->OnLogGap(this->site.schedule.Read(), this->site.log.Oldest()); });
-    return;
-  }
-  std::vector<LogRecord> records = log.Read(from, kLogBatch);
+  this->cursor = std::max(this->cursor, log.Oldest());
+  std::vector<LogRecord> records = log.Read(this->cursor, kLogBatch);
   if (!records.empty()) {
-    this->Run([this, records = std::move(records)] {
-      this->entry->OnLogRecords(this->site.schedule.Read(), records);
-    });
+    this->cursor = records.back().offset + 1;
   }
+  this->Run([this, oldest = log.Oldest(), records = std::move(records)] {
+    const Now now = this->site.schedule.Read();
+    this->entry->OnLogOldest(now, oldest);
+    if (!records.empty()) {
+      this->entry->OnLogRecords(now, records);
+    }
+  });
 }
 
 void EntryHost::Submit(const Submission& aSubmission)
--- a/src/bench/host.h
+++ b/src/bench/host.h
@@ -128,6 +128,7 @@
   Random random;
   LateBindingPlacement placement;
   std::unique_ptr<Entry> entry;
+  LogOffset cursor = 0; // next offset to read from the log
   LogOffset toldOffset = 0;
   bool toldLeaving = false;
 };
