--- a/src/runtime/agent_host.cpp
+++ b/src/runtime/agent_host.cpp
@@ -18,6 +18,12 @@
          aOld.name != aNew.name;
 }
 
+AgentIdentity IdentityOf(const AgentSettings& aSettings)
+{
+  return { aSettings.name, aSettings.region,  aSettings.failureDomain,
+           aSettings.pool, aSettings.version, aSettings.engineChecksFencing };
+}
+
 } // namespace
 
 AgentHost::AgentHost(const AgentSettings& aSettings, Peer aSelf, const Clock& aClock,
@@ -27,7 +33,7 @@
   , observer(aObserver)
   , endpoint(FormatAddress(aSettings.endpoint), *this)
   , hub(aSettings.links, aSettings.clusterKey, aSelf, aClock, aRandom, *this)
-  , agent(aSettings.options, aRandom, *this)
+  , agent(aSettings.options, IdentityOf(aSettings), aRandom, *this)
   , timer([this] {
     this->armedFor = kNever;
     this->agent.OnTimer(this->clock.Read());
@@ -200,16 +206,9 @@
   this->hub.Announce(hello);
 }
 
-// The decisions know what changes; the settings know who the process is.
 Hello AgentHost::CurrentHello() const
 {
   Hello hello = this->agent.CurrentHello();
-  hello.role = Role::kAgent;
-  hello.name = this->settings.name;
-  hello.region = this->settings.region;
-  hello.failureDomain = this->settings.failureDomain;
-  hello.pool = this->settings.pool;
-  hello.version = this->settings.version;
   hello.leaving = this->leaving;
   return hello;
 }
