Judge first tokens only from enough of them

Cause: one slow first token in a window of a hundred gaps was its own median, and unloaded the endpoint (limit 35 to 3).

--- a/src/core/limit.cpp
+++ b/src/core/limit.cpp
@@ -73,8 +73,8 @@
 void RatioWindow::Close()
 {
   this->memory.Merge(this->current, kMemory);
-  this->median = this->current.Quantile(0.5);
-  this->p95 = this->memory.Quantile(0.95);
+  this->median = this->current.Count() < kFewSamples ? 0 : this->current.Quantile(0.5);
+  this->p95 = this->memory.Count() < kFewSamples ? 0 : this->memory.Quantile(0.95);
   this->current.Clear();
 }
 
--- a/src/core/limit.h
+++ b/src/core/limit.h
@@ -35,7 +35,8 @@
 public:
   void Add(double aRatio) { this->current.Add(aRatio); }
   double Count() const { return this->current.Count(); }
-  // Ends the window. Median() is of the window, P95() of it and of the ones before.
+  // Ends the window. Median() is of the window, P95() of it and of the ones before; both are zero
+  // while they would rest on too few times.
   void Close();
   double Median() const { return this->median; }
   double P95() const { return this->p95; }
