Hold prompts in the agent's queue while the engine's prefill is busy

The engine computes prompts in order of arrival and knows no tiers, so everything dispatched ahead of a higher-tier prompt delayed it; the fit of first-token time over the own prompt hid that wait and made the agent cut. Ruled out: the limit of requests (inter-token p99 stays at 46 ms, inside the target).

--- a/src/core/agent_admission.cpp
+++ b/src/core/agent_admission.cpp
@@ -8,7 +8,9 @@
 namespace {
 
 constexpr Duration kSweepPause = milliseconds(2); // least time between two passes over the queue
-constexpr int kHopeless = 2; // expected wait over the time to start: refused at once
+constexpr int kHopeless = 2;     // expected wait over the time to start: refused at once
+constexpr int kPrefillShare = 4; // prompts are sent while those at the engine take this part of
+                                 // the target of the first token
 constexpr Duration kNoDeadline = hours(1);
 constexpr Duration kBriefRetry = milliseconds(250); // nothing stands in the way of a new try
 
@@ -149,9 +151,36 @@
 }
 
 bool Agent::Impl::HasRoomFor(Now aNow, const Reservation& aReservation) const
+{
+  return !this->IsAloneBusy() && this->HasSlotFor(aNow, aReservation) &&
+         !this->IsPrefillFull(aReservation);
+}
+
+// Prompt tokens that are at the endpoint or offered and wait for their first token.
+std::uint32_t Agent::Impl::PendingPrefill() const
+{
+  std::uint32_t tokens = this->running.PendingPrompt();
+  for (const OpenOffer& offer : this->offers) {
+    tokens += offer.reservation.request.promptTokens;
+  }
+  return tokens;
+}
+
+// The engine computes prompts in the order of their arrival and knows no tiers, so prompts wait
+// here, in the order of the queue, unless their turn at the engine comes soon.
+bool Agent::Impl::IsPrefillFull(const Reservation& aReservation) const
+{
+  const std::uint32_t pending = this->PendingPrefill();
+  if (pending == 0 || aReservation.request.kind != WorkKind::kCompletion) {
+    return false;
+  }
+  return this->pace.FirstToken(pending) > this->options.firstTokenTarget / kPrefillShare;
+}
+
+bool Agent::Impl::HasSlotFor(Now aNow, const Reservation& aReservation) const
 {
   const std::uint32_t held = this->Held();
-  if (held >= this->Allowance(aNow) || this->IsAloneBusy()) {
+  if (held >= this->Allowance(aNow)) {
     return false;
   }
   const std::uint64_t tokens = this->HeldTokens() + TokensOf(aReservation.request);
@@ -330,12 +359,26 @@
   this->port.Send(aReservation.entry.node, refuse);
 }
 
-// Cutting lower-tier work would free a slot that the reservation could use.
+// Lower-tier work whose end would help the reservation to a slot; nullptr if there is none. When
+// only prefill is in its way, that is work that has not begun to answer.
+const Running* Agent::Impl::VictimFor(Now aNow, const Reservation& aReservation) const
+{
+  if (!this->IsEligible(aNow, aReservation) || this->IsSuspect(aNow, aReservation) ||
+      this->IsAloneBusy()) {
+    return nullptr;
+  }
+  const Tier tier = aReservation.request.tier;
+  if (this->IsPrefillFull(aReservation)) {
+    return ChoosePrefillVictim(this->running, tier);
+  }
+  const bool canMakeRoom = !this->HasSlotFor(aNow, aReservation) &&
+                           CanMakeRoom(this->running, tier, this->Held(), this->Allowance(aNow));
+  return canMakeRoom ? ChooseVictim(this->running, tier) : nullptr;
+}
+
 bool Agent::Impl::CanRoomBeMade(Now aNow, const Reservation& aReservation) const
 {
-  return this->IsEligible(aNow, aReservation) && !this->IsSuspect(aNow, aReservation) &&
-         !this->IsAloneBusy() &&
-         CanMakeRoom(this->running, aReservation.request.tier, this->Held(), this->Allowance(aNow));
+  return this->VictimFor(aNow, aReservation) != nullptr;
 }
 
 // Looks at every reservation: cuts lower-tier work for those that would miss their start, and
@@ -407,10 +450,10 @@
 {
   const Reservation* row = this->queue.Find(aId);
   while (row != nullptr) {
-    if (!this->CanRoomBeMade(aNow, *row)) {
+    const Running* victim = this->VictimFor(aNow, *row);
+    if (victim == nullptr) {
       return false;
     }
-    const Running* victim = ChooseVictim(this->running, row->request.tier);
     this->Stop(aNow, RequestId(victim->id), Reason::kPreempted);
     row = this->queue.Find(aId);
   }
--- a/src/core/agent_impl.h
+++ b/src/core/agent_impl.h
@@ -99,6 +99,10 @@
   bool IsSuspect(Now aNow, const Reservation& aReservation) const;
   bool IsBanned(Now aNow, std::uint64_t aFingerprint) const;
   bool HasRoomFor(Now aNow, const Reservation& aReservation) const;
+  bool HasSlotFor(Now aNow, const Reservation& aReservation) const;
+  bool IsPrefillFull(const Reservation& aReservation) const;
+  std::uint32_t PendingPrefill() const;
+  const Running* VictimFor(Now aNow, const Reservation& aReservation) const;
   void OfferSlots(Now aNow);
   void SendOffer(Now aNow, const RequestId& aId, bool aIsAlone);
   const OpenOffer* FindOffer(const RequestId& aId) const;
--- a/src/core/running.h
+++ b/src/core/running.h
@@ -16,6 +16,7 @@
   Tier tier = kLowestTier;
   WorkKind kind = WorkKind::kCompletion;
   std::uint32_t promptTokens = 0;
+  std::uint32_t prefillAhead = 0; // prompt tokens that waited for prefill when it was dispatched
   std::uint32_t outputEstimate = 0;
   std::uint32_t outputTokens = 0; // so far
   std::uint64_t fingerprint = 0;
--- a/src/core/shed.cpp
+++ b/src/core/shed.cpp
@@ -52,6 +52,18 @@
   return victim;
 }
 
+const Running* ChoosePrefillVictim(const RunningTable& aRunning, Tier aFor)
+{
+  const Running* victim = nullptr;
+  for (const Running& row : aRunning.Rows()) {
+    const bool isCandidate = row.tier > aFor && row.IsCuttable() && !row.hasStarted;
+    if (isCandidate && (victim == nullptr || CutOrder(row) > CutOrder(*victim))) {
+      victim = &row;
+    }
+  }
+  return victim;
+}
+
 bool CanMakeRoom(const RunningTable& aRunning, Tier aFor, std::uint32_t aHeld, std::uint32_t aLimit)
 {
   const auto& rows = aRunning.Rows();
--- a/src/core/shed.h
+++ b/src/core/shed.h
@@ -17,6 +17,9 @@
 // done, then the least output; never a call that must not be repeated. nullptr if there is none.
 const Running* ChooseVictim(const RunningTable& aRunning, Tier aFor);
 
+// The same among work that has not produced a token, whose prefill holds up what comes after it.
+const Running* ChoosePrefillVictim(const RunningTable& aRunning, Tier aFor);
+
 // Whether cutting all work that is strictly lower than aFor frees a slot under the limits.
 bool CanMakeRoom(const RunningTable& aRunning, Tier aFor, std::uint32_t aHeld,
                  std::uint32_t aLimit);
