Pass on the rest of an answer to a caller that comes back to the same entry

Cause: the entry kept its mark that the caller was gone, so the resumed answer ended as answered without its chunks; it also acknowledged answers that no caller had received, and let another account take over a request that was waiting for its owner. Touches src/core/entry_answer.cpp.

--- a/src/core/entry_answer.cpp
+++ b/src/core/entry_answer.cpp
@@ -77,7 +77,9 @@
     answer.reason = Reason::kEndpointFailed;
   }
   aPending.finish = finish;
-  this->port.Send(aPending.agent->node, Ack{ finish.id, finish.chunks, true });
+  if (!aPending.callerGone) { // else the agent keeps the answer for a caller that comes back
+    this->port.Send(aPending.agent->node, Ack{ finish.id, finish.chunks, true });
+  }
   this->Finalize(aNow, aPending, answer);
 }
 
@@ -112,7 +114,15 @@
 void Entry::Impl::Resume(Now aNow, const RequestId& aId, const std::string& aAccount,
                          std::uint32_t aNextChunk, std::optional<NodeId> aAgent)
 {
+  const auto found = this->pending.find(aId);
+  if (found != this->pending.end() && found->second.submission.account != aAccount) {
+    this->port.PassFinal(aId, FinalAnswer{ Outcome::kUnknown, Reason::kUnauthorized });
+    return;
+  }
   Pending& request = this->pending[aId];
+  request.callerGone = false;
+  request.keepUntil = kNever;
+  request.finish.reset();
   request.submission.id = aId;
   request.submission.account = aAccount;
   request.phase = Phase::kResuming;
--- a/src/runtime/caller_exchange.cpp
+++ b/src/runtime/caller_exchange.cpp
@@ -33,7 +33,10 @@
   , readLimit([this] {
     this->owner.Refuse(*this, Rejection{ 408, "half_sent", "the request did not arrive in time" });
   })
-  , refusal([this] { this->owner.Refuse(*this, *this->pendingRejection); })
+  , refusal([this] {
+    const Rejection rejection = *this->pendingRejection; // outlives the exchange
+    this->owner.Refuse(*this, rejection);
+  })
 {
   this->readLimit.ArmAfter(this->limits.readWithin);
   this->chunkSignal =
@@ -51,6 +54,7 @@
 
 void CallerExchange::OnHead()
 {
+  this->headSeen = true;
   this->head = this->ReadHead();
   const auto route = RouteOf(this->head.method, this->head.path);
   if (const auto* rejection = std::get_if<Rejection>(&route)) {
@@ -332,6 +336,9 @@
 {
   SoupMessageHeaders* headers = soup_server_message_get_response_headers(this->message.get());
   soup_message_headers_replace(headers, "Caraway-Request-Id", FormatUuid(this->id).c_str());
+  if (this->host.IsLeaving()) {
+    soup_message_headers_replace(headers, "Connection", "close");
+  }
   if (!this->agent.empty()) {
     soup_message_headers_replace(headers, "Caraway-Agent", this->agent.c_str());
   }
--- a/src/runtime/caller_exchange.h
+++ b/src/runtime/caller_exchange.h
@@ -55,6 +55,8 @@
   void OnChunk(const std::string& aData) override;
   void OnFinal(const FinalAnswer& aAnswer) override;
 
+  // True from the end of the headers to the end of the answer; an idle connection is not busy.
+  bool IsBusy() const { return this->headSeen; }
   SoupServerMessage* Message() const { return this->message.get(); }
 
 private:
@@ -101,6 +103,7 @@
   Random& random;
   ExchangeOwner& owner;
   State state = State::kReading;
+  bool headSeen = false;
   Form form = Form::kRaw;
   CallHead head;
   RequestId id;
--- a/src/runtime/caller_server.cpp
+++ b/src/runtime/caller_server.cpp
@@ -3,6 +3,7 @@
 #include "runtime/error.h"
 #include "runtime/soup_listen.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace caraway {
@@ -50,6 +51,7 @@
   return error;
 }
 
+// soup_server_disconnect would also cut the calls in progress.
 void CallerServer::StopListening()
 {
   GSList* listeners = soup_server_get_listeners(this->server.get());
@@ -61,19 +63,23 @@
 
 bool CallerServer::IsIdle() const
 {
-  return this->exchanges.empty() && this->refused.empty();
+  return this->refused.empty() &&
+         std::none_of(this->exchanges.begin(), this->exchanges.end(),
+                      [](const auto& aItem) { return aItem.second->IsBusy(); });
 }
 
 // Answers on the bare connection, because libsoup would read the rest of the request first.
 void CallerServer::Refuse(CallerExchange& aExchange, const Rejection& aRejection)
 {
   this->metrics.CountRejected(aRejection.status);
+  GSocket* raw = soup_server_message_get_socket(aExchange.Message());
+  ObjectPtr<GSocket> socket = raw != nullptr ? ShareObject(raw) : nullptr;
   ObjectPtr<GIOStream> stream = this->TakeConnection(aExchange);
   if (!stream) {
     return;
   }
   const auto place = this->refused.emplace(this->refused.end());
-  *place = std::make_unique<RefusedConnection>(std::move(stream), aRejection,
+  *place = std::make_unique<RefusedConnection>(std::move(stream), std::move(socket), aRejection,
                                                [this, place] { this->refused.erase(place); });
 }
 
--- a/src/runtime/link_hub.cpp
+++ b/src/runtime/link_hub.cpp
@@ -7,6 +7,12 @@
 
 namespace caraway {
 
+namespace {
+
+constexpr int kBacklog = 1024; // connections that wait to be accepted
+
+} // namespace
+
 // Keeps one outgoing connection alive.
 struct LinkHub::Dialer
 {
@@ -56,6 +62,7 @@
 std::error_code LinkHub::Listen(const Address& aAddress)
 {
   this->service.reset(g_socket_service_new());
+  g_socket_listener_set_backlog(G_SOCKET_LISTENER(this->service.get()), kBacklog);
   const ObjectPtr<GSocketAddress> address(
     g_inet_socket_address_new_from_string(aAddress.host.c_str(), aAddress.port));
   GSocketAddress* bound = nullptr;
--- a/src/runtime/log.cpp
+++ b/src/runtime/log.cpp
@@ -3,6 +3,7 @@
 #include <easylogging++.h>
 
 #include <algorithm>
+#include <iostream>
 
 INITIALIZE_EASYLOGGINGPP
 
@@ -12,6 +13,17 @@
 
 LogLevel leastLevel = LogLevel::kInfo;
 
+// Writes finished lines to standard error.
+class ErrorStream final : public el::LogDispatchCallback
+{
+protected:
+  void handle(const el::LogDispatchData* aData) override
+  {
+    const el::LogMessage* message = aData->logMessage();
+    std::cerr << message->logger()->logBuilder()->build(message, true) << std::flush;
+  }
+};
+
 // True for values that stand in a line as they are.
 bool IsPlain(std::string_view aValue)
 {
@@ -58,11 +70,12 @@
   el::Configurations configuration;
   configuration.setToDefault();
   configuration.setGlobally(el::ConfigurationType::ToFile, "false");
-  configuration.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
+  configuration.setGlobally(el::ConfigurationType::ToStandardOutput, "false");
   configuration.setGlobally(el::ConfigurationType::Format,
                             "time=%datetime{%Y-%M-%dT%H:%m:%s.%g} level=%level" + process +
                               " %msg");
   el::Loggers::reconfigureAllLoggers(configuration);
+  el::Helpers::installLogDispatchCallback<ErrorStream>("standard_error");
 }
 
 bool IsLogged(LogLevel aLevel)
--- a/src/runtime/refused_connection.cpp
+++ b/src/runtime/refused_connection.cpp
@@ -24,9 +24,10 @@
 
 } // namespace
 
-RefusedConnection::RefusedConnection(ObjectPtr<GIOStream> aStream, const Rejection& aRejection,
-                                     std::function<void()> aDone)
+RefusedConnection::RefusedConnection(ObjectPtr<GIOStream> aStream, ObjectPtr<GSocket> aSocket,
+                                     const Rejection& aRejection, std::function<void()> aDone)
   : stream(std::move(aStream))
+  , socket(std::move(aSocket))
   , cancellable(g_cancellable_new())
   , answer(RawAnswer(aRejection))
   , done(std::move(aDone))
@@ -59,9 +60,8 @@
     self->done();
     return;
   }
-  if (G_IS_SOCKET_CONNECTION(self->stream.get())) {
-    GSocket* socket = g_socket_connection_get_socket(G_SOCKET_CONNECTION(self->stream.get()));
-    g_socket_shutdown(socket, FALSE, TRUE, nullptr);
+  if (self->socket) {
+    g_socket_shutdown(self->socket.get(), FALSE, TRUE, nullptr);
   }
   self->Drain();
 }
--- a/src/runtime/refused_connection.h
+++ b/src/runtime/refused_connection.h
@@ -17,8 +17,9 @@
 {
 public:
   // aDone is called once, from the main loop, when the connection is closed.
-  RefusedConnection(ObjectPtr<GIOStream> aStream, const Rejection& aRejection,
-                    std::function<void()> aDone);
+  // aSocket: below aStream, which may be TLS.
+  RefusedConnection(ObjectPtr<GIOStream> aStream, ObjectPtr<GSocket> aSocket,
+                    const Rejection& aRejection, std::function<void()> aDone);
   ~RefusedConnection();
   RefusedConnection(const RefusedConnection&) = delete;
   RefusedConnection& operator=(const RefusedConnection&) = delete;
@@ -31,6 +32,7 @@
   static constexpr std::size_t kDrainBytes = 16384;
 
   ObjectPtr<GIOStream> stream;
+  ObjectPtr<GSocket> socket;
   ObjectPtr<GCancellable> cancellable;
   std::string answer;
   std::array<char, kDrainBytes> rest{};
--- a/src/runtime/soup_listen.cpp
+++ b/src/runtime/soup_listen.cpp
@@ -2,15 +2,38 @@
 
 #include "runtime/error.h"
 
+#include <utility>
+
 namespace caraway {
 
-std::error_code ListenAt(SoupServer* aServer, const Address& aAddress, bool aTls)
+namespace {
+
+constexpr int kBacklog = 1024; // connections that wait to be accepted
+
+// Listening socket; the default backlog of GIO is too short for bursts of callers.
+ObjectPtr<GSocket> MakeListener(const Address& aAddress, GError** aError)
 {
   const ObjectPtr<GSocketAddress> address(
     g_inet_socket_address_new_from_string(aAddress.host.c_str(), aAddress.port));
+  ObjectPtr<GSocket> socket(g_socket_new(g_socket_address_get_family(address.get()),
+                                         G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, aError));
+  if (!socket) {
+    return nullptr;
+  }
+  g_socket_set_listen_backlog(socket.get(), kBacklog);
+  const bool listening = g_socket_bind(socket.get(), address.get(), TRUE, aError) &&
+                         g_socket_listen(socket.get(), aError);
+  return listening ? std::move(socket) : nullptr;
+}
+
+} // namespace
+
+std::error_code ListenAt(SoupServer* aServer, const Address& aAddress, bool aTls)
+{
   const auto options = static_cast<SoupServerListenOptions>(aTls ? SOUP_SERVER_LISTEN_HTTPS : 0);
   GError* raw = nullptr;
-  const bool done = soup_server_listen(aServer, address.get(), options, &raw);
+  const ObjectPtr<GSocket> socket = MakeListener(aAddress, &raw);
+  const bool done = socket && soup_server_listen_socket(aServer, socket.get(), options, &raw);
   const ErrorPtr error(raw);
   return done ? std::error_code{} : ErrorOf(error.get());
 }
--- a/src/runtime/timer.cpp
+++ b/src/runtime/timer.cpp
@@ -38,7 +38,8 @@
 {
   g_source_set_ready_time(aSource, -1);
   auto* timer = static_cast<Timer*>(aData);
-  timer->callback();
+  const std::function<void()> run = timer->callback;
+  run();
   return G_SOURCE_CONTINUE;
 }
 
