--- a/src/runtime/answer_format.cpp
+++ b/src/runtime/answer_format.cpp
@@ -83,7 +83,7 @@
   if (aAnswer.outcome == Outcome::kAnswered) {
     return aAnswer.status;
   }
-  if (aAnswer.outcome == Outcome::kUnknown) {
+  if (aAnswer.outcome == Outcome::kUnknown && aAnswer.reason != Reason::kUnauthorized) {
     return 504;
   }
   return StatusOfReason(aAnswer.reason);
--- a/src/runtime/entry_host.h
+++ b/src/runtime/entry_host.h
@@ -58,6 +58,8 @@
   bool IsReady() const;
   // True once the notice time is over and no new request is accepted.
   bool IsClosed() const { return this->closed; }
+  // Next offset to read from the log.
+  LogOffset NextLogOffset() const { return this->cursor; }
   Now Time() const { return this->clock.Read(); }
 
   std::string StatusJson() const override;
--- a/tests/runtime/caller_test.cpp
+++ b/tests/runtime/caller_test.cpp
@@ -8,6 +8,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <array>
+#include <filesystem>
 #include <memory>
 #include <optional>
 #include <vector>
@@ -39,7 +41,7 @@
 // An entry with its callers' server, a platform and one agent of each pool.
 struct Site
 {
-  explicit Site(std::uint32_t aReadMs = 10000)
+  explicit Site(std::uint32_t aReadMs = 10000, const std::optional<TlsFiles>& aTls = {})
     : agent("agent-a", "model-a")
     , service("agent-s", "orders")
   {
@@ -59,6 +61,7 @@
     this->platform.AddVm("agent-s", "agent", this->service.hub.Port(), "orders");
     this->settings = SettingsFor(this->platform);
     this->settings.requestReadMs = aReadMs;
+    this->settings.tls = aTls;
     this->context.emplace(this->settings);
     this->log.emplace(FormatAddress(this->settings.platform));
     this->host.emplace(this->settings, this->context->self, this->context->clock,
@@ -127,6 +130,67 @@
   BareClient client;
 };
 
+// One call over TLS whose answer is read to its end.
+struct HttpsCall
+{
+  HttpsCall(std::uint16_t aPort, std::string aRequest)
+    : client(g_socket_client_new())
+    , request(std::move(aRequest))
+  {
+    g_socket_client_set_tls(this->client.get(), TRUE);
+    g_signal_connect(this->client.get(), "event", G_CALLBACK(&HttpsCall::OnEvent), this);
+    g_socket_client_connect_to_host_async(this->client.get(), "127.0.0.1", aPort, nullptr,
+                                          &HttpsCall::OnConnected, this);
+  }
+
+  // Trusts the certificate of the test.
+  static void OnEvent(GSocketClient*, GSocketClientEvent aEvent, GSocketConnectable*,
+                      GIOStream* aStream, void*)
+  {
+    if (aEvent == G_SOCKET_CLIENT_TLS_HANDSHAKING) {
+      g_signal_connect(aStream, "accept-certificate", G_CALLBACK(+[] { return TRUE; }), nullptr);
+    }
+  }
+
+  static void OnConnected(GObject* aSource, GAsyncResult* aResult, void* aData)
+  {
+    auto* self = static_cast<HttpsCall*>(aData);
+    self->connection.reset(
+      g_socket_client_connect_to_host_finish(G_SOCKET_CLIENT(aSource), aResult, nullptr));
+    BOOST_REQUIRE(self->connection);
+    g_output_stream_write_all_async(
+      g_io_stream_get_output_stream(G_IO_STREAM(self->connection.get())), self->request.data(),
+      self->request.size(), G_PRIORITY_DEFAULT, nullptr, nullptr, nullptr);
+    self->Read();
+  }
+
+  void Read()
+  {
+    g_input_stream_read_async(g_io_stream_get_input_stream(G_IO_STREAM(this->connection.get())),
+                              this->buffer.data(), this->buffer.size(), G_PRIORITY_DEFAULT, nullptr,
+                              &HttpsCall::OnRead, this);
+  }
+
+  static void OnRead(GObject* aSource, GAsyncResult* aResult, void* aData)
+  {
+    auto* self = static_cast<HttpsCall*>(aData);
+    const gssize count = g_input_stream_read_finish(G_INPUT_STREAM(aSource), aResult, nullptr);
+    if (count <= 0) {
+      self->ended = true;
+      return;
+    }
+    self->received.append(self->buffer.data(), static_cast<std::size_t>(count));
+    self->Read();
+  }
+
+  ObjectPtr<GSocketClient> client;
+  ObjectPtr<GSocketConnection> connection;
+  std::string request;
+  std::string received;
+  std::array<char, 4096> buffer{};
+  bool ended = false;
+};
+
 int StatusOf(Site& aSite, const std::string& aRequest)
 {
   return Call(aSite, aRequest).Status();
@@ -412,6 +476,45 @@
   BOOST_REQUIRE(RunUntil([&] { return site.host->IsDone() && site.callers->IsIdle(); }));
 }
 
+BOOST_AUTO_TEST_CASE(callers_may_use_tls)
+{
+  const auto folder = std::filesystem::path(__FILE__).parent_path();
+  Site site(10000, TlsFiles{ folder / "test_certificate.pem", folder / "test_key.pem" });
+  HttpsCall call(site.callers->Port(), Call::Post("/v1/chat/completions", kStreamBody));
+  BOOST_REQUIRE(RunUntil([&] { return call.ended; }));
+  BOOST_TEST(call.received.starts_with("HTTP/1.1 200"));
+  BOOST_TEST(call.received.find("data: [DONE]") != std::string::npos);
+
+  HttpsCall refused(site.callers->Port(), Call::Post("/v1/chat/completions", kBody, ""));
+  BOOST_REQUIRE(RunUntil([&] { return refused.ended; }));
+  BOOST_TEST(refused.received.starts_with("HTTP/1.1 401"));
+}
+
+BOOST_AUTO_TEST_CASE(configuration_beyond_the_logs_retention_is_a_gap)
+{
+  Site site;
+  const LogOffset next = site.host->Config().Next();
+  site.platform.records.resize(next + 10, site.platform.records[0]);
+  site.platform.oldest = next + 5;
+  site.platform.AddRecord("account", "late",
+                          { { "key_hashes", { HashKey("key-c") } }, { "highest_tier", 1 } });
+  BOOST_REQUIRE(RunUntil([&] { return site.host->NextLogOffset() == next + 11; }));
+  BOOST_TEST(site.host->Config().Next() == next);
+}
+
+BOOST_AUTO_TEST_CASE(log_outage_leaves_other_calls_alone_and_ends)
+{
+  Site site;
+  site.platform.down = true;
+  BOOST_TEST(StatusOf(site, Call::Post("/v1/chat/completions", kBody)) == 200);
+  BOOST_TEST(StatusOf(site, Call::Post("/services/orders/book", "{}", KeyHeader())) == 503);
+  BOOST_TEST(site.service.grants.empty());
+  site.platform.down = false;
+  site.platform.AddRecord("account", "late",
+                          { { "key_hashes", { HashKey("key-c") } }, { "highest_tier", 1 } });
+  BOOST_REQUIRE(RunUntil([&] { return site.host->Config().FindAccount("late") != nullptr; }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace caraway
