Listen with a backlog of 4096 and log the ports that daemons really got

Cause: GLib's default backlog of 10 resets callers and agents in a burst (365 of 400 connections at once were reset at a stand-in, test_standins endpoint_client/many_streams). Listeners at port 0 logged port 0, so a script could not find them: the event 'started' now carries the kernel's ports.

--- a/src/daemons/agent.cpp
+++ b/src/daemons/agent.cpp
@@ -30,7 +30,9 @@
   if (const auto error = admin.Start(aSettings.admin)) {
     return Fail("admin", aSettings.admin, error);
   }
-  LogEvent(LogLevel::kInfo, "started", { { "listen", FormatAddress(aSettings.listen) } });
+  LogEvent(LogLevel::kInfo, "started",
+           { { "listen", FormatAddress({ aSettings.listen.host, host.Port() }) },
+             { "admin", FormatAddress({ aSettings.admin.host, admin.Port() }) } });
   MainLoop loop(
     host, [] { return true; }, [] {});
   return loop.Run();
--- a/src/daemons/entry.cpp
+++ b/src/daemons/entry.cpp
@@ -39,7 +39,10 @@
   if (const auto error = admin.Start(aSettings.admin)) {
     return Fail("admin", aSettings.admin, error);
   }
-  LogEvent(LogLevel::kInfo, "started", { { "listen", FormatAddress(aSettings.listen) } });
+  LogEvent(LogLevel::kInfo, "started",
+           { { "listen", FormatAddress({ aSettings.listen.host, callers.Port() }) },
+             { "peer_listen", FormatAddress({ aSettings.peerListen.host, host.PeerPort() }) },
+             { "admin", FormatAddress({ aSettings.admin.host, admin.Port() }) } });
   MainLoop loop(
     host, [&] { return callers.IsIdle(); },
     [&] {
--- a/src/runtime/address.h
+++ b/src/runtime/address.h
@@ -8,6 +8,9 @@
 
 namespace caraway {
 
+// Connections that may wait to be accepted. GLib's default of 10 resets peers in a burst.
+constexpr int kListenBacklog = 4096;
+
 struct Address
 {
   std::string host; // IP number, no name
--- a/src/runtime/link_hub.cpp
+++ b/src/runtime/link_hub.cpp
@@ -56,6 +56,7 @@
 std::error_code LinkHub::Listen(const Address& aAddress)
 {
   this->service.reset(g_socket_service_new());
+  g_socket_listener_set_backlog(G_SOCKET_LISTENER(this->service.get()), kListenBacklog);
   const ObjectPtr<GSocketAddress> address(
     g_inet_socket_address_new_from_string(aAddress.host.c_str(), aAddress.port));
   GSocketAddress* bound = nullptr;
--- a/src/runtime/soup_listen.cpp
+++ b/src/runtime/soup_listen.cpp
@@ -4,13 +4,35 @@
 
 namespace caraway {
 
-std::error_code ListenAt(SoupServer* aServer, const Address& aAddress, bool aTls)
+namespace {
+
+ObjectPtr<GSocket> ListenSocket(const Address& aAddress, GError** aError)
 {
   const ObjectPtr<GSocketAddress> address(
     g_inet_socket_address_new_from_string(aAddress.host.c_str(), aAddress.port));
-  const auto options = static_cast<SoupServerListenOptions>(aTls ? SOUP_SERVER_LISTEN_HTTPS : 0);
+  ObjectPtr<GSocket> socket(g_socket_new(g_socket_address_get_family(address.get()),
+                                         G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, aError));
+  if (socket == nullptr) {
+    return socket;
+  }
+  g_socket_set_listen_backlog(socket.get(), kListenBacklog);
+  const bool listening = g_socket_bind(socket.get(), address.get(), TRUE, aError) != FALSE &&
+                         g_socket_listen(socket.get(), aError) != FALSE;
+  if (!listening) {
+    socket.reset();
+  }
+  return socket;
+}
+
+} // namespace
+
+std::error_code ListenAt(SoupServer* aServer, const Address& aAddress, bool aTls)
+{
   GError* raw = nullptr;
-  const bool done = soup_server_listen(aServer, address.get(), options, &raw);
+  const ObjectPtr<GSocket> socket = ListenSocket(aAddress, &raw);
+  const auto options = static_cast<SoupServerListenOptions>(aTls ? SOUP_SERVER_LISTEN_HTTPS : 0);
+  const bool done =
+    socket != nullptr && soup_server_listen_socket(aServer, socket.get(), options, &raw) != FALSE;
   const ErrorPtr error(raw);
   return done ? std::error_code{} : ErrorOf(error.get());
 }
--- a/src/standins/http_service.cpp
+++ b/src/standins/http_service.cpp
@@ -1,6 +1,7 @@
 #include "standins/http_service.h"
 
 #include "runtime/address.h"
+#include "runtime/soup_listen.h"
 
 #include <nlohmann/json.hpp>
 
@@ -10,32 +11,6 @@
 
 namespace caraway {
 
-namespace {
-
-// Connections that may wait to be accepted; the default of 10 loses bursts.
-constexpr int kBacklog = 1024;
-
-// Listening socket, null on failure.
-GSocket* ListenOn(const Address& aAddress)
-{
-  GSocketAddress* address =
-    g_inet_socket_address_new_from_string(aAddress.host.c_str(), aAddress.port);
-  GSocket* socket = g_socket_new(g_socket_address_get_family(address), G_SOCKET_TYPE_STREAM,
-                                 G_SOCKET_PROTOCOL_TCP, nullptr);
-  if (socket != nullptr) {
-    g_socket_set_listen_backlog(socket, kBacklog);
-    const bool listening = g_socket_bind(socket, address, TRUE, nullptr) != FALSE &&
-                           g_socket_listen(socket, nullptr) != FALSE;
-    if (!listening) {
-      g_clear_object(&socket);
-    }
-  }
-  g_object_unref(address);
-  return socket;
-}
-
-} // namespace
-
 HttpExchange::HttpExchange(SoupServerMessage* aMessage, const char* aPath, GHashTable* aQuery)
   : message(aMessage)
   , method(soup_server_message_get_method(aMessage))
@@ -215,20 +190,10 @@
 std::optional<std::uint16_t> HttpService::Listen(const std::string& aAddress)
 {
   const std::optional<Address> address = ParseAddress(aAddress);
-  GSocket* socket = address ? ListenOn(*address) : nullptr;
-  if (socket == nullptr) {
-    return std::nullopt;
-  }
-  const bool listening = soup_server_listen_socket(
-    this->server, socket, static_cast<SoupServerListenOptions>(0), nullptr);
-  g_object_unref(socket);
-  if (!listening) {
+  if (!address || ListenAt(this->server, *address, false)) {
     return std::nullopt;
   }
-  GSList* uris = soup_server_get_uris(this->server);
-  const auto port = static_cast<std::uint16_t>(g_uri_get_port(static_cast<GUri*>(uris->data)));
-  g_slist_free_full(uris, reinterpret_cast<GDestroyNotify>(g_uri_unref));
-  return port;
+  return PortOf(this->server);
 }
 
 void HttpService::OnRequest(SoupServer*, SoupServerMessage* aMessage, const char* aPath,
