Give a plain service's body once, in the result of its work

Cause: EndpointClient passed the body on as a chunk and again in WorkResult, and the agent sent both: callers got the body twice.

--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -20,14 +20,16 @@
 cluster_end() {
   local status=$? name
   trap - EXIT
-  for name in "${!pids[@]}"; do kill -9 "${pids[$name]}" 2>/dev/null || true; done
-  wait 2>/dev/null || true
   if [ $status -ne 0 ]; then
     for name in "${!pids[@]}"; do
       say "--- last lines of $name"; tail -n 5 "$run/$name.log" >&2 2>/dev/null || true
     done
   fi
-  if [ -n "${KEEP_RUN:-}" ]; then say "files kept in $run"; else rm -rf "$run"; fi
+  if [ -n "${KEEP_RUN:-}" ]; then say "files kept in $run"; fi
+  exec 2>/dev/null # the shell reports killed jobs
+  for name in "${!pids[@]}"; do kill -9 "${pids[$name]}" || true; done
+  wait || true
+  [ -n "${KEEP_RUN:-}" ] || rm -rf "$run"
   exit $status
 }
 
--- a/src/runtime/endpoint_client.cpp
+++ b/src/runtime/endpoint_client.cpp
@@ -69,7 +69,6 @@
       return;
     }
     this->result.body.append(aData);
-    this->owner.handler.OnWorkChunk(this->id, 0, std::string(aData));
   }
 
   void OnEnd(const HttpEnd& aEnd)
--- a/src/runtime/endpoint_client.h
+++ b/src/runtime/endpoint_client.h
@@ -15,10 +15,10 @@
 {
 public:
   virtual ~EndpointHandler() = default;
-  // Next part of an answer: the text of aTokens tokens, or a part of a plain service's body.
+  // Next part of a completion: the text of aTokens tokens.
   virtual void OnWorkChunk(const RequestId& aId, std::uint32_t aTokens,
                            const std::string& aData) = 0;
-  // Last call for the request. A plain service's whole body is in the result as well.
+  // Last call for the request. A plain service's body comes whole, in the result.
   virtual void OnWorkEnd(const RequestId& aId, const WorkResult& aResult) = 0;
   virtual void OnProbe(bool aReachable) = 0;
   virtual void OnOrderDone(LogOffset aFencing, bool aAccepted) = 0;
