--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -20,7 +20,7 @@
 cluster_end() {
   local status=$? name
   trap - EXIT
-  if [ $status -ne 0 ]; then
+  if [ $status -ne 0 ] && [ -n "${SHOW_LOGS:-1}" ]; then
     for name in "${!pids[@]}"; do
       say "--- last lines of $name"; tail -n 5 "$run/$name.log" >&2 2>/dev/null || true
     done
