--- a/src/standins/load_answer.h
+++ b/src/standins/load_answer.h
@@ -17,8 +17,8 @@
   kNotRun,
   kCut,
   kUnknown,
-  kLost,   // declared whole but truncated or another request's, or ended without an outcome
-  kBroken, // the connection ended before the answer did
+  kLost,   // declared whole but truncated, or another request's
+  kBroken, // the answer ended without stating an outcome
 };
 constexpr std::size_t kLoadResults = 6;
 
@@ -43,7 +43,7 @@
 
 private:
   std::uint32_t OnValue(std::string_view aValue);
-  LoadResult EndOfStream(bool aWhole);
+  LoadResult EndOfStream();
   LoadResult EndOfBody();
   LoadResult EndOfError();
   std::string Expected() const;
