Judge a new version by route, load level and the route as a whole; test moves in virtual time

A world of three entries, agents that add evidence up and a log that can be down runs a ten-minute move of a pool with three routes (60, 30 and 10% of requests).

--- a/src/core/key_table.h
+++ b/src/core/key_table.h
@@ -27,7 +27,9 @@
   std::string account;
   std::string key; // canonical UUIDv7 text
 
-  friend auto operator<=>(const ScopedKey&, const ScopedKey&) = default;
+  friend bool operator==(const ScopedKey&, const ScopedKey&) = default;
+  friend auto operator<=>(const ScopedKey&,
+                          const ScopedKey&) = default; // NOLINT(modernize-use-nullptr)
 };
 
 // A request asks for a key.
--- a/src/core/move.cpp
+++ b/src/core/move.cpp
@@ -21,8 +21,8 @@
 constexpr Duration kForeignVerdict = seconds(3);       // wait for the verdict of another's brake
 constexpr std::size_t kMaxRoutes = 64;                 // judged apart; the rest is one route
 constexpr std::size_t kMaxEarlyBrakes = 64;            // for moves whose record was not read yet
-constexpr double kHoldScore = 0.3; // share of the alarm threshold at which the share stays
-constexpr double kMinorPart = 0.5; // of the first share: routes with less traffic follow the others
+constexpr double kHoldScore = 0.3;    // share of the alarm threshold at which the share stays
+constexpr double kStaleOutcomes = 20; // on a route since a load level had its last one
 constexpr std::string_view kOtherRoutes = "(other)";
 
 // A false alarm takes back a good version, a late one hurts callers. At 160,000 outcomes to a false
@@ -77,12 +77,12 @@
     if (seen.Total() > this->fleet.Total()) {
       this->fleet = seen;
     }
-    const Counts others = this->fleet - this->own;
-    if (others.Total() <= this->taken.Total()) {
+    const Counts others = this->fleet - this->sent;
+    const Counts step = others - this->taken;
+    // Own reports that have not arrived yet make it look smaller for a moment.
+    if (step.Total() <= 0 || step.good < 0 || step.bad < 0 || step.slow < 0) {
       return {};
     }
-    Counts step = others - this->taken;
-    step = { std::max(0.0, step.good), std::max(0.0, step.bad), std::max(0.0, step.slow) };
     this->taken = others;
     return step;
   }
@@ -111,8 +111,10 @@
   Counts newCounts; // of everybody
   Evidence unsentOld;
   Evidence unsentNew;
+  double lastAt = 0; // outcomes of the new version on the route when the last one came here
 };
 
+// Judgement of a route: by load level, and over all levels for failures that don't depend on load.
 struct Route
 {
   Route(const RampPlan& aPlan, Now aNow, double aPhase)
@@ -122,10 +124,11 @@
 
   Ramp ramp;
   std::array<Level, kLoadLevels> levels;
-  BaseRate oldBad{ kBadLimits.prior };
-  BaseRate oldSlow{ kSlowLimits.prior };
-  double outcomes = 0; // of both versions and all entries
-  double worstScore = 0;
+  VersionTest bad{ kBadLimits };
+  VersionTest slow{ kSlowLimits };
+  double outcomes = 0;    // of both versions and all entries
+  double newOutcomes = 0; // of the new version
+  double score = 0;       // worst of the tests that still get outcomes
 };
 
 // State of the latest move of one pool.
@@ -141,6 +144,12 @@
   bool hasOutcomes = false; // since the last step
 };
 
+// Word for the alarm of a pair of tests; nullptr if there is none.
+const char* AlarmOf(const VersionTest& aBad, const VersionTest& aSlow)
+{
+  return aBad.IsAlarm() ? "failing" : aSlow.IsAlarm() ? "slow" : nullptr;
+}
+
 EventField Field(const char* aKey, std::string aValue)
 {
   return { aKey, std::move(aValue) };
@@ -359,37 +368,51 @@
   if (!aIsNew) {
     level.bad.AddOld(aNow.steady, aCounts.BadTally());
     level.slow.AddOld(aNow.steady, aCounts.SlowTally());
-    aRoute.oldBad.Add(aNow.steady, aCounts.BadTally());
-    aRoute.oldSlow.Add(aNow.steady, aCounts.SlowTally());
+    aRoute.bad.AddOld(aNow.steady, aCounts.BadTally());
+    aRoute.slow.AddOld(aNow.steady, aCounts.SlowTally());
     return;
   }
   level.newCounts = level.newCounts + aCounts;
-  level.bad.AddNew(aNow.steady, aCounts.BadTally(), aRoute.oldBad.Rate());
-  level.slow.AddNew(aNow.steady, aCounts.SlowTally(), aRoute.oldSlow.Rate());
-  aRoute.ramp.OnOutcomes(aLevel, aCounts.good + aCounts.slow, aCounts.bad);
+  aRoute.newOutcomes += aCounts.Total();
+  level.lastAt = aRoute.newOutcomes;
+  level.bad.AddNew(aNow.steady, aCounts.BadTally(), aRoute.bad.OldRate(0));
+  level.slow.AddNew(aNow.steady, aCounts.SlowTally(), aRoute.slow.OldRate(0));
+  aRoute.bad.AddNew(aNow.steady, aCounts.BadTally(), 0);
+  aRoute.slow.AddNew(aNow.steady, aCounts.SlowTally(), 0);
+  const double whole = aCounts.good + aCounts.slow;
+  aRoute.ramp.OnOutcomes(aLevel, whole, aCounts.bad);
+  for (auto& [name, other] : aTracked.routes) {
+    if (&other != &aRoute) {
+      other.ramp.OnOtherOutcomes(whole, aCounts.bad);
+    }
+  }
 }
 
 // Evaluates the tests of a route and brakes on an alarm.
 void MoveController::Impl::Check(Now aNow, Tracked& aTracked, const std::string& aName,
                                  Route& aRoute)
 {
-  aRoute.worstScore = 0;
+  aRoute.bad.Step(aNow.steady, 0);
+  aRoute.slow.Step(aNow.steady, 0);
+  aRoute.score = std::max(aRoute.bad.Score(), aRoute.slow.Score());
+  const char* kind = AlarmOf(aRoute.bad, aRoute.slow);
+  std::string place = "on route " + aName;
   for (std::size_t index = 0; index < aRoute.levels.size(); ++index) {
     Level& level = aRoute.levels[index];
-    level.bad.Step(aNow.steady, aRoute.oldBad.Rate());
-    level.slow.Step(aNow.steady, aRoute.oldSlow.Rate());
-    aRoute.worstScore = std::max({ aRoute.worstScore, level.bad.Score(), level.slow.Score() });
-    if (aTracked.braked || aTracked.verdict) {
-      continue;
+    level.bad.Step(aNow.steady, aRoute.bad.OldRate(0));
+    level.slow.Step(aNow.steady, aRoute.slow.OldRate(0));
+    if (aRoute.newOutcomes - level.lastAt < kStaleOutcomes) {
+      aRoute.score = std::max({ aRoute.score, level.bad.Score(), level.slow.Score() });
     }
-    const char* kind = level.bad.IsAlarm() ? "failing" : level.slow.IsAlarm() ? "slow" : nullptr;
-    if (kind != nullptr) {
-      this->PullBrake(aNow, aTracked,
-                      std::string(kind) + " on route " + aName + " at load level " +
-                        std::to_string(index),
-                      Duration::zero());
+    const char* levelKind = AlarmOf(level.bad, level.slow);
+    if (kind == nullptr && levelKind != nullptr) {
+      kind = levelKind;
+      place += " at load level " + std::to_string(index);
     }
   }
+  if (kind != nullptr && !aTracked.braked && !aTracked.verdict) {
+    this->PullBrake(aNow, aTracked, std::string(kind) + " " + place, Duration::zero());
+  }
 }
 
 void MoveController::Impl::OnEvidence(Now aNow, NodeId aFrom, const EvidenceReport& aReport)
@@ -522,23 +545,16 @@
   return timer;
 }
 
-// Raises the shares. Routes with very few requests follow the others, because they could not prove
-// anything in time and could not hurt many callers either.
+// Raises the shares of the routes that have proved themselves.
 void MoveController::Impl::StepRamps(Now aNow, Tracked& aTracked)
 {
-  double all = 0;
-  for (auto& [name, route] : aTracked.routes) {
-    all += route.outcomes;
-  }
-  const double minor = kMinorPart * this->options.maxBadShare * all;
-  double lowest = 1;
   for (auto& [name, route] : aTracked.routes) {
     this->Check(aNow, aTracked, name, route);
     if (aTracked.braked) {
       return;
     }
     const double before = route.ramp.Share();
-    if (route.worstScore < kHoldScore) {
+    if (route.score < kHoldScore) {
       route.ramp.Step(aNow);
     }
     if (route.ramp.Share() > before) {
@@ -546,14 +562,6 @@
                  { Field("stage", "share"), Field("route", name),
                    Field("share", std::to_string(route.ramp.Share())) });
     }
-    if (route.outcomes > minor) {
-      lowest = std::min(lowest, route.ramp.Share());
-    }
-  }
-  for (auto& [name, route] : aTracked.routes) {
-    if (route.outcomes <= minor && route.worstScore < kHoldScore) {
-      route.ramp.Follow(aNow, lowest);
-    }
   }
 }
 
@@ -569,7 +577,7 @@
   for (const auto& [name, route] : aTracked.routes) {
     outcomes += route.outcomes;
     full = full && route.ramp.IsFull() && aNow.steady >= route.ramp.FullSince() + soak &&
-           route.worstScore < kHoldScore;
+           route.score < kHoldScore;
   }
   const bool isOver = aNow.wall >= aTracked.move.finishBy;
   if (outcomes > 0 && full) {
@@ -636,7 +644,7 @@
                          { "good", counts.good },
                          { "bad", counts.bad },
                          { "slow", counts.slow },
-                         { "score", route.worstScore } });
+                         { "score", route.score } });
     }
     list.push_back(
       { { "move", tracked.move.name },
--- a/src/core/ramp.h
+++ b/src/core/ramp.h
@@ -32,10 +32,11 @@
 
   // Outcomes of the new version on this route, of this entry or of others.
   void OnOutcomes(std::uint8_t aLoadLevel, double aGood, double aBad);
+  // Outcomes of the new version on other routes. They count when this route has too few requests to
+  // keep up with the plan: then it cannot hurt many callers either.
+  void OnOtherOutcomes(double aGood, double aBad);
   // Rises to the next share if the plan and the proof allow it.
   void Step(Now aNow);
-  // The route has so few requests that the share of the other routes may be followed.
-  void Follow(Now aNow, double aShare);
   // The move's record was replaced while it runs.
   void Replan(const RampPlan& aPlan) { this->plan = aPlan; }
 
@@ -44,12 +45,14 @@
   // verdict, so that both are measured in the same window.
   bool IsFull() const;
   TimePoint FullSince() const { return this->fullSince; }
-  bool IsProved() const;
   std::uint64_t Sent() const { return this->sent; }
   std::uint64_t Total() const { return this->total; }
 
 private:
   double NeededOutcomes() const;
+  bool IsProved(WallTime aTime) const;
+  bool IsProvedByLevel(double aNeeded) const;
+  double PlanProgress(WallTime aTime) const;
   double PlannedShare(WallTime aTime) const;
   void SetShare(Now aNow, double aShare);
 
@@ -60,6 +63,8 @@
   TimePoint fullSince = kNever;
   std::array<double, kLoadLevels> good{}; // since the share was last raised, by load level
   std::array<double, kLoadLevels> bad{};
+  double otherGood = 0; // on other routes in that time
+  double otherBad = 0;
   std::uint64_t sent = 0;
   std::uint64_t total = 0;
 };
--- a/tests/core/claim_test.cpp
+++ b/tests/core/claim_test.cpp
@@ -284,7 +284,7 @@
 {
   KeyTable table(1000);
   const auto apply = [&](std::uint64_t aNumber) {
-    const ScopedKey scoped{ "shop", KeyMadeAt(kStart + seconds(aNumber), aNumber) };
+    ScopedKey scoped{ "shop", KeyMadeAt(kStart + seconds(aNumber), aNumber) };
     Claim claimed;
     claimed.key = scoped;
     claimed.attempt = aNumber;
--- /dev/null
+++ b/tests/core/move_test.cpp
@@ -0,0 +1,146 @@
+#include "core/move.h"
+#include "move_world.h"
+#include "property.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace caraway {
+
+using std::chrono::minutes;
+using std::chrono::seconds;
+using test::MoveReport;
+using test::MoveScenario;
+using test::MoveWorld;
+
+namespace {
+
+double Seconds(Duration aTime)
+{
+  return std::chrono::duration<double>(aTime).count();
+}
+
+// Worst figures of several seeds.
+struct Worst
+{
+  int runs = 0;
+  int ended = 0; // with the wanted stage
+  double hurtShare = 0;
+  double endedAt = 0;
+  double signToLast = 0;
+  double brakeToLast = 0;
+  double totalHurt = 0;
+};
+
+Worst RunSeeds(const char* aName, const MoveScenario& aScenario, MoveStage aWanted)
+{
+  Worst worst;
+  worst.runs = static_cast<int>(test::EnvironmentOr("CARAWAY_RUNS", 10));
+  const std::uint64_t first = test::EnvironmentOr("CARAWAY_SEED", 1);
+  for (int run = 0; run < worst.runs; ++run) {
+    MoveWorld world(aScenario, first + static_cast<std::uint64_t>(run));
+    const MoveReport report = world.Run();
+    worst.ended += report.stage == aWanted ? 1 : 0;
+    if (report.stage != aWanted) {
+      BOOST_TEST_MESSAGE(aName << ", seed " << first + run << ": " << report.reason);
+    }
+    worst.hurtShare = std::max(worst.hurtShare, report.HurtShare());
+    worst.totalHurt += report.HurtShare();
+    worst.endedAt = std::max(worst.endedAt, Seconds(report.endedAt));
+    if (report.firstBrake != Duration::max()) {
+      worst.signToLast = std::max(worst.signToLast, Seconds(report.lastNew - report.firstSign));
+      worst.brakeToLast = std::max(worst.brakeToLast, Seconds(report.lastNew - report.firstBrake));
+    }
+  }
+  BOOST_TEST_MESSAGE(aName << ": " << worst.ended << "/" << worst.runs
+                           << " ended as wanted, hurt max " << 100 * worst.hurtShare << "% mean "
+                           << 100 * worst.totalHurt / worst.runs << "%, latest end "
+                           << worst.endedAt << " s, first sign to last new " << worst.signToLast
+                           << " s, first brake to last new " << worst.brakeToLast << " s");
+  return worst;
+}
+
+void CheckTakenBack(const char* aName, const MoveScenario& aScenario)
+{
+  const Worst worst = RunSeeds(aName, aScenario, MoveStage::kTakenBack);
+  BOOST_TEST(worst.ended == worst.runs, aName);
+  BOOST_TEST(worst.hurtShare <= 0.02, aName);
+  BOOST_TEST(worst.brakeToLast <= 2.0, aName);
+}
+
+MoveScenario Bad(double aRatio)
+{
+  MoveScenario scenario;
+  scenario.version.badRatio = aRatio;
+  return scenario;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(move_window)
+
+BOOST_AUTO_TEST_CASE(a_good_version_is_done_in_time)
+{
+  for (const int rate : { 2, 20, 200 }) {
+    MoveScenario scenario;
+    scenario.requestsPerSecond = rate;
+    const std::string name = "good, " + std::to_string(rate) + " requests/s";
+    const Worst worst = RunSeeds(name.c_str(), scenario, MoveStage::kDone);
+    BOOST_TEST(worst.ended == worst.runs, name);
+    BOOST_TEST(worst.endedAt <= 600.0, name);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_version_that_is_bad_at_once_is_taken_back)
+{
+  CheckTakenBack("all fail at once", Bad(1));
+  CheckTakenBack("30% fail at once", Bad(0.3));
+  CheckTakenBack("10% fail at once", Bad(0.1));
+  MoveScenario quiet = Bad(1);
+  quiet.requestsPerSecond = 2;
+  CheckTakenBack("all fail at once, 2 requests/s", quiet);
+  quiet.version.badRatio = 0.3;
+  CheckTakenBack("30% fail at once, 2 requests/s", quiet);
+}
+
+BOOST_AUTO_TEST_CASE(a_version_that_turns_bad_later_is_taken_back)
+{
+  MoveScenario scenario = Bad(0.5);
+  scenario.version.from = minutes(4);
+  CheckTakenBack("50% fail after 4 minutes", scenario);
+}
+
+BOOST_AUTO_TEST_CASE(a_version_that_is_bad_under_load_is_taken_back)
+{
+  MoveScenario scenario = Bad(0.5);
+  scenario.version.fromLoadLevel = 2;
+  CheckTakenBack("50% fail under load", scenario);
+}
+
+BOOST_AUTO_TEST_CASE(a_version_that_is_bad_on_one_route_is_taken_back)
+{
+  MoveScenario scenario = Bad(0.5);
+  scenario.version.onlyRoute = "/status";
+  CheckTakenBack("50% fail on the route with 10% of requests", scenario);
+  MoveWorld world(scenario, 1);
+  BOOST_TEST(world.Run().reason.find("/status") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(a_slow_version_is_taken_back)
+{
+  MoveScenario scenario;
+  scenario.version.slowRatio = 0.7;
+  CheckTakenBack("70% slow", scenario);
+}
+
+BOOST_AUTO_TEST_CASE(the_brake_holds_while_the_log_is_down)
+{
+  MoveScenario scenario = Bad(0.5);
+  scenario.version.from = minutes(4);
+  scenario.logDownFrom = minutes(4);
+  scenario.logDownFor = minutes(3);
+  CheckTakenBack("50% fail after 4 minutes, log down", scenario);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace caraway
