--- a/src/runtime/link.cpp
+++ b/src/runtime/link.cpp
@@ -18,9 +18,9 @@
 constexpr int kPausedTicks = 2;
 
 constexpr std::array<std::string_view, 12> kEndNames = {
-  "closed_by_peer",    "socket_error", "silent",       "queue_full",
-  "handshake_timeout", "wrong_mac",    "oversize",     "malformed",
-  "wrong_sender",      "old_incarnation", "replaced",  "local",
+  "closed_by_peer",    "socket_error",    "silent",   "queue_full",
+  "handshake_timeout", "wrong_mac",       "oversize", "malformed",
+  "wrong_sender",      "old_incarnation", "replaced", "local",
 };
 
 void DestroySource(GSource*& aSource)
@@ -86,7 +86,7 @@
   this->readSource = g_socket_create_source(this->socket, G_IO_IN, nullptr);
   g_source_set_callback(this->readSource, G_SOURCE_FUNC(&Link::OnReadable), this, nullptr);
   g_source_attach(this->readSource, g_main_context_get_thread_default());
-  this->flush.ArmAfter(Duration::zero());
+  this->ArmFlush();
   this->tick.ArmAfter(this->options.heartbeat);
 }
 
@@ -104,7 +104,15 @@
 {
   AppendFrame(this->output, *this->session, this->direction, this->sendSequence++, aPayload);
   this->sentSinceTick = true;
-  this->flush.ArmAfter(Duration::zero());
+  this->ArmFlush();
+}
+
+void Link::ArmFlush()
+{
+  if (!this->flushArmed) {
+    this->flushArmed = true;
+    this->flush.ArmAfter(Duration::zero());
+  }
 }
 
 void Link::End(LinkEnd aEnd)
@@ -141,8 +149,7 @@
 {
   static std::array<char, kReadBytes> buffer; // shared by all links of the one main loop
   GError* raw = nullptr;
-  const gssize count =
-    g_socket_receive(this->socket, buffer.data(), buffer.size(), nullptr, &raw);
+  const gssize count = g_socket_receive(this->socket, buffer.data(), buffer.size(), nullptr, &raw);
   const ErrorPtr error(raw);
   if (count == 0) {
     this->End(LinkEnd::kClosedByPeer);
@@ -230,6 +237,7 @@
 void Link::Flush()
 {
   const auto keep = this->shared_from_this();
+  this->flushArmed = false;
   while (!this->ended && this->sent < this->output.size()) {
     GError* raw = nullptr;
     const gssize count = g_socket_send(this->socket, this->output.data() + this->sent,
