--- a/src/runtime/admin_server.cpp
+++ b/src/runtime/admin_server.cpp
@@ -107,6 +107,8 @@
     Reply(aMessage, 200, kJson, this->EventsJson(aQuery));
   } else if (aPath == "/config") {
     Reply(aMessage, 200, kJson, this->ConfigJson());
+  } else if (aPath == "/snapshot") {
+    Reply(aMessage, 200, kJson, this->view.Config().Snapshot());
   } else if (aPath == "/clock") {
     Reply(aMessage, 200, kJson, this->ClockJson());
   } else {
--- a/tests/core/move_test.cpp
+++ b/tests/core/move_test.cpp
@@ -41,7 +41,7 @@
     const MoveReport report = world.Run();
     worst.ended += report.stage == aWanted ? 1 : 0;
     if (report.stage != aWanted) {
-      BOOST_TEST_MESSAGE(aName << ", seed " << first + run << ": " << report.reason);
+      BOOST_TEST_MESSAGE(aName << ", seed " << first + run << ": " << report.status);
     }
     worst.hurtShare = std::max(worst.hurtShare, report.HurtShare());
     worst.totalHurt += report.HurtShare();
--- a/tests/core/move_world.h
+++ b/tests/core/move_world.h
@@ -41,6 +41,7 @@
 {
   MoveStage stage = MoveStage::kRunning;
   std::string reason;
+  std::string status; // of the first entry
   std::uint64_t requests = 0;
   std::uint64_t sentToNew = 0;
   std::uint64_t hurt = 0;               // requests that the new version failed or slowed down
@@ -307,6 +308,7 @@
     const Move* move = this->entries.front()->config.FindMove("m");
     this->report.stage = move->stage;
     this->report.reason = move->reason;
+    this->report.status = this->entries.front()->moves.StatusJson(this->Time());
   }
 
   MoveScenario scenario;
