--- a/src/runtime/log_client.cpp
+++ b/src/runtime/log_client.cpp
@@ -12,8 +12,7 @@
 
 using Json = nlohmann::json;
 
-constexpr Duration kReadWait = std::chrono::seconds(5);
-constexpr Duration kIoTimeout = std::chrono::seconds(10); // longer than kReadWait
+constexpr Duration kIoTimeout = std::chrono::seconds(10); // longer than any wait for records
 constexpr std::uint32_t kReadMax = 1000;                  // records in one answer
 constexpr std::uint16_t kStatusOk = 200;
 constexpr std::uint16_t kFirstErrorStatus = 400;
@@ -143,9 +142,9 @@
        });
 }
 
-void LogClient::Follow(LogOffset aFrom, Followed aDone, Failed aFailed)
+void LogClient::Follow(LogOffset aFrom, Followed aDone, Failed aFailed, Duration aWait)
 {
-  const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(kReadWait).count();
+  const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(aWait).count();
   HttpRequest request;
   request.address = this->address;
   request.path = "/v1/read?from=" + std::to_string(aFrom) + "&max=" + std::to_string(kReadMax) +
--- a/src/runtime/log_client.h
+++ b/src/runtime/log_client.h
@@ -47,8 +47,9 @@
   // reported as AppendResult::kUnknown, and the caller reads the log to learn what happened.
   void Append(const std::vector<std::string>& aRecords, Appended aDone);
 
-  // Reads once from aFrom on, waiting some seconds for a record there. The caller calls again.
-  void Follow(LogOffset aFrom, Followed aDone, Failed aFailed);
+  // Reads once from aFrom on, waiting up to aWait for a record there. The caller calls again.
+  void Follow(LogOffset aFrom, Followed aDone, Failed aFailed,
+              Duration aWait = std::chrono::seconds(5));
 
   void ListVms(Listed aDone);
 
--- a/src/tools/command_status.cpp
+++ b/src/tools/command_status.cpp
@@ -11,10 +11,12 @@
 namespace po = boost::program_options;
 using Json = nlohmann::json;
 
+constexpr Duration kWatchWait = std::chrono::seconds(1);
+
 // Members of a process's status that are shown in one line, in this order.
 constexpr std::array kShownMembers = {
-  "config_offset", "config_next", "requests", "queued",  "running", "limit",
-  "allowance",     "breaker",     "leaving",  "answers", "peers",   "violations",
+  "config_offset", "requests", "queued",  "running", "limit",      "allowance",
+  "breaker",       "leaving",  "answers", "peers",   "violations",
 };
 
 std::string Show(const Json& aValue)
@@ -126,7 +128,7 @@
     aContext.err << "carawayctl: watching from offset " << reader.State().Next() << "\n";
     while (aContext.waiter.Read().steady < end) {
       std::vector<Applied> results;
-      if (reader.ReadOn(results)) {
+      if (reader.ReadOn(kWatchWait, results)) {
         aContext.waiter.Sleep(std::chrono::seconds(1));
       }
       for (const Applied& applied : results) {
--- a/src/tools/config_reader.cpp
+++ b/src/tools/config_reader.cpp
@@ -24,7 +24,7 @@
   }
   std::vector<Applied> results;
   do {
-    if (const std::error_code error = this->ReadOn(results)) {
+    if (const std::error_code error = this->ReadOn(Duration::zero(), results)) {
       return error;
     }
   } while (this->feed.NextRead() < this->end);
@@ -56,14 +56,14 @@
   }
 }
 
-std::error_code ConfigReader::ReadOn(std::vector<Applied>& aResults)
+std::error_code ConfigReader::ReadOn(Duration aWait, std::vector<Applied>& aResults)
 {
-  ReadAnswer answer = this->platform.Read(this->feed.NextRead());
+  ReadAnswer answer = this->platform.Read(this->feed.NextRead(), aWait);
   if (answer.error) {
     return answer.error;
   }
   if (answer.records.empty() && answer.oldest > this->feed.NextRead()) {
-    answer = this->platform.Read(answer.oldest);
+    answer = this->platform.Read(answer.oldest, aWait);
   }
   if (answer.error) {
     return answer.error;
--- a/src/tools/config_reader.h
+++ b/src/tools/config_reader.h
@@ -16,8 +16,8 @@
   // Reads up to the end of the log. Starts from the newest state that a process gives, so that the
   // whole log need not be read.
   std::error_code CatchUp();
-  // Reads on once, waiting for further records; the results of what was read.
-  std::error_code ReadOn(std::vector<Applied>& aResults);
+  // Reads on once, waiting up to aWait for further records; the results of what was read.
+  std::error_code ReadOn(Duration aWait, std::vector<Applied>& aResults);
 
   const ConfigState& State() const { return this->feed.State(); }
 
--- a/src/tools/http_platform.cpp
+++ b/src/tools/http_platform.cpp
@@ -86,7 +86,7 @@
   return answer;
 }
 
-ReadAnswer HttpPlatform::Read(LogOffset aFrom)
+ReadAnswer HttpPlatform::Read(LogOffset aFrom, Duration aWait)
 {
   LoopRun run;
   ReadAnswer answer;
@@ -101,7 +101,8 @@
     [&](std::error_code aError) {
       answer.error = aError;
       run.Stop();
-    });
+    },
+    aWait);
   run.Run();
   return answer;
 }
--- a/src/tools/http_platform.h
+++ b/src/tools/http_platform.h
@@ -22,7 +22,7 @@
   explicit HttpPlatform(const Address& aAddress);
 
   AppendAnswer Append(const std::vector<std::string>& aRecords) override;
-  ReadAnswer Read(LogOffset aFrom) override;
+  ReadAnswer Read(LogOffset aFrom, Duration aWait) override;
   VmAnswer ListVms() override;
 
 private:
--- a/src/tools/platform.h
+++ b/src/tools/platform.h
@@ -44,8 +44,8 @@
 public:
   virtual ~Platform() = default;
   virtual AppendAnswer Append(const std::vector<std::string>& aRecords) = 0;
-  // Records from aFrom on; waits some seconds for the first one.
-  virtual ReadAnswer Read(LogOffset aFrom) = 0;
+  // Records from aFrom on; waits up to aWait for the first one.
+  virtual ReadAnswer Read(LogOffset aFrom, Duration aWait) = 0;
   virtual VmAnswer ListVms() = 0;
 };
 
