--- a/src/core/agent_admission.cpp
+++ b/src/core/agent_admission.cpp
@@ -45,7 +45,7 @@
     this->SendRefuse(aNow, reservation, Reason::kOverload);
     return;
   }
-  const StartPlan plan = this->PlanOf(reservation);
+  const StartPlan plan = PlanStart(reservation, this->pace, this->salt);
   this->nextSweep = std::min(this->nextSweep, plan.cutAt);
   this->OfferSlots(aNow);
 }
@@ -177,31 +177,6 @@
   return this->pace.FirstToken(pending) > this->options.firstTokenTarget / kPrefillShare;
 }
 
-// Prompt tokens at the endpoint that stay ahead of a reservation of the tier, because work of its
-// own or a higher tier is not cut for it.
-std::uint32_t Agent::Impl::PrefillAheadOf(Tier aTier) const
-{
-  std::uint32_t tokens = 0;
-  for (const Running& row : this->running.Rows()) {
-    const bool stays = row.tier <= aTier || !row.IsCuttable();
-    tokens += !row.hasStarted && stays ? row.promptTokens : 0;
-  }
-  return tokens;
-}
-
-// With all the prefill under way, the reservation's first token would miss its time.
-bool Agent::Impl::IsPrefillLate(Now aNow, const Reservation& aReservation) const
-{
-  const std::uint32_t tokens = this->PendingPrefill() + aReservation.request.promptTokens;
-  return aNow.steady + this->pace.FirstTokenBound(tokens) > aReservation.startBy;
-}
-
-StartPlan Agent::Impl::PlanOf(const Reservation& aReservation) const
-{
-  const std::uint32_t ahead = this->PrefillAheadOf(aReservation.request.tier);
-  return PlanStart(aReservation, this->pace, ahead, this->salt);
-}
-
 bool Agent::Impl::HasSlotFor(Now aNow, const Reservation& aReservation) const
 {
   const std::uint32_t held = this->Held();
@@ -231,10 +206,6 @@
     if (!this->HasRoomFor(aNow, *first) || (isSuspect && this->Held() > 0)) {
       return;
     }
-    if (this->IsPrefillLate(aNow, *first)) {
-      this->nextSweep = std::min(this->nextSweep, aNow.steady + kSweepPause);
-      return;
-    }
     this->SendOffer(aNow, RequestId(first->request.id), isSuspect);
   }
 }
@@ -397,7 +368,7 @@
     return nullptr;
   }
   const Tier tier = aReservation.request.tier;
-  if (this->IsPrefillFull(aReservation) || this->IsPrefillLate(aNow, aReservation)) {
+  if (this->IsPrefillFull(aReservation)) {
     return ChoosePrefillVictim(this->running, tier);
   }
   const bool canMakeRoom = !this->HasSlotFor(aNow, aReservation) &&
@@ -420,8 +391,8 @@
   this->nextSweep = kNever;
   std::vector<RequestId> due;
   this->queue.ForEach([&](const Reservation& aRow) {
-    const StartPlan plan = this->PlanOf(aRow);
-    if (plan.cutAt <= aNow.steady || this->IsPrefillLate(aNow, aRow)) {
+    const StartPlan plan = PlanStart(aRow, this->pace, this->salt);
+    if (plan.cutAt <= aNow.steady) {
       due.push_back(aRow.request.id);
     }
     const TimePoint next = plan.cutAt <= aNow.steady ? plan.refuseAt : plan.cutAt;
@@ -443,10 +414,9 @@
   if (row == nullptr) {
     return;
   }
-  const TimePoint refuseAt = this->PlanOf(*row).refuseAt;
+  const TimePoint refuseAt = PlanStart(*row, this->pace, this->salt).refuseAt;
   const bool isOver = refuseAt <= aNow.steady;
-  const bool freesInTime = !this->IsPrefillLate(aNow, *row) &&
-                           NextFreeSlot(this->running, this->pace) <= refuseAt - aNow.steady;
+  const bool freesInTime = NextFreeSlot(this->running, this->pace) <= refuseAt - aNow.steady;
   if ((isOver || !freesInTime) && this->CutFor(aNow, aId)) {
     return;
   }
--- a/src/core/agent_impl.h
+++ b/src/core/agent_impl.h
@@ -102,9 +102,6 @@
   bool HasSlotFor(Now aNow, const Reservation& aReservation) const;
   bool IsPrefillFull(const Reservation& aReservation) const;
   std::uint32_t PendingPrefill() const;
-  std::uint32_t PrefillAheadOf(Tier aTier) const;
-  bool IsPrefillLate(Now aNow, const Reservation& aReservation) const;
-  StartPlan PlanOf(const Reservation& aReservation) const;
   const Running* VictimFor(Now aNow, const Reservation& aReservation) const;
   void OfferSlots(Now aNow);
   void SendOffer(Now aNow, const RequestId& aId, bool aIsAlone);
--- a/src/core/health.cpp
+++ b/src/core/health.cpp
@@ -6,9 +6,7 @@
 
 namespace {
 
-constexpr double kGapMemory = 0.02;   // weight of a new gap
-constexpr double kErrorMemory = 0.05;  // weight of a new error of an expected first-token time
-constexpr int kErrorsInBound = 2;
+constexpr double kGapMemory = 0.02;    // weight of a new gap
 constexpr double kAnswerMemory = 0.1;  // weight of a new answer time
 constexpr double kFitMemory = 0.97;    // weight kept by older first tokens
 constexpr double kPrefillFactor = 2;   // expected prefill time of others that a stream may wait
@@ -42,8 +40,6 @@
 
 void Pace::OnFirstToken(Duration aWait, std::uint32_t aPromptTokens)
 {
-  const Duration distance = std::chrono::abs(aWait - this->FirstToken(aPromptTokens));
-  this->error = Average(this->error, std::max(distance, Duration(1)), kErrorMemory);
   const double x = aPromptTokens;
   const double y = SecondsOf(aWait);
   this->weight = this->weight * kFitMemory + 1;
@@ -77,11 +73,6 @@
   return DurationOf(base + slope * aPromptTokens);
 }
 
-Duration Pace::FirstTokenBound(std::uint32_t aPromptTokens) const
-{
-  return this->FirstToken(aPromptTokens) + this->error * kErrorsInBound;
-}
-
 StallRule::StallRule(const AgentOptions& aOptions)
   : floor(aOptions.stallFloor)
   , firstFloor(Scaled(aOptions.firstTokenTarget, aOptions.stallFactor))
--- a/src/core/health.h
+++ b/src/core/health.h
@@ -21,8 +21,6 @@
   Duration Gap() const { return this->gap; }
   // Expected time from dispatch to the first token; zero before any was seen.
   Duration FirstToken(std::uint32_t aPromptTokens) const;
-  // Time to the first token that is rarely exceeded.
-  Duration FirstTokenBound(std::uint32_t aPromptTokens) const;
   // Usual time of a plain service's answer; zero before any was seen.
   Duration AnswerTime() const { return this->answerTime; }
 
@@ -35,7 +33,6 @@
   double sumY = 0;
   double sumXx = 0;
   double sumXy = 0;
-  Duration error{}; // usual distance of the wait from what was expected
 };
 
 // When the silence of a stream counts as a stall.
--- a/src/core/shed.cpp
+++ b/src/core/shed.cpp
@@ -73,11 +73,10 @@
   return cuttable > 0 && aHeld - static_cast<std::uint32_t>(cuttable) < aLimit;
 }
 
-StartPlan PlanStart(const Reservation& aReservation, const Pace& aPace, std::uint32_t aPrefillAhead,
-                    std::uint64_t aSalt)
+StartPlan PlanStart(const Reservation& aReservation, const Pace& aPace, std::uint64_t aSalt)
 {
   const Reserve& request = aReservation.request;
-  const Duration first = aPace.FirstTokenBound(aPrefillAhead + request.promptTokens);
+  const Duration first = aPace.FirstToken(request.promptTokens);
   const TimePoint refuseAt = aReservation.startBy - first;
   const Duration wait = std::max(refuseAt - aReservation.arrived, Duration::zero());
   const Duration spread = std::min(kLongestSpread, wait / kSpreadShare);
--- a/src/core/shed.h
+++ b/src/core/shed.h
@@ -33,8 +33,6 @@
 
 // aSalt spreads the moment of cutting over the agents that hold the same reservation, so that one
 // of them cuts and the others see it withdrawn.
-// aPrefillAhead: prompt tokens at the endpoint that are computed before the reservation's.
-StartPlan PlanStart(const Reservation& aReservation, const Pace& aPace, std::uint32_t aPrefillAhead,
-                    std::uint64_t aSalt);
+StartPlan PlanStart(const Reservation& aReservation, const Pace& aPace, std::uint64_t aSalt);
 
 } // namespace caraway
