Pace prefill, and replace one for one where more is in flight than the limit

Cause: an agent whose limit had just fallen cut up to 73 pieces of lower-tier work to free one slot, and a burst of prompts was handed to the engine although their first tokens could not be in time. Ruled out: cutting down to the limit first. Now at most one piece of work is cut for a start; before the last moment only where one cut suffices. Prompts wait in the queue while the expected first token behind the prompts being prefilled is over 80% of the target.

--- a/src/core/agent_admission.cpp
+++ b/src/core/agent_admission.cpp
@@ -8,7 +8,8 @@
 namespace {
 
 constexpr Duration kSweepPause = milliseconds(2); // least time between two passes over the queue
-constexpr int kHopeless = 2; // expected wait over the time to start: refused at once
+constexpr int kHopeless = 2;      // expected wait over the time to start: refused at once
+constexpr int kPrefillShare = 80; // percent of the first-token target that prefill may take
 constexpr Duration kNoDeadline = hours(1);
 constexpr Duration kBriefRetry = milliseconds(250); // nothing stands in the way of a new try
 
@@ -155,7 +156,21 @@
     return false;
   }
   const std::uint64_t tokens = this->HeldTokens() + TokensOf(aReservation.request);
-  return held == 0 || tokens <= this->limiter->TokenLimit();
+  const bool fits = tokens <= this->limiter->TokenLimit();
+  return held == 0 || (fits && this->CanPrefill(aReservation));
+}
+
+// The prompt would have its first token in time behind the prompts that are being prefilled. Until
+// then the reservation is better placed in the queue, where it can still start elsewhere.
+bool Agent::Impl::CanPrefill(const Reservation& aReservation) const
+{
+  std::uint32_t pending = this->running.PendingPrompt();
+  for (const OpenOffer& offer : this->offers) {
+    pending += offer.reservation.request.promptTokens;
+  }
+  const std::uint32_t prompt = aReservation.request.promptTokens;
+  const Duration first = this->pace.FirstToken(pending + prompt);
+  return pending == 0 || first <= this->options.firstTokenTarget * kPrefillShare / 100;
 }
 
 // Offers slots to the first reservations in order while there is room. A suspect at the head waits
@@ -177,11 +192,12 @@
     if (!this->HasRoomFor(aNow, *first) || (isSuspect && this->Held() > 0)) {
       return;
     }
-    this->SendOffer(aNow, RequestId(first->request.id), isSuspect);
+    this->SendOffer(aNow, RequestId(first->request.id), isSuspect, this->limiter->Limit());
   }
 }
 
-void Agent::Impl::SendOffer(Now aNow, const RequestId& aId, bool aIsAlone)
+// aAllowed: most that may be held afterwards.
+void Agent::Impl::SendOffer(Now aNow, const RequestId& aId, bool aIsAlone, std::uint32_t aAllowed)
 {
   OpenOffer offer{ *this->queue.Take(aId), ++this->lastOffer,
                    aNow.steady + this->options.offerTimeout, aIsAlone };
@@ -195,7 +211,7 @@
     this->Violate(aNow, aId, "offer while leaving");
   }
   this->offers.push_back(std::move(offer));
-  if (this->Held() > this->limiter->Limit()) {
+  if (this->Held() > aAllowed) {
     this->Violate(aNow, aId, "more offers and running work than the limit");
   }
 }
@@ -330,12 +346,12 @@
   this->port.Send(aReservation.entry.node, refuse);
 }
 
-// Cutting lower-tier work would free a slot that the reservation could use.
+// Cutting lower-tier work would give the reservation a slot.
 bool Agent::Impl::CanRoomBeMade(Now aNow, const Reservation& aReservation) const
 {
-  return this->IsEligible(aNow, aReservation) && !this->IsSuspect(aNow, aReservation) &&
-         !this->IsAloneBusy() &&
-         CanMakeRoom(this->running, aReservation.request.tier, this->Held(), this->Allowance(aNow));
+  return this->Allowance(aNow) > 0 && this->IsEligible(aNow, aReservation) &&
+         !this->IsSuspect(aNow, aReservation) && !this->IsAloneBusy() &&
+         ChooseVictim(this->running, aReservation.request.tier) != nullptr;
 }
 
 // Looks at every reservation: cuts lower-tier work for those that would miss their start, and
@@ -352,8 +368,9 @@
     if (plan.cutAt <= aNow.steady) {
       due.push_back(aRow.request.id);
     }
-    const TimePoint next = plan.cutAt <= aNow.steady ? plan.refuseAt : plan.cutAt;
-    this->nextSweep = std::min(this->nextSweep, next);
+    for (const TimePoint step : { plan.cutAt, plan.replaceAt, plan.refuseAt }) {
+      this->nextSweep = step > aNow.steady ? std::min(this->nextSweep, step) : this->nextSweep;
+    }
   });
   if (this->nextSweep != kNever) {
     this->nextSweep = std::max(this->nextSweep, aNow.steady + kSweepPause);
@@ -371,10 +388,13 @@
   if (row == nullptr) {
     return;
   }
-  const TimePoint refuseAt = PlanStart(*row, this->pace, this->salt).refuseAt;
-  const bool isOver = refuseAt <= aNow.steady;
-  const bool freesInTime = NextFreeSlot(this->running, this->pace) <= refuseAt - aNow.steady;
-  if ((isOver || !freesInTime) && this->CutFor(aNow, aId)) {
+  const StartPlan plan = PlanStart(*row, this->pace, this->salt);
+  const bool isOver = plan.refuseAt <= aNow.steady;
+  const Duration timeLeft = plan.refuseAt - aNow.steady;
+  const bool freesInTime = NextFreeSlot(this->running, this->pace) <= timeLeft;
+  const bool oneSuffices = this->Held() <= this->Allowance(aNow);
+  const bool mustCut = isOver || plan.replaceAt <= aNow.steady || (oneSuffices && !freesInTime);
+  if (mustCut && this->CutFor(aNow, aId)) {
     return;
   }
   if (!isOver) {
@@ -403,6 +423,8 @@
 }
 
 // Cuts lower-tier work until the queued reservation has its slot; false if nothing more can be cut.
+// Where more is in flight than the limit, the reservation takes the place of what was cut: to cut
+// down to the limit first would waste many answers for one.
 bool Agent::Impl::CutFor(Now aNow, const RequestId& aId)
 {
   const Reservation* row = this->queue.Find(aId);
@@ -410,9 +432,14 @@
     if (!this->CanRoomBeMade(aNow, *row)) {
       return false;
     }
-    const Running* victim = ChooseVictim(this->running, row->request.tier);
-    this->Stop(aNow, RequestId(victim->id), Reason::kPreempted);
+    const std::uint32_t before = this->Held();
+    this->Stop(aNow, RequestId(ChooseVictim(this->running, row->request.tier)->id),
+               Reason::kPreempted);
     row = this->queue.Find(aId);
+    if (row != nullptr && this->Held() < before) {
+      this->SendOffer(aNow, aId, false, before);
+      return true;
+    }
   }
   return true;
 }
--- a/src/core/agent_impl.h
+++ b/src/core/agent_impl.h
@@ -99,8 +99,9 @@
   bool IsSuspect(Now aNow, const Reservation& aReservation) const;
   bool IsBanned(Now aNow, std::uint64_t aFingerprint) const;
   bool HasRoomFor(Now aNow, const Reservation& aReservation) const;
+  bool CanPrefill(const Reservation& aReservation) const;
   void OfferSlots(Now aNow);
-  void SendOffer(Now aNow, const RequestId& aId, bool aIsAlone);
+  void SendOffer(Now aNow, const RequestId& aId, bool aIsAlone, std::uint32_t aAllowed);
   const OpenOffer* FindOffer(const RequestId& aId) const;
   bool IsReserved(const RequestId& aId) const;
   void DropReservation(const RequestId& aId);
--- a/src/core/agent_work.cpp
+++ b/src/core/agent_work.cpp
@@ -110,6 +110,7 @@
   row.tier = request.tier;
   row.kind = request.kind;
   row.promptTokens = request.promptTokens;
+  row.prefillTokens = request.promptTokens + this->running.PendingPrompt();
   row.outputEstimate = request.outputTokens;
   row.fingerprint = request.fingerprint;
   row.isAlone = aOffer.isAlone;
@@ -135,7 +136,7 @@
   const std::uint32_t oldLimit = this->limiter->Limit();
   const Duration gap = this->running.OnProgress(aNow.steady, aId, aTokens);
   if (isFirst && row->kind == WorkKind::kCompletion) {
-    this->pace.OnFirstToken(gap, row->promptTokens);
+    this->pace.OnFirstToken(gap, row->prefillTokens);
     this->limiter->OnFirstToken(aNow.steady, gap, row->promptTokens, this->CurrentInFlight());
     this->Note(aNow, EventKind::kFirstToken, aId, NodeId{}, row->account);
   } else if (aTokens > 0) {
@@ -152,7 +153,7 @@
   if (oversized.has_value()) {
     this->Stop(aNow, *oversized, Reason::kOverload);
   }
-  if (wasSilent || this->limiter->Limit() > oldLimit) {
+  if (isFirst || wasSilent || this->limiter->Limit() > oldLimit) {
     this->OfferSlots(aNow);
   }
 }
--- a/src/core/health.cpp
+++ b/src/core/health.cpp
@@ -38,9 +38,9 @@
 
 } // namespace
 
-void Pace::OnFirstToken(Duration aWait, std::uint32_t aPromptTokens)
+void Pace::OnFirstToken(Duration aWait, std::uint32_t aPrefillTokens)
 {
-  const double x = aPromptTokens;
+  const double x = aPrefillTokens;
   const double y = SecondsOf(aWait);
   this->weight = this->weight * kFitMemory + 1;
   this->sumX = this->sumX * kFitMemory + x;
@@ -60,7 +60,7 @@
   this->answerTime = Average(this->answerTime, std::max(aTime, Duration(1)), kAnswerMemory);
 }
 
-Duration Pace::FirstToken(std::uint32_t aPromptTokens) const
+Duration Pace::FirstToken(std::uint32_t aPrefillTokens) const
 {
   if (this->weight == 0) {
     return Duration::zero();
@@ -70,7 +70,7 @@
   const bool hasSlope = spread > 1 && covariance > 0;
   const double slope = hasSlope ? covariance / spread : 0;
   const double base = std::max((this->sumY - slope * this->sumX) / this->weight, 0.0);
-  return DurationOf(base + slope * aPromptTokens);
+  return DurationOf(base + slope * aPrefillTokens);
 }
 
 StallRule::StallRule(const AgentOptions& aOptions)
--- a/src/core/health.h
+++ b/src/core/health.h
@@ -7,11 +7,11 @@
 namespace caraway {
 
 // Learns the endpoint's usual pace: the gap between two tokens of a stream, and the time to the
-// first token as a line over the length of the prompt.
+// first token as a line over the prompt tokens to prefill, its own and those before it.
 class Pace
 {
 public:
-  void OnFirstToken(Duration aWait, std::uint32_t aPromptTokens);
+  void OnFirstToken(Duration aWait, std::uint32_t aPrefillTokens);
   // aTokens tokens of one stream arrived aGap after the ones before.
   void OnTokens(Duration aGap, std::uint32_t aTokens);
   // A plain service answered after aTime.
@@ -20,7 +20,7 @@
   // Usual time between two tokens; zero before any was seen.
   Duration Gap() const { return this->gap; }
   // Expected time from dispatch to the first token; zero before any was seen.
-  Duration FirstToken(std::uint32_t aPromptTokens) const;
+  Duration FirstToken(std::uint32_t aPrefillTokens) const;
   // Usual time of a plain service's answer; zero before any was seen.
   Duration AnswerTime() const { return this->answerTime; }
 
--- a/src/core/running.h
+++ b/src/core/running.h
@@ -16,6 +16,7 @@
   Tier tier = kLowestTier;
   WorkKind kind = WorkKind::kCompletion;
   std::uint32_t promptTokens = 0;
+  std::uint32_t prefillTokens = 0; // own prompt and those before it that had no first token yet
   std::uint32_t outputEstimate = 0;
   std::uint32_t outputTokens = 0; // so far
   std::uint64_t fingerprint = 0;
--- a/src/core/shed.cpp
+++ b/src/core/shed.cpp
@@ -9,8 +9,11 @@
 
 using std::chrono::milliseconds;
 
-constexpr Duration kCutMargin = milliseconds(30); // offer, grant and dispatch after a cut
+constexpr Duration kCutMargin = milliseconds(40); // offer, grant and dispatch after a cut
 constexpr Duration kLongestSpread = milliseconds(150);
+constexpr Duration kReplaceMargin = milliseconds(10);
+constexpr Duration kReplaceSpread = milliseconds(30);
+constexpr int kJitterRange = 1 << 16;
 constexpr int kSpreadShare = 3; // spread of cuts: this part of the time to start
 
 // Order in which work is given up: greatest first.
@@ -52,15 +55,6 @@
   return victim;
 }
 
-bool CanMakeRoom(const RunningTable& aRunning, Tier aFor, std::uint32_t aHeld, std::uint32_t aLimit)
-{
-  const auto& rows = aRunning.Rows();
-  const auto cuttable = std::count_if(rows.begin(), rows.end(), [aFor](const Running& aRow) {
-    return aRow.tier > aFor && aRow.IsCuttable();
-  });
-  return cuttable > 0 && aHeld - static_cast<std::uint32_t>(cuttable) < aLimit;
-}
-
 StartPlan PlanStart(const Reservation& aReservation, const Pace& aPace, std::uint64_t aSalt)
 {
   const Reserve& request = aReservation.request;
@@ -69,8 +63,9 @@
   const Duration wait = std::max(refuseAt - aReservation.arrived, Duration::zero());
   const Duration spread = std::min(kLongestSpread, wait / kSpreadShare);
   const std::uint64_t draw = (request.id.low ^ request.id.high ^ aSalt) * 0x9E3779B97F4A7C15ULL;
-  const Duration jitter = spread * static_cast<int>(draw >> 48) / (1 << 16);
-  return StartPlan{ refuseAt - kCutMargin - jitter, refuseAt };
+  const auto jitter = static_cast<int>(draw >> 48);
+  return StartPlan{ refuseAt - kCutMargin - spread * jitter / kJitterRange,
+                    refuseAt - kReplaceMargin - kReplaceSpread * jitter / kJitterRange, refuseAt };
 }
 
 } // namespace caraway
--- a/src/core/shed.h
+++ b/src/core/shed.h
@@ -17,15 +17,12 @@
 // done, then the least output; never a call that must not be repeated. nullptr if there is none.
 const Running* ChooseVictim(const RunningTable& aRunning, Tier aFor);
 
-// Whether cutting all work that is strictly lower than aFor frees a slot under the limits.
-bool CanMakeRoom(const RunningTable& aRunning, Tier aFor, std::uint32_t aHeld,
-                 std::uint32_t aLimit);
-
 // Deadlines of one reservation on its way to a slot.
 struct StartPlan
 {
-  TimePoint cutAt;    // lower-tier work is cut if no slot will free by itself
-  TimePoint refuseAt; // a first token can no longer be in time
+  TimePoint cutAt;     // lower-tier work is cut if no slot will free by itself
+  TimePoint replaceAt; // also where more is in flight than the limit: one for one
+  TimePoint refuseAt;  // a first token can no longer be in time
 };
 
 // aSalt spreads the moment of cutting over the agents that hold the same reservation, so that one
