--- a/src/core/agent.cpp
+++ b/src/core/agent.cpp
@@ -38,7 +38,6 @@
   , breaker(aOptions)
   , limiter(MakeLimiter(aOptions))
   , feed(aIdentity.name)
-  , salt(HashOf(aIdentity.name))
 {
 }
 
--- a/src/core/agent_admission.cpp
+++ b/src/core/agent_admission.cpp
@@ -44,7 +44,7 @@
     this->SendRefuse(aNow, reservation, Reason::kOverload);
     return;
   }
-  const StartPlan plan = PlanStart(reservation, this->pace, this->salt);
+  const StartPlan plan = PlanStart(reservation, this->pace);
   this->nextSweep = std::min(this->nextSweep, plan.cutAt);
   this->OfferSlots(aNow);
 }
@@ -364,7 +364,7 @@
   this->nextSweep = kNever;
   std::vector<RequestId> due;
   this->queue.ForEach([&](const Reservation& aRow) {
-    const StartPlan plan = PlanStart(aRow, this->pace, this->salt);
+    const StartPlan plan = PlanStart(aRow, this->pace);
     if (plan.cutAt <= aNow.steady) {
       due.push_back(aRow.request.id);
     }
@@ -388,7 +388,7 @@
   if (row == nullptr) {
     return;
   }
-  const StartPlan plan = PlanStart(*row, this->pace, this->salt);
+  const StartPlan plan = PlanStart(*row, this->pace);
   const bool isOver = plan.refuseAt <= aNow.steady;
   const Duration timeLeft = plan.refuseAt - aNow.steady;
   const bool freesInTime = NextFreeSlot(this->running, this->pace) <= timeLeft;
--- a/src/core/agent_impl.h
+++ b/src/core/agent_impl.h
@@ -174,7 +174,6 @@
   EvidenceTotals evidence;
   std::map<NodeId, PeerState> peers;
   std::vector<BrokenWork> broken;
-  std::uint64_t salt;
   std::uint64_t lastOffer = 0;
   bool isLeaving = false;
   bool wasDrained = false;
--- a/src/core/shed.cpp
+++ b/src/core/shed.cpp
@@ -10,11 +10,8 @@
 using std::chrono::milliseconds;
 
 constexpr Duration kCutMargin = milliseconds(40); // offer, grant and dispatch after a cut
-constexpr Duration kLongestSpread = milliseconds(150);
 constexpr Duration kReplaceMargin = milliseconds(10);
-constexpr Duration kReplaceSpread = milliseconds(30);
-constexpr int kJitterRange = 1 << 16;
-constexpr int kSpreadShare = 3; // spread of cuts: this part of the time to start
+constexpr int kStepsToStart = 2; // the engine's step under way and the first one of the request
 
 // Order in which work is given up: greatest first.
 auto CutOrder(const Running& aRow)
@@ -55,17 +52,12 @@
   return victim;
 }
 
-StartPlan PlanStart(const Reservation& aReservation, const Pace& aPace, std::uint64_t aSalt)
+StartPlan PlanStart(const Reservation& aReservation, const Pace& aPace)
 {
-  const Reserve& request = aReservation.request;
-  const Duration first = aPace.FirstToken(request.promptTokens);
+  const std::uint32_t prompt = aReservation.request.promptTokens;
+  const Duration first = aPace.FirstToken(prompt) + kStepsToStart * aPace.Gap();
   const TimePoint refuseAt = aReservation.startBy - first;
-  const Duration wait = std::max(refuseAt - aReservation.arrived, Duration::zero());
-  const Duration spread = std::min(kLongestSpread, wait / kSpreadShare);
-  const std::uint64_t draw = (request.id.low ^ request.id.high ^ aSalt) * 0x9E3779B97F4A7C15ULL;
-  const auto jitter = static_cast<int>(draw >> 48);
-  return StartPlan{ refuseAt - kCutMargin - spread * jitter / kJitterRange,
-                    refuseAt - kReplaceMargin - kReplaceSpread * jitter / kJitterRange, refuseAt };
+  return StartPlan{ refuseAt - kCutMargin, refuseAt - kReplaceMargin, refuseAt };
 }
 
 } // namespace caraway
--- a/src/core/shed.h
+++ b/src/core/shed.h
@@ -25,8 +25,6 @@
   TimePoint refuseAt;  // a first token can no longer be in time
 };
 
-// aSalt spreads the moment of cutting over the agents that hold the same reservation, so that one
-// of them cuts and the others see it withdrawn.
-StartPlan PlanStart(const Reservation& aReservation, const Pace& aPace, std::uint64_t aSalt);
+StartPlan PlanStart(const Reservation& aReservation, const Pace& aPace);
 
 } // namespace caraway
--- a/tests/core/shed_test.cpp
+++ b/tests/core/shed_test.cpp
@@ -123,6 +123,35 @@
   BOOST_TEST(this->port.aborted.empty());
 }
 
+// The limit falls while eight streams run; one cut has to make room for one start.
+BOOST_AUTO_TEST_CASE(one_cut_for_one_start_above_the_limit)
+{
+  AgentOptions options;
+  options.initialLimit = 8;
+  AgentFixture other(options);
+  std::vector<RequestId> ids;
+  for (int i = 0; i < 8; i++) {
+    Reserve reserve = other.MakeReserve(3);
+    reserve.outputTokens = 100000;
+    ids.push_back(other.Run(reserve));
+  }
+  const auto work = [&](int aSteps) {
+    for (int i = 0; i < aSteps; i++) {
+      other.Advance(milliseconds(100));
+      for (const RequestId& id : ids) {
+        other.Chunk(id);
+      }
+    }
+  };
+  work(20);
+  const Reserve high = other.MakeReserve(0);
+  other.From(other.right, high);
+  work(11);
+  BOOST_TEST(other.HasSent<Offer>(high.id));
+  BOOST_TEST(other.port.aborted.size() == 1U);
+  BOOST_TEST(other.port.Count(EventKind::kViolation) == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(once_calls_are_never_cut)
 {
   this->RunLong(3, 10, WorkKind::kOnce);
