--- a/src/core/agent_admission.cpp
+++ b/src/core/agent_admission.cpp
@@ -8,8 +8,9 @@
 namespace {
 
 constexpr Duration kSweepPause = milliseconds(2); // least time between two passes over the queue
-constexpr int kHopeless = 2;      // expected wait over the time to start: refused at once
-constexpr int kPrefillShare = 80; // percent of the first-token target that prefill may take
+constexpr int kHopeless = 2;     // expected wait over the time to start: refused at once
+constexpr int kPrefillShare = 4; // prompts are sent while those at the engine take this part of
+                                 // the target of the first token
 constexpr Duration kNoDeadline = hours(1);
 constexpr Duration kBriefRetry = milliseconds(250); // nothing stands in the way of a new try
 
@@ -151,26 +152,39 @@
 
 bool Agent::Impl::HasRoomFor(Now aNow, const Reservation& aReservation) const
 {
-  const std::uint32_t held = this->Held();
-  if (held >= this->Allowance(aNow) || this->IsAloneBusy()) {
+  return !this->IsAloneBusy() && this->HasSlotFor(aNow, aReservation) &&
+         !this->IsPrefillFull(aReservation);
+}
+
+// Prompt tokens that are at the endpoint or offered and wait for their first token.
+std::uint32_t Agent::Impl::PendingPrefill() const
+{
+  std::uint32_t tokens = this->running.PendingPrompt();
+  for (const OpenOffer& offer : this->offers) {
+    tokens += offer.reservation.request.promptTokens;
+  }
+  return tokens;
+}
+
+// The engine computes prompts in the order of their arrival and knows no tiers, so prompts wait
+// here, in the order of the queue, unless their turn at the engine comes soon.
+bool Agent::Impl::IsPrefillFull(const Reservation& aReservation) const
+{
+  const std::uint32_t pending = this->PendingPrefill();
+  if (pending == 0 || aReservation.request.kind != WorkKind::kCompletion) {
     return false;
   }
-  const std::uint64_t tokens = this->HeldTokens() + TokensOf(aReservation.request);
-  const bool fits = tokens <= this->limiter->TokenLimit();
-  return held == 0 || (fits && this->CanPrefill(aReservation));
+  return this->pace.FirstToken(pending) > this->options.firstTokenTarget / kPrefillShare;
 }
 
-// The prompt would have its first token in time behind the prompts that are being prefilled. Until
-// then the reservation is better placed in the queue, where it can still start elsewhere.
-bool Agent::Impl::CanPrefill(const Reservation& aReservation) const
+bool Agent::Impl::HasSlotFor(Now aNow, const Reservation& aReservation) const
 {
-  std::uint32_t pending = this->running.PendingPrompt();
-  for (const OpenOffer& offer : this->offers) {
-    pending += offer.reservation.request.promptTokens;
+  const std::uint32_t held = this->Held();
+  if (held >= this->Allowance(aNow)) {
+    return false;
   }
-  const std::uint32_t prompt = aReservation.request.promptTokens;
-  const Duration first = this->pace.FirstToken(pending + prompt);
-  return pending == 0 || first <= this->options.firstTokenTarget * kPrefillShare / 100;
+  const std::uint64_t tokens = this->HeldTokens() + TokensOf(aReservation.request);
+  return held == 0 || tokens <= this->limiter->TokenLimit();
 }
 
 // Offers slots to the first reservations in order while there is room. A suspect at the head waits
@@ -346,12 +360,22 @@
   this->port.Send(aReservation.entry.node, refuse);
 }
 
-// Cutting lower-tier work would give the reservation a slot.
+// Lower-tier work whose place the reservation could take; nullptr if there is none. When only
+// prefill is in its way, that is work that has not begun to answer.
+const Running* Agent::Impl::VictimFor(Now aNow, const Reservation& aReservation) const
+{
+  if (this->Allowance(aNow) == 0 || !this->IsEligible(aNow, aReservation) ||
+      this->IsSuspect(aNow, aReservation) || this->IsAloneBusy()) {
+    return nullptr;
+  }
+  const Tier tier = aReservation.request.tier;
+  return this->IsPrefillFull(aReservation) ? ChoosePrefillVictim(this->running, tier)
+                                           : ChooseVictim(this->running, tier);
+}
+
 bool Agent::Impl::CanRoomBeMade(Now aNow, const Reservation& aReservation) const
 {
-  return this->Allowance(aNow) > 0 && this->IsEligible(aNow, aReservation) &&
-         !this->IsSuspect(aNow, aReservation) && !this->IsAloneBusy() &&
-         ChooseVictim(this->running, aReservation.request.tier) != nullptr;
+  return this->VictimFor(aNow, aReservation) != nullptr;
 }
 
 // Looks at every reservation: cuts lower-tier work for those that would miss their start, and
@@ -429,12 +453,12 @@
 {
   const Reservation* row = this->queue.Find(aId);
   while (row != nullptr) {
-    if (!this->CanRoomBeMade(aNow, *row)) {
+    const Running* victim = this->VictimFor(aNow, *row);
+    if (victim == nullptr) {
       return false;
     }
     const std::uint32_t before = this->Held();
-    this->Stop(aNow, RequestId(ChooseVictim(this->running, row->request.tier)->id),
-               Reason::kPreempted);
+    this->Stop(aNow, RequestId(victim->id), Reason::kPreempted);
     row = this->queue.Find(aId);
     if (row != nullptr && this->Held() < before) {
       this->SendOffer(aNow, aId, false, before);
@@ -452,8 +476,7 @@
     if (!lower.empty()) {
       this->GiveUp(aNow, lower.front());
     } else if (this->CanRoomBeMade(aNow, aReservation)) {
-      this->Stop(aNow, RequestId(ChooseVictim(this->running, aReservation.request.tier)->id),
-                 Reason::kPreempted);
+      this->Stop(aNow, RequestId(this->VictimFor(aNow, aReservation)->id), Reason::kPreempted);
     } else {
       return false;
     }
--- a/src/core/shed.h
+++ b/src/core/shed.h
@@ -17,6 +17,9 @@
 // done, then the least output; never a call that must not be repeated. nullptr if there is none.
 const Running* ChooseVictim(const RunningTable& aRunning, Tier aFor);
 
+// The same among work that has not produced a token, whose prefill holds up what comes after it.
+const Running* ChoosePrefillVictim(const RunningTable& aRunning, Tier aFor);
+
 // Deadlines of one reservation on its way to a slot.
 struct StartPlan
 {
--- a/src/runtime/agent_host.cpp
+++ b/src/runtime/agent_host.cpp
@@ -20,14 +20,8 @@
 
 AgentIdentity IdentityOf(const AgentSettings& aSettings)
 {
-  AgentIdentity identity;
-  identity.name = aSettings.name;
-  identity.region = aSettings.region;
-  identity.failureDomain = aSettings.failureDomain;
-  identity.pool = aSettings.pool;
-  identity.version = aSettings.version;
-  identity.checksFencing = aSettings.engineChecksFencing;
-  return identity;
+  return { aSettings.name, aSettings.region,  aSettings.failureDomain,
+           aSettings.pool, aSettings.version, aSettings.engineChecksFencing };
 }
 
 } // namespace
@@ -212,16 +206,9 @@
   this->hub.Announce(hello);
 }
 
-// The decisions know what changes; the settings know who the process is.
 Hello AgentHost::CurrentHello() const
 {
   Hello hello = this->agent.CurrentHello();
-  hello.role = Role::kAgent;
-  hello.name = this->settings.name;
-  hello.region = this->settings.region;
-  hello.failureDomain = this->settings.failureDomain;
-  hello.pool = this->settings.pool;
-  hello.version = this->settings.version;
   hello.leaving = this->leaving;
   return hello;
 }
