--- a/src/core/agent_admission.cpp
+++ b/src/core/agent_admission.cpp
@@ -45,7 +45,7 @@
     this->SendRefuse(aNow, reservation, Reason::kOverload);
     return;
   }
-  const StartPlan plan = PlanStart(reservation, this->pace);
+  const StartPlan plan = PlanStart(reservation, this->pace, this->PendingPrefill());
   this->nextSweep = std::min(this->nextSweep, plan.cutAt);
   this->OfferSlots(aNow);
 }
@@ -191,7 +191,10 @@
 // until the endpoint is empty, and nothing passes it meanwhile.
 void Agent::Impl::OfferSlots(Now aNow)
 {
-  const auto isEligible = [&](const Reservation& aRow) { return this->IsEligible(aNow, aRow); };
+  const auto isEligible = [&](const Reservation& aRow) {
+    const StartPlan plan = PlanStart(aRow, this->pace, this->PendingPrefill());
+    return plan.refuseAt > aNow.steady && this->IsEligible(aNow, aRow);
+  };
   while (this->queue.Size() > 0 && this->Held() < this->Allowance(aNow)) {
     const Reservation* first = this->queue.First(isEligible);
     if (first == nullptr) {
@@ -387,8 +390,9 @@
   }
   this->nextSweep = kNever;
   std::vector<RequestId> due;
+  const std::uint32_t pending = this->PendingPrefill();
   this->queue.ForEach([&](const Reservation& aRow) {
-    const StartPlan plan = PlanStart(aRow, this->pace);
+    const StartPlan plan = PlanStart(aRow, this->pace, pending);
     if (plan.cutAt <= aNow.steady) {
       due.push_back(aRow.request.id);
     }
@@ -412,7 +416,7 @@
   if (row == nullptr) {
     return;
   }
-  const StartPlan plan = PlanStart(*row, this->pace);
+  const StartPlan plan = PlanStart(*row, this->pace, this->PendingPrefill());
   const bool isOver = plan.refuseAt <= aNow.steady;
   const Duration timeLeft = plan.refuseAt - aNow.steady;
   const bool freesInTime = NextFreeSlot(this->running, this->pace) <= timeLeft;
--- a/src/core/shed.cpp
+++ b/src/core/shed.cpp
@@ -64,10 +64,10 @@
   return victim;
 }
 
-StartPlan PlanStart(const Reservation& aReservation, const Pace& aPace)
+StartPlan PlanStart(const Reservation& aReservation, const Pace& aPace, std::uint32_t aPending)
 {
-  const std::uint32_t prompt = aReservation.request.promptTokens;
-  const Duration first = aPace.FirstToken(prompt) + kStepsToStart * aPace.Gap();
+  const std::uint32_t prefill = aReservation.request.promptTokens + aPending;
+  const Duration first = aPace.FirstToken(prefill) + kStepsToStart * aPace.Gap();
   const TimePoint refuseAt = aReservation.startBy - first;
   return StartPlan{ refuseAt - kCutMargin, refuseAt - kReplaceMargin, refuseAt };
 }
--- a/src/core/shed.h
+++ b/src/core/shed.h
@@ -28,6 +28,7 @@
   TimePoint refuseAt;  // a first token can no longer be in time
 };
 
-StartPlan PlanStart(const Reservation& aReservation, const Pace& aPace);
+// aPending: prompt tokens at the endpoint that come before the reservation's own.
+StartPlan PlanStart(const Reservation& aReservation, const Pace& aPace, std::uint32_t aPending);
 
 } // namespace caraway
