Refuse early by the drain rate alone, and send prompts while an eighth of the target is prefilling

Cause: the expected wait took the arrivals of higher tiers off the drain rate; in a burst that left nothing, and the lowest tier was refused although slots came.

--- a/src/core/agent_admission.cpp
+++ b/src/core/agent_admission.cpp
@@ -9,7 +9,7 @@
 
 constexpr Duration kSweepPause = milliseconds(2); // least time between two passes over the queue
 constexpr int kHopeless = 2;     // expected wait over the time to start: refused at once
-constexpr int kPrefillShare = 4; // prompts are sent while those at the engine take this part of
+constexpr int kPrefillShare = 8; // prompts are sent while those at the engine take this part of
                                  // the target of the first token
 constexpr Duration kNoDeadline = hours(1);
 constexpr Duration kBriefRetry = milliseconds(250); // nothing stands in the way of a new try
@@ -38,7 +38,6 @@
     this->SendRefuse(aNow, reservation, *reason);
     return;
   }
-  this->drain.OnArrival(aNow.steady, reservation.request.tier);
   const bool isPlaced = !this->IsHopeless(aNow, reservation) &&
                         this->MakeQueueRoom(aNow, reservation) && this->queue.Push(reservation);
   if (!isPlaced) {
@@ -81,7 +80,7 @@
     return false;
   }
   const std::size_t ahead = this->queue.Size() - this->queue.SizeBelow(tier);
-  const Duration wait = this->drain.WaitFor(aNow.steady, tier, ahead);
+  const Duration wait = this->drain.WaitFor(aNow.steady, ahead);
   return wait > (aReservation.startBy - aNow.steady) * kHopeless;
 }
 
@@ -309,12 +308,12 @@
 {
   const Reservation* queued = this->queue.Find(aWithdraw.id);
   if (queued != nullptr && queued->entry == aFrom) {
-    this->drain.OnServed(aNow.steady, queued->request.tier);
+    this->drain.OnServed(aNow.steady);
     this->queue.Take(aWithdraw.id);
   }
   const OpenOffer* offered = this->FindOffer(aWithdraw.id);
   if (offered != nullptr && offered->reservation.entry == aFrom) {
-    this->drain.OnServed(aNow.steady, offered->reservation.request.tier);
+    this->drain.OnServed(aNow.steady);
     this->ReleaseOffer(*this->TakeOffer(aWithdraw.id));
   }
   this->OfferSlots(aNow);
--- a/src/core/drain_rate.cpp
+++ b/src/core/drain_rate.cpp
@@ -30,36 +30,26 @@
 
 } // namespace
 
-void DrainRate::OnArrival(TimePoint aNow, Tier aTier)
+void DrainRate::OnServed(TimePoint aNow)
 {
-  Count(this->arrivals.at(std::min(aTier, kLowestTier)), aNow);
-}
-
-void DrainRate::OnServed(TimePoint aNow, Tier aTier)
-{
-  Count(this->served.at(std::min(aTier, kLowestTier)), aNow);
+  this->perSecond = this->ServedPerSecond(aNow) + 1 / SecondsOf(kMemory);
+  this->updated = aNow;
   this->servedCount++;
 }
 
 double DrainRate::ServedPerSecond(TimePoint aNow) const
 {
-  double sum = 0;
-  for (const Rate& rate : this->served) {
-    sum += Value(rate, aNow);
-  }
-  return sum;
+  const double age = SecondsOf(aNow - this->updated);
+  return this->perSecond * std::exp(-std::max(age, 0.0) / SecondsOf(kMemory));
 }
 
-Duration DrainRate::WaitFor(TimePoint aNow, Tier aTier, std::size_t aAhead) const
+Duration DrainRate::WaitFor(TimePoint aNow, std::size_t aAhead) const
 {
   if (this->servedCount < kFewestServed) {
     return Duration::zero();
   }
-  double rate = this->ServedPerSecond(aNow);
-  for (std::size_t tier = 0; tier < aTier && tier < kTierCount; tier++) {
-    rate -= Value(this->arrivals.at(tier), aNow);
-  }
-  return DurationOf(static_cast<double>(aAhead) / std::max(rate, kLeastRate));
+  const double rate = std::max(this->ServedPerSecond(aNow), kLeastRate);
+  return DurationOf(static_cast<double>(aAhead) / rate);
 }
 
 Duration DrainRate::RetryAfter(TimePoint aNow, std::size_t aBacklog, Random& aRandom) const
@@ -70,17 +60,4 @@
   return base + DurationOf(SecondsOf(base) * kJitter * aRandom.Unit());
 }
 
-// Adds one event to a rate that decays with the time constant.
-void DrainRate::Count(Rate& aRate, TimePoint aNow)
-{
-  aRate.perSecond = Value(aRate, aNow) + 1 / SecondsOf(kMemory);
-  aRate.updated = aNow;
-}
-
-double DrainRate::Value(const Rate& aRate, TimePoint aNow)
-{
-  const double age = SecondsOf(aNow - aRate.updated);
-  return aRate.perSecond * std::exp(-std::max(age, 0.0) / SecondsOf(kMemory));
-}
-
 } // namespace caraway
