Pass on only evidence rows that changed

A report of all rows each second (256 rows of some 60 bytes) would break the control budget of 2 KB/s. Totals are per row, so entries lose nothing.

--- a/src/core/evidence_totals.cpp
+++ b/src/core/evidence_totals.cpp
@@ -13,38 +13,46 @@
 void EvidenceTotals::Add(const EvidenceReport& aReport)
 {
   for (const Evidence& count : aReport.counts) {
-    Evidence* row = this->RowOf(count);
-    row->good += count.good;
-    row->bad += count.bad;
-    row->slow += count.slow;
+    Row& row = this->RowOf(count);
+    row.total.good += count.good;
+    row.total.bad += count.bad;
+    row.total.slow += count.slow;
+    row.isChanged = true;
     this->isChanged = true;
   }
 }
 
 EvidenceReport EvidenceTotals::Take()
 {
+  EvidenceReport report;
+  for (Row& row : this->rows) {
+    if (row.isChanged) {
+      report.counts.push_back(row.total);
+      row.isChanged = false;
+    }
+  }
   this->isChanged = false;
-  return EvidenceReport{ this->rows };
+  return report;
 }
 
 // Row with the same version, route and load level; the oldest row makes room for a new one.
-Evidence* EvidenceTotals::RowOf(const Evidence& aCount)
+EvidenceTotals::Row& EvidenceTotals::RowOf(const Evidence& aCount)
 {
-  const auto found =
-    std::find_if(this->rows.begin(), this->rows.end(), [&aCount](const Evidence& aRow) {
-      return aRow.pool == aCount.pool && aRow.version == aCount.version &&
-             aRow.route == aCount.route && aRow.loadLevel == aCount.loadLevel;
-    });
+  const auto found = std::find_if(this->rows.begin(), this->rows.end(), [&](const Row& aRow) {
+    const Evidence& total = aRow.total;
+    return total.pool == aCount.pool && total.version == aCount.version &&
+           total.route == aCount.route && total.loadLevel == aCount.loadLevel;
+  });
   if (found != this->rows.end()) {
-    return &*found;
+    return *found;
   }
   if (this->rows.size() == kMaxRows) {
     this->rows.erase(this->rows.begin());
   }
-  Evidence row = aCount;
-  row.good = row.bad = row.slow = 0;
+  Row row{ aCount };
+  row.total.good = row.total.bad = row.total.slow = 0;
   this->rows.push_back(std::move(row));
-  return &this->rows.back();
+  return this->rows.back();
 }
 
 } // namespace caraway
--- a/src/core/evidence_totals.h
+++ b/src/core/evidence_totals.h
@@ -10,15 +10,20 @@
 public:
   // Adds the counts of one report.
   void Add(const EvidenceReport& aReport);
-  // Totals of all senders since the start, and marks them as passed on.
+  // Totals of all senders since the start, of the rows that changed since the last call.
   EvidenceReport Take();
   // Something was added since the totals were passed on.
   bool IsChanged() const { return this->isChanged; }
 
 private:
-  Evidence* RowOf(const Evidence& aCount);
+  struct Row
+  {
+    Evidence total;
+    bool isChanged = false;
+  };
+  Row& RowOf(const Evidence& aCount);
 
-  std::vector<Evidence> rows; // oldest first, bounded
+  std::vector<Row> rows; // oldest first, bounded
   bool isChanged = false;
 };
 
