--- a/src/core/agent_admission.cpp
+++ b/src/core/agent_admission.cpp
@@ -9,7 +9,7 @@
 
 constexpr Duration kSweepPause = milliseconds(2); // least time between two passes over the queue
 constexpr int kHopeless = 2;     // expected wait over the time to start: refused at once
-constexpr int kPrefillShare = 4; // prompts are sent while those at the engine take this part of
+constexpr int kPrefillShare = 8; // prompts are sent while those at the engine take this part of
                                  // the target of the first token
 constexpr Duration kNoDeadline = hours(1);
 constexpr Duration kBriefRetry = milliseconds(250); // nothing stands in the way of a new try
@@ -38,14 +38,13 @@
     this->SendRefuse(aNow, reservation, *reason);
     return;
   }
-  this->drain.OnArrival(aNow.steady, reservation.request.tier);
   const bool isPlaced = !this->IsHopeless(aNow, reservation) &&
                         this->MakeQueueRoom(aNow, reservation) && this->queue.Push(reservation);
   if (!isPlaced) {
     this->SendRefuse(aNow, reservation, Reason::kOverload);
     return;
   }
-  const StartPlan plan = PlanStart(reservation, this->pace, this->salt);
+  const StartPlan plan = PlanStart(reservation, this->pace, this->PendingPrefill());
   this->nextSweep = std::min(this->nextSweep, plan.cutAt);
   this->OfferSlots(aNow);
 }
@@ -81,7 +80,7 @@
     return false;
   }
   const std::size_t ahead = this->queue.Size() - this->queue.SizeBelow(tier);
-  const Duration wait = this->drain.WaitFor(aNow.steady, tier, ahead);
+  const Duration wait = this->drain.WaitFor(aNow.steady, ahead);
   return wait > (aReservation.startBy - aNow.steady) * kHopeless;
 }
 
@@ -191,7 +190,10 @@
 // until the endpoint is empty, and nothing passes it meanwhile.
 void Agent::Impl::OfferSlots(Now aNow)
 {
-  const auto isEligible = [&](const Reservation& aRow) { return this->IsEligible(aNow, aRow); };
+  const auto isEligible = [&](const Reservation& aRow) {
+    const StartPlan plan = PlanStart(aRow, this->pace, this->PendingPrefill());
+    return plan.refuseAt > aNow.steady && this->IsEligible(aNow, aRow);
+  };
   while (this->queue.Size() > 0 && this->Held() < this->Allowance(aNow)) {
     const Reservation* first = this->queue.First(isEligible);
     if (first == nullptr) {
@@ -206,11 +208,12 @@
     if (!this->HasRoomFor(aNow, *first) || (isSuspect && this->Held() > 0)) {
       return;
     }
-    this->SendOffer(aNow, RequestId(first->request.id), isSuspect);
+    this->SendOffer(aNow, RequestId(first->request.id), isSuspect, this->limiter->Limit());
   }
 }
 
-void Agent::Impl::SendOffer(Now aNow, const RequestId& aId, bool aIsAlone)
+// aAllowed: most that may be held afterwards.
+void Agent::Impl::SendOffer(Now aNow, const RequestId& aId, bool aIsAlone, std::uint32_t aAllowed)
 {
   OpenOffer offer{ *this->queue.Take(aId), ++this->lastOffer,
                    aNow.steady + this->options.offerTimeout, aIsAlone };
@@ -224,7 +227,7 @@
     this->Violate(aNow, aId, "offer while leaving");
   }
   this->offers.push_back(std::move(offer));
-  if (this->Held() > this->limiter->Limit()) {
+  if (this->Held() > aAllowed) {
     this->Violate(aNow, aId, "more offers and running work than the limit");
   }
 }
@@ -305,12 +308,12 @@
 {
   const Reservation* queued = this->queue.Find(aWithdraw.id);
   if (queued != nullptr && queued->entry == aFrom) {
-    this->drain.OnServed(aNow.steady, queued->request.tier);
+    this->drain.OnServed(aNow.steady);
     this->queue.Take(aWithdraw.id);
   }
   const OpenOffer* offered = this->FindOffer(aWithdraw.id);
   if (offered != nullptr && offered->reservation.entry == aFrom) {
-    this->drain.OnServed(aNow.steady, offered->reservation.request.tier);
+    this->drain.OnServed(aNow.steady);
     this->ReleaseOffer(*this->TakeOffer(aWithdraw.id));
   }
   this->OfferSlots(aNow);
@@ -359,21 +362,17 @@
   this->port.Send(aReservation.entry.node, refuse);
 }
 
-// Lower-tier work whose end would help the reservation to a slot; nullptr if there is none. When
-// only prefill is in its way, that is work that has not begun to answer.
+// Lower-tier work whose place the reservation could take; nullptr if there is none. When only
+// prefill is in its way, that is work that has not begun to answer.
 const Running* Agent::Impl::VictimFor(Now aNow, const Reservation& aReservation) const
 {
-  if (!this->IsEligible(aNow, aReservation) || this->IsSuspect(aNow, aReservation) ||
-      this->IsAloneBusy()) {
+  if (this->Allowance(aNow) == 0 || !this->IsEligible(aNow, aReservation) ||
+      this->IsSuspect(aNow, aReservation) || this->IsAloneBusy()) {
     return nullptr;
   }
   const Tier tier = aReservation.request.tier;
-  if (this->IsPrefillFull(aReservation)) {
-    return ChoosePrefillVictim(this->running, tier);
-  }
-  const bool canMakeRoom = !this->HasSlotFor(aNow, aReservation) &&
-                           CanMakeRoom(this->running, tier, this->Held(), this->Allowance(aNow));
-  return canMakeRoom ? ChooseVictim(this->running, tier) : nullptr;
+  return this->IsPrefillFull(aReservation) ? ChoosePrefillVictim(this->running, tier)
+                                           : ChooseVictim(this->running, tier);
 }
 
 bool Agent::Impl::CanRoomBeMade(Now aNow, const Reservation& aReservation) const
@@ -390,13 +389,15 @@
   }
   this->nextSweep = kNever;
   std::vector<RequestId> due;
+  const std::uint32_t pending = this->PendingPrefill();
   this->queue.ForEach([&](const Reservation& aRow) {
-    const StartPlan plan = PlanStart(aRow, this->pace, this->salt);
+    const StartPlan plan = PlanStart(aRow, this->pace, pending);
     if (plan.cutAt <= aNow.steady) {
       due.push_back(aRow.request.id);
     }
-    const TimePoint next = plan.cutAt <= aNow.steady ? plan.refuseAt : plan.cutAt;
-    this->nextSweep = std::min(this->nextSweep, next);
+    for (const TimePoint step : { plan.cutAt, plan.replaceAt, plan.refuseAt }) {
+      this->nextSweep = step > aNow.steady ? std::min(this->nextSweep, step) : this->nextSweep;
+    }
   });
   if (this->nextSweep != kNever) {
     this->nextSweep = std::max(this->nextSweep, aNow.steady + kSweepPause);
@@ -414,10 +415,13 @@
   if (row == nullptr) {
     return;
   }
-  const TimePoint refuseAt = PlanStart(*row, this->pace, this->salt).refuseAt;
-  const bool isOver = refuseAt <= aNow.steady;
-  const bool freesInTime = NextFreeSlot(this->running, this->pace) <= refuseAt - aNow.steady;
-  if ((isOver || !freesInTime) && this->CutFor(aNow, aId)) {
+  const StartPlan plan = PlanStart(*row, this->pace, this->PendingPrefill());
+  const bool isOver = plan.refuseAt <= aNow.steady;
+  const Duration timeLeft = plan.refuseAt - aNow.steady;
+  const bool freesInTime = NextFreeSlot(this->running, this->pace) <= timeLeft;
+  const bool oneSuffices = this->Held() <= this->Allowance(aNow);
+  const bool mustCut = isOver || plan.replaceAt <= aNow.steady || (oneSuffices && !freesInTime);
+  if (mustCut && this->CutFor(aNow, aId)) {
     return;
   }
   if (!isOver) {
@@ -446,6 +450,8 @@
 }
 
 // Cuts lower-tier work until the queued reservation has its slot; false if nothing more can be cut.
+// Where more is in flight than the limit, the reservation takes the place of what was cut: to cut
+// down to the limit first would waste many answers for one.
 bool Agent::Impl::CutFor(Now aNow, const RequestId& aId)
 {
   const Reservation* row = this->queue.Find(aId);
@@ -454,8 +460,13 @@
     if (victim == nullptr) {
       return false;
     }
+    const std::uint32_t before = this->Held();
     this->Stop(aNow, RequestId(victim->id), Reason::kPreempted);
     row = this->queue.Find(aId);
+    if (row != nullptr && this->Held() < before) {
+      this->SendOffer(aNow, aId, false, before);
+      return true;
+    }
   }
   return true;
 }
@@ -468,8 +479,7 @@
     if (!lower.empty()) {
       this->GiveUp(aNow, lower.front());
     } else if (this->CanRoomBeMade(aNow, aReservation)) {
-      this->Stop(aNow, RequestId(ChooseVictim(this->running, aReservation.request.tier)->id),
-                 Reason::kPreempted);
+      this->Stop(aNow, RequestId(this->VictimFor(aNow, aReservation)->id), Reason::kPreempted);
     } else {
       return false;
     }
--- a/src/core/shed.h
+++ b/src/core/shed.h
@@ -20,19 +20,15 @@
 // The same among work that has not produced a token, whose prefill holds up what comes after it.
 const Running* ChoosePrefillVictim(const RunningTable& aRunning, Tier aFor);
 
-// Whether cutting all work that is strictly lower than aFor frees a slot under the limits.
-bool CanMakeRoom(const RunningTable& aRunning, Tier aFor, std::uint32_t aHeld,
-                 std::uint32_t aLimit);
-
 // Deadlines of one reservation on its way to a slot.
 struct StartPlan
 {
-  TimePoint cutAt;    // lower-tier work is cut if no slot will free by itself
-  TimePoint refuseAt; // a first token can no longer be in time
+  TimePoint cutAt;     // lower-tier work is cut if no slot will free by itself
+  TimePoint replaceAt; // also where more is in flight than the limit: one for one
+  TimePoint refuseAt;  // a first token can no longer be in time
 };
 
-// aSalt spreads the moment of cutting over the agents that hold the same reservation, so that one
-// of them cuts and the others see it withdrawn.
-StartPlan PlanStart(const Reservation& aReservation, const Pace& aPace, std::uint64_t aSalt);
+// aPending: prompt tokens at the endpoint that come before the reservation's own.
+StartPlan PlanStart(const Reservation& aReservation, const Pace& aPace, std::uint32_t aPending);
 
 } // namespace caraway
