End a resumed answer when nothing comes for the grace time

Cause: a caller that resumes at a second entry has no deadline there. If the call runs at a service that never answers, the second entry asked the agent every two seconds for ever and the caller never got a final answer. The caller is told unknown (stalled) after resume_grace without progress.

--- a/src/bench/callers.cpp
+++ b/src/bench/callers.cpp
@@ -176,6 +176,9 @@
   }
   if (WantsRetry(job, answer)) {
     this->site.schedule.After(answer.retryAfter, [this, aId] {
+      if (!this->retrying) {
+        return;
+      }
       this->Submit(RetryOf(this->site.jobs.at(aId), this->site));
     });
   }
--- a/src/bench/callers.h
+++ b/src/bench/callers.h
@@ -35,6 +35,8 @@
   // Submits through an entry that takes requests, drawn at random. Without one nothing happens.
   void Submit(const Job& aJob);
   void SubmitAt(EntryHost& aEntry, const Job& aJob);
+  // Callers whose requests are refused from now on do not come back.
+  void StopRetries() { this->retrying = false; }
   // The connection of a caller breaks; it may come back later.
   void Leave(const RequestId& aId, bool aMayResume);
   // An entry died with its connections: its callers resume through another one.
@@ -61,6 +63,7 @@
   Site& site;
   std::vector<EntryHost*> entries;
   std::map<RequestId, OpenCall> open;
+  bool retrying = true;
 };
 
 } // namespace caraway::bench
--- a/src/bench/fault_plan.cpp
+++ b/src/bench/fault_plan.cpp
@@ -21,6 +21,7 @@
 constexpr Duration kLoadTime = seconds(6);
 constexpr Duration kLastDeadline = seconds(6); // of a caller, from its submission
 constexpr Duration kQuiet = seconds(10);       // after the last fault has ended
+constexpr Duration kGrace = seconds(8);        // for callers and entries that are gone
 constexpr Duration kInForceWithin = seconds(5);
 constexpr double kCallsPerSecond = 25;
 constexpr double kServiceRatio = 0.3; // of the calls
@@ -41,6 +42,8 @@
   const EndpointSpec service{ std::string(kService), "v1", WorkKind::kOnce, {} };
   options.endpoints.push_back(service);
   options.endpoints.push_back(service);
+  options.entry.resumeGrace = kGrace;
+  options.agent.keepAnswer = kGrace;
   options.network.duplicateRatio = aRun.doubledMessages ? 0.02 : 0;
   options.network.slowRatio = aRun.slowLinks ? 0.01 : 0;
   return options;
@@ -70,7 +73,9 @@
       site.schedule.At(start + milliseconds(fault.atMs), [this, fault] { this->Begin(fault); });
     }
     Feed(this->workload, site, start + kLoadTime, [this](const Job& aJob) { this->Submit(aJob); });
-    this->world.RunFor(kLoadTime + milliseconds(kLongestFaultMs) + kLastDeadline + kQuiet);
+    this->world.RunFor(kLoadTime + milliseconds(kLongestFaultMs));
+    this->world.TheCallers().StopRetries();
+    this->world.RunFor(kLastDeadline + kQuiet);
     this->Change("last-change", std::nullopt);
     this->world.RunFor(kInForceWithin);
     this->audit.CheckInForce();
--- a/src/bench/host.cpp
+++ b/src/bench/host.cpp
@@ -1,5 +1,6 @@
 #include "bench/host.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace caraway::bench {
@@ -184,6 +185,7 @@
   EntryPort& port = *this;
   this->entry =
     std::make_unique<Entry>(this->options, this->Name(), this->placement, this->random, port);
+  this->nextRead = 0;
   this->toldOffset = 0;
   this->toldLeaving = false;
   this->PollLog(this->life);
@@ -202,21 +204,20 @@
   }
   this->site.schedule.After(kLogPoll, [this, aLife] { this->PollLog(aLife); });
   const LogModel& log = this->site.log;
-  const LogOffset from = this->entry->NextRead();
-  if (log.Down()) {
+  if (log.Down() || this->Paused()) {
     return;
   }
-  if (from < log.Oldest()) {
-    this->Run(
-      [this] { this->entry->OnLogGap(this->site.schedule.Read(), this->site.log.Oldest()); });
+  const LogOffset oldest = log.Oldest();
+  this->nextRead = std::max(this->nextRead, oldest);
+  std::vector<LogRecord> records = log.Read(this->nextRead, kLogBatch);
+  if (records.empty()) {
     return;
   }
-  std::vector<LogRecord> records = log.Read(from, kLogBatch);
-  if (!records.empty()) {
-    this->Run([this, records = std::move(records)] {
-      this->entry->OnLogRecords(this->site.schedule.Read(), records);
-    });
-  }
+  this->nextRead = records.back().offset + 1;
+  this->Run([this, oldest, records = std::move(records)] {
+    this->entry->OnLogOldest(this->site.schedule.Read(), oldest);
+    this->entry->OnLogRecords(this->site.schedule.Read(), records);
+  });
 }
 
 void EntryHost::Submit(const Submission& aSubmission)
--- a/src/bench/host.h
+++ b/src/bench/host.h
@@ -128,6 +128,7 @@
   Random random;
   LateBindingPlacement placement;
   std::unique_ptr<Entry> entry;
+  LogOffset nextRead = 0; // from the log
   LogOffset toldOffset = 0;
   bool toldLeaving = false;
 };
--- a/src/bench/world.cpp
+++ b/src/bench/world.cpp
@@ -218,7 +218,7 @@
     if (!aHost.Alive() || !(aHost.Self() == self)) {
       return;
     }
-    if (!aHost.Idle()) {
+    if (aHost.Paused() || !aHost.Idle()) {
       this->AwaitIdle(aHost, aRestart);
       return;
     }
--- a/src/core/entry.cpp
+++ b/src/core/entry.cpp
@@ -174,6 +174,12 @@
     this->AgentUnreachable(aNow, aPending, reason);
     return;
   }
+  // A resumed answer has no deadline of its own; it ends when nothing has come for the grace time.
+  const TimePoint giveUpAt = aPending.progressAt + this->options.resumeGrace;
+  if (aPending.endBy == kNever && aNow.steady >= giveUpAt) {
+    this->AgentUnreachable(aNow, aPending, Reason::kStalled);
+    return;
+  }
   if (aNow.steady >= aPending.lastHeard + this->options.grantReplyWithin) {
     if (!aPending.agentLinked) {
       this->AgentUnreachable(aNow, aPending, Reason::kEndpointLost);
--- a/src/core/entry_answer.cpp
+++ b/src/core/entry_answer.cpp
@@ -20,6 +20,7 @@
     case ChunkCheck::kNext:
       break;
   }
+  request->progressAt = aNow.steady;
   if (request->firstChunkAt == kNever) {
     request->firstChunkAt = aNow.steady;
     this->Note(aNow, EventKind::kFirstToken, *request, aFrom.node);
@@ -145,6 +146,7 @@
     aPending.agent = aFrom;
     aPending.grantedAt = aNow.steady;
     aPending.lastHeard = aNow.steady;
+    aPending.progressAt = aNow.steady;
     this->Schedule(aPending);
     return;
   }
--- a/src/core/pending.h
+++ b/src/core/pending.h
@@ -48,7 +48,8 @@
   std::uint32_t grants = 0; // each further one only after the agent confirmed that it never ran
   TimePoint grantedAt{};
   TimePoint firstChunkAt = kNever;
-  TimePoint lastHeard{};
+  TimePoint lastHeard{};  // anything from the agent
+  TimePoint progressAt{}; // the last chunk, or when a resumed answer was found
   Assembly assembly;
   std::optional<Finish> finish; // arrived before all chunks
 
