--- a/src/bench/host.cpp
+++ b/src/bench/host.cpp
@@ -1,6 +1,5 @@
 #include "bench/host.h"
 
-#include <algorithm>
 #include <utility>
 
 namespace caraway::bench {
@@ -185,9 +184,9 @@
   EntryPort& port = *this;
   this->entry =
     std::make_unique<Entry>(this->options, this->Name(), this->placement, this->random, port);
-  this->nextRead = 0;
   this->toldOffset = 0;
   this->toldLeaving = false;
+  this->cursor = 0;
   this->PollLog(this->life);
 }
 
@@ -207,16 +206,17 @@
   if (log.Down() || this->Paused()) {
     return;
   }
-  const LogOffset oldest = log.Oldest();
-  this->nextRead = std::max(this->nextRead, oldest);
-  std::vector<LogRecord> records = log.Read(this->nextRead, kLogBatch);
-  if (records.empty()) {
-    return;
+  this->cursor = std::max(this->cursor, log.Oldest());
+  std::vector<LogRecord> records = log.Read(this->cursor, kLogBatch);
+  if (!records.empty()) {
+    this->cursor = records.back().offset + 1;
   }
-  this->nextRead = records.back().offset + 1;
-  this->Run([this, oldest, records = std::move(records)] {
-    this->entry->OnLogOldest(this->site.schedule.Read(), oldest);
-    this->entry->OnLogRecords(this->site.schedule.Read(), records);
+  this->Run([this, oldest = log.Oldest(), records = std::move(records)] {
+    const Now now = this->site.schedule.Read();
+    this->entry->OnLogOldest(now, oldest);
+    if (!records.empty()) {
+      this->entry->OnLogRecords(now, records);
+    }
   });
 }
 
