Test that a new life of an agent denies nothing of its earlier one (red)

random_run/earlier_failures_stay_mended and random_run/repeat_after_restart_of_the_agent_does_not_run_again fail here: told not_run of a request that arrived; a booking ran twice.

--- a/src/bench/fault_plan.cpp
+++ b/src/bench/fault_plan.cpp
@@ -274,6 +274,9 @@
     this->MakeService(job, true);
     callers.Submit(job);
     callers.Submit(RetryOf(job, this->world.TheSite()));
+    this->world.TheSite().schedule.After(milliseconds(aFault.forMs), [this, job] {
+      this->world.TheCallers().Submit(RetryOf(job, this->world.TheSite()));
+    });
   }
 
   // The caller of a request that crashes engines sends it again and again.
--- a/src/bench/fault_plan.h
+++ b/src/bench/fault_plan.h
@@ -29,7 +29,7 @@
   kRaceOperators,   // two operators change one account from the same revision
   kStartMove,       // of the model from v1 to v2
   kCrashingRequest, // kills each engine that runs it; its caller sends it again
-  kTwinCallers,     // one non-idempotent call comes through two entries at once
+  kTwinCallers,     // one non-idempotent call comes twice at once, and again later
   kCallersGone,     // some callers break their connections
 };
 
--- a/tests/bench/random_run_test.cpp
+++ b/tests/bench/random_run_test.cpp
@@ -68,6 +68,45 @@
   BOOST_TEST(result.template is<rc::detail::SuccessResult>(), text.str());
 }
 
+// Plans that broke an invariant once, with what was broken.
+BOOST_AUTO_TEST_CASE(earlier_failures_stay_mended)
+{
+  using enum FaultKind;
+  const std::vector<FaultRun> runs = {
+    // A caller that resumed a call at a service that never answers had no final answer.
+    { kSeed, { { kStallEndpoint, 16, 0, 1365, 737 }, { kKillEntry, 16, 0, 2102, 100 } } },
+    // A new life of an agent said that a request of its earlier life never ran.
+    { kSeed,
+      { { kKillEntry, 0, 0, 0, 380 },
+        { kKillAgent, 0, 0, 659, 100 },
+        { kKillEntry, 4, 0, 661, 100 },
+        { kPauseAgent, 0, 0, 0, 488 } } },
+  };
+  for (const FaultRun& run : runs) {
+    const FaultResult result = Execute(run);
+    BOOST_TEST(result.findings.empty(), run << "\n" << DescribeFindings(result));
+  }
+}
+
+// The same for a call that must run once: its repeat must not run because a new life of the agent
+// does not know of the first.
+BOOST_AUTO_TEST_CASE(repeat_after_restart_of_the_agent_does_not_run_again)
+{
+  using enum FaultKind;
+  for (std::uint32_t seed = 1; seed <= 12; ++seed) {
+    const FaultRun run{ seed,
+                        { { kStallEndpoint, 4, 0, 900, 600 },
+                          { kStallEndpoint, 5, 0, 900, 600 },
+                          { kTwinCallers, 0, 0, 1000, 1500 },
+                          { kKillEntry, 0, 0, 1200, 4000 },
+                          { kKillEntry, 1, 0, 1210, 4000 },
+                          { kKillAgent, 4, 0, 1220, 100 },
+                          { kKillAgent, 5, 0, 1220, 100 } } };
+    const FaultResult result = Execute(run);
+    BOOST_TEST(result.findings.empty(), run << "\n" << DescribeFindings(result));
+  }
+}
+
 // The first seeds of the long mode (scripts/soak).
 BOOST_AUTO_TEST_CASE(fixed_seeds_break_no_invariant)
 {
