--- a/src/core/shed.cpp
+++ b/src/core/shed.cpp
@@ -9,9 +9,9 @@
 
 using std::chrono::milliseconds;
 
-constexpr Duration kCutMargin = milliseconds(30); // offer, grant and dispatch after a cut
-constexpr Duration kLongestSpread = milliseconds(150);
-constexpr int kSpreadShare = 3; // spread of cuts: this part of the time to start
+constexpr Duration kCutMargin = milliseconds(40); // offer, grant and dispatch after a cut
+constexpr Duration kReplaceMargin = milliseconds(10);
+constexpr int kStepsToStart = 2; // the engine's step under way and the first one of the request
 
 // Order in which work is given up: greatest first.
 auto CutOrder(const Running& aRow)
@@ -64,25 +64,12 @@
   return victim;
 }
 
-bool CanMakeRoom(const RunningTable& aRunning, Tier aFor, std::uint32_t aHeld, std::uint32_t aLimit)
+StartPlan PlanStart(const Reservation& aReservation, const Pace& aPace, std::uint32_t aPending)
 {
-  const auto& rows = aRunning.Rows();
-  const auto cuttable = std::count_if(rows.begin(), rows.end(), [aFor](const Running& aRow) {
-    return aRow.tier > aFor && aRow.IsCuttable();
-  });
-  return cuttable > 0 && aHeld - static_cast<std::uint32_t>(cuttable) < aLimit;
-}
-
-StartPlan PlanStart(const Reservation& aReservation, const Pace& aPace, std::uint64_t aSalt)
-{
-  const Reserve& request = aReservation.request;
-  const Duration first = aPace.FirstToken(request.promptTokens);
+  const std::uint32_t prefill = aReservation.request.promptTokens + aPending;
+  const Duration first = aPace.FirstToken(prefill) + kStepsToStart * aPace.Gap();
   const TimePoint refuseAt = aReservation.startBy - first;
-  const Duration wait = std::max(refuseAt - aReservation.arrived, Duration::zero());
-  const Duration spread = std::min(kLongestSpread, wait / kSpreadShare);
-  const std::uint64_t draw = (request.id.low ^ request.id.high ^ aSalt) * 0x9E3779B97F4A7C15ULL;
-  const Duration jitter = spread * static_cast<int>(draw >> 48) / (1 << 16);
-  return StartPlan{ refuseAt - kCutMargin - jitter, refuseAt };
+  return StartPlan{ refuseAt - kCutMargin, refuseAt - kReplaceMargin, refuseAt };
 }
 
 } // namespace caraway
--- a/src/runtime/soup_listen.cpp
+++ b/src/runtime/soup_listen.cpp
@@ -2,38 +2,37 @@
 
 #include "runtime/error.h"
 
-#include <utility>
-
 namespace caraway {
 
 namespace {
 
-constexpr int kBacklog = 1024; // connections that wait to be accepted
-
-// Listening socket; the default backlog of GIO is too short for bursts of callers.
-ObjectPtr<GSocket> MakeListener(const Address& aAddress, GError** aError)
+ObjectPtr<GSocket> ListenSocket(const Address& aAddress, GError** aError)
 {
   const ObjectPtr<GSocketAddress> address(
     g_inet_socket_address_new_from_string(aAddress.host.c_str(), aAddress.port));
   ObjectPtr<GSocket> socket(g_socket_new(g_socket_address_get_family(address.get()),
                                          G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, aError));
-  if (!socket) {
-    return nullptr;
+  if (socket == nullptr) {
+    return socket;
+  }
+  g_socket_set_listen_backlog(socket.get(), kListenBacklog);
+  const bool listening = g_socket_bind(socket.get(), address.get(), TRUE, aError) != FALSE &&
+                         g_socket_listen(socket.get(), aError) != FALSE;
+  if (!listening) {
+    socket.reset();
   }
-  g_socket_set_listen_backlog(socket.get(), kBacklog);
-  const bool listening = g_socket_bind(socket.get(), address.get(), TRUE, aError) &&
-                         g_socket_listen(socket.get(), aError);
-  return listening ? std::move(socket) : nullptr;
+  return socket;
 }
 
 } // namespace
 
 std::error_code ListenAt(SoupServer* aServer, const Address& aAddress, bool aTls)
 {
-  const auto options = static_cast<SoupServerListenOptions>(aTls ? SOUP_SERVER_LISTEN_HTTPS : 0);
   GError* raw = nullptr;
-  const ObjectPtr<GSocket> socket = MakeListener(aAddress, &raw);
-  const bool done = socket && soup_server_listen_socket(aServer, socket.get(), options, &raw);
+  const ObjectPtr<GSocket> socket = ListenSocket(aAddress, &raw);
+  const auto options = static_cast<SoupServerListenOptions>(aTls ? SOUP_SERVER_LISTEN_HTTPS : 0);
+  const bool done =
+    socket != nullptr && soup_server_listen_socket(aServer, socket.get(), options, &raw) != FALSE;
   const ErrorPtr error(raw);
   return done ? std::error_code{} : ErrorOf(error.get());
 }
