--- a/src/daemons/load.cpp
+++ b/src/daemons/load.cpp
@@ -1,5 +1,6 @@
 // Open-loop load tool: sends seeded requests, checks every answer, reports goodput by tier.
 #include "standins/load_run.h"
+#include "standins/overhead.h"
 
 #include <boost/program_options.hpp>
 
@@ -23,6 +24,7 @@
   std::string jsonFile;
   std::string outcomesFile;
   bool direct = false;
+  caraway::OverheadOptions overhead;
 };
 
 void AddPlanOptions(po::options_description& aAll, caraway::LoadOptions& aLoad)
@@ -64,7 +66,11 @@
     "deadline of the whole answer")("follow-retry-after",
                                     po::bool_switch(&aTarget.followRetryAfter),
                                     "send refused requests again, once, when told to")(
-    "json", po::value(&aFlags.jsonFile), "file for the result")(
+    "overhead", po::value(&aFlags.overhead.engine),
+    "ip:port of an engine: compares first tokens directly and through the first target")(
+    "pairs", po::value(&aFlags.overhead.pairs)->default_value(aFlags.overhead.pairs),
+    "with --overhead: pairs of requests")("json", po::value(&aFlags.jsonFile),
+                                          "file for the result")(
     "outcomes", po::value(&aFlags.outcomesFile), "file for one line for each try");
 }
 
@@ -82,6 +88,19 @@
   return in.eof();
 }
 
+// Measures what the system adds to the first token; 0 if every answer was whole.
+int RunOverhead(const caraway::LoadOptions& aLoad, const caraway::OverheadOptions& aOverhead)
+{
+  const caraway::SystemClock clock;
+  GMainLoop* loop = g_main_loop_new(nullptr, FALSE);
+  caraway::OverheadRun run(aOverhead, aLoad, clock, [&] { g_main_loop_quit(loop); });
+  run.Start();
+  g_main_loop_run(loop);
+  g_main_loop_unref(loop);
+  std::cout << run.Summary() << " seed=" << aLoad.seed << "\n";
+  return run.Failures() == 0 ? 0 : 1;
+}
+
 int Run(const caraway::LoadOptions& aLoad, const caraway::LoadTarget& aTarget, const Flags& aFlags)
 {
   const caraway::SystemClock clock;
@@ -139,6 +158,10 @@
     std::cerr << "caraway-load: --tier-shares: four numbers with commas between them\n";
     return 2;
   }
+  if (!flags.overhead.engine.empty()) {
+    flags.overhead.entry = target.addresses.front();
+    return RunOverhead(load, flags.overhead);
+  }
   target.isEntry = !flags.direct;
   target.deadlines = { milliseconds(flags.startWithinMs), milliseconds(flags.endWithinMs) };
   return Run(load, target, flags);
--- a/src/standins/load_answer.cpp
+++ b/src/standins/load_answer.cpp
@@ -134,4 +134,10 @@
   return expected;
 }
 
+bool IsEventStream(SoupMessageHeaders* aHeaders)
+{
+  const char* type = soup_message_headers_get_content_type(aHeaders, nullptr);
+  return type != nullptr && std::string_view(type) == "text/event-stream";
+}
+
 } // namespace caraway
--- a/src/standins/load_answer.h
+++ b/src/standins/load_answer.h
@@ -4,6 +4,8 @@
 #include "runtime/sse_reader.h"
 #include "standins/load_plan.h"
 
+#include <libsoup/soup.h>
+
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -59,4 +61,7 @@
   bool done = false;
 };
 
+// True if the answer with these headers is a stream of server-sent events.
+bool IsEventStream(SoupMessageHeaders* aHeaders);
+
 } // namespace caraway
--- a/src/standins/load_plan.cpp
+++ b/src/standins/load_plan.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 using Json = nlohmann::json;
+constexpr double kLeastRate = 1e-9; // requests a second
 using Seconds = std::chrono::duration<double>;
 
 // Log-uniform in [aLow, aHigh].
@@ -42,7 +43,7 @@
 std::vector<Duration> DrawArrivals(Random& aRandom, const LoadOptions& aOptions)
 {
   std::vector<Duration> times;
-  std::exponential_distribution<double> gap(std::max(aOptions.rate, 1e-9));
+  std::exponential_distribution<double> gap(std::max(aOptions.rate, kLeastRate));
   for (double at = gap(aRandom.Engine()); at < aOptions.seconds; at += gap(aRandom.Engine())) {
     times.push_back(std::chrono::duration_cast<Duration>(Seconds(at)));
   }
--- a/src/standins/load_run.cpp
+++ b/src/standins/load_run.cpp
@@ -119,9 +119,7 @@
 
 void LoadRun::OnHead(Flight& aFlight, std::uint16_t aStatus, SoupMessageHeaders* aHeaders)
 {
-  const char* type = soup_message_headers_get_content_type(aHeaders, nullptr);
-  const bool isStream = type != nullptr && std::string_view(type) == "text/event-stream";
-  aFlight.answer.OnHead(aStatus, isStream);
+  aFlight.answer.OnHead(aStatus, IsEventStream(aHeaders));
   if (const char* retry = soup_message_headers_get_one(aHeaders, "Caraway-Retry-After-Ms")) {
     aFlight.retryAfter = milliseconds(std::strtoll(retry, nullptr, 10));
   }
