--- a/src/bench/host.cpp
+++ b/src/bench/host.cpp
@@ -203,7 +203,7 @@
   }
   this->site.schedule.After(kLogPoll, [this, aLife] { this->PollLog(aLife); });
   const LogModel& log = this->site.log;
-  if (log.Down()) {
+  if (log.Down() || this->Paused()) {
     return;
   }
   this->cursor = std::max(this->cursor, log.Oldest());
--- a/src/core/agent_impl.h
+++ b/src/core/agent_impl.h
@@ -104,7 +104,7 @@
   std::uint32_t PendingPrefill() const;
   const Running* VictimFor(Now aNow, const Reservation& aReservation) const;
   void OfferSlots(Now aNow);
-  void SendOffer(Now aNow, const RequestId& aId, bool aIsAlone);
+  void SendOffer(Now aNow, const RequestId& aId, bool aIsAlone, std::uint32_t aAllowed);
   const OpenOffer* FindOffer(const RequestId& aId) const;
   bool IsReserved(const RequestId& aId) const;
   void DropReservation(const RequestId& aId);
@@ -177,7 +177,6 @@
   EvidenceTotals evidence;
   std::map<NodeId, PeerState> peers;
   std::vector<BrokenWork> broken;
-  std::uint64_t salt;
   std::uint64_t lastOffer = 0;
   bool isLeaving = false;
   bool wasDrained = false;
--- a/src/runtime/link_hub.cpp
+++ b/src/runtime/link_hub.cpp
@@ -7,6 +7,11 @@
 
 namespace caraway {
 
+namespace {
+
+
+} // namespace
+
 // Keeps one outgoing connection alive.
 struct LinkHub::Dialer
 {
