Deny nothing of an earlier life of the agent

Cause: an agent that was killed and started again knows nothing of what its earlier life ran, and answered a query with never_ran. A caller that resumed through another entry was told not_run of a request that had run; worse, the repeat of a booking ran a second time, because its entry took never_ran as the agent's word that the first claim was free.

A query now says whether its sender itself sent the grant to this life. For any other one the agent says never_ran only of what it holds a reservation or a tombstone for, or of ids made a minute (the clock skew) after its start. Ruled out: naming the incarnation in the claim and the resume header, which changes a record and a header that callers keep.

--- a/src/core/agent.cpp
+++ b/src/core/agent.cpp
@@ -44,6 +44,7 @@
 
 void Agent::Impl::OnPeerUp(Now aNow, Peer aPeer, const Hello& aHello)
 {
+  this->bornAt = this->bornAt.value_or(aNow.wall);
   if (this->peers.contains(aPeer.node)) {
     this->OnPeerDown(aNow, aPeer.node);
   }
--- a/src/core/agent_impl.h
+++ b/src/core/agent_impl.h
@@ -136,6 +136,7 @@
   void SayNotRun(Now aNow, NodeId aTo, const RequestId& aId, Reason aReason);
   void SayUnknown(NodeId aTo, const RequestId& aId, Reason aReason);
   RunState StateOf(const Query& aQuery, const Answer* aAnswer) const;
+  bool MayBeOfEarlierLife(const RequestId& aId) const;
 
   // Health.
   Duration SilenceLimit(const Running& aRunning) const;
@@ -180,6 +181,7 @@
   std::uint64_t salt;
   std::uint64_t lastOffer = 0;
   bool isLeaving = false;
+  std::optional<WallTime> bornAt; // first link of this life
   bool wasDrained = false;
   bool isProbing = false;
   TimePoint probedAt{};
--- a/src/core/agent_work.cpp
+++ b/src/core/agent_work.cpp
@@ -1,5 +1,6 @@
 // Dispatched work of an agent: grants, answers, and the health of the endpoint.
 #include "core/agent_impl.h"
+#include "core/uuid.h"
 
 #include <algorithm>
 
@@ -7,6 +8,7 @@
 
 namespace {
 
+constexpr auto kClockSkew = minutes(1); // largest between the clocks of two processes
 constexpr Duration kHealthPeriod = milliseconds(50);
 constexpr Duration kCrashWindow = seconds(3); // broken work counts as running when a crash shows
 constexpr int kSilentShare = 2; // offers stop at this part of the silence that is a stall
@@ -339,7 +341,18 @@
   }
   const Tombstone tombstone = this->tombstones.Find(aQuery.id);
   const bool mayHaveRun = tombstone == Tombstone::kRan || tombstone == Tombstone::kForgotten;
-  return mayHaveRun ? RunState::kForgotten : RunState::kNeverRan;
+  const bool isKnownHere = aQuery.granted || reserved != nullptr || tombstone == Tombstone::kBuried;
+  if (mayHaveRun || (!isKnownHere && this->MayBeOfEarlierLife(aQuery.id))) {
+    return RunState::kForgotten;
+  }
+  return RunState::kNeverRan;
+}
+
+// The request may have run in an earlier life of this process, of which nothing is kept.
+bool Agent::Impl::MayBeOfEarlierLife(const RequestId& aId) const
+{
+  const std::optional<WallTime> made = TimeOfUuid7(aId);
+  return !made || !this->bornAt || *made <= *this->bornAt + kClockSkew;
 }
 
 // Sends the chunks from a number on, and the Finish if there is one.
--- a/src/core/entry_answer.cpp
+++ b/src/core/entry_answer.cpp
@@ -89,6 +89,7 @@
   query.nextChunk = aPending.assembly.Next();
   query.account = aPending.submission.account;
   query.bury = aBury;
+  query.granted = aPending.grants > 0;
   aPending.lastHeard = aNow.steady;
   this->port.Send(aPending.agent->node, query);
   this->Schedule(aPending);
--- a/src/core/messages.h
+++ b/src/core/messages.h
@@ -194,14 +194,15 @@
 {
   RequestId id;
   std::uint32_t nextChunk = 0;
-  std::string account; // the answer is given to the owner only
-  bool bury = false;   // if the request has not run, refuse a late grant (tombstone)
-  bool take = true;    // the sender becomes the receiver of the answer; false: only asks
+  std::string account;  // the answer is given to the owner only
+  bool bury = false;    // if the request has not run, refuse a late grant (tombstone)
+  bool take = true;     // the sender becomes the receiver of the answer; false: only asks
+  bool granted = false; // the sender itself sent the grant, to this life of the agent
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(id, nextChunk, account, bury, take);
+    aArchive(id, nextChunk, account, bury, take, granted);
   }
 };
 
