--- a/src/bench/audit.cpp
+++ b/src/bench/audit.cpp
@@ -140,6 +140,11 @@
   }
 }
 
+void Audit::OnStart(NodeId aNode)
+{
+  this->leavingSince.erase(aNode);
+}
+
 void Audit::OnLeaving(NodeId aNode)
 {
   this->leavingSince[aNode] = this->world.TheSite().schedule.Time();
--- a/src/bench/audit.h
+++ b/src/bench/audit.h
@@ -31,6 +31,7 @@
   void OnPart(const Job& aJob, const std::string& aData) override;
   void OnFinal(const Job& aJob, const FinalAnswer& aAnswer) override;
   void OnEvent(NodeId aNode, const Event& aEvent) override;
+  void OnStart(NodeId aNode) override;
   void OnLeaving(NodeId aNode) override;
   void OnLeft(NodeId aNode, std::size_t aOpen) override;
   void OnCallerLeft(const Job& aJob) override;
--- a/src/bench/host.cpp
+++ b/src/bench/host.cpp
@@ -30,6 +30,9 @@
   this->paused = false;
   this->leaving = false;
   this->armed = kNever;
+  for (Observer* observer : this->site.observers) {
+    observer->OnStart(this->node);
+  }
   this->Create();
   this->site.network.Attach(*this);
   this->Arm();
--- a/src/bench/site.h
+++ b/src/bench/site.h
@@ -23,6 +23,8 @@
   virtual void OnPart(const Job& /*aJob*/, const std::string& /*aData*/) {}
   virtual void OnFinal(const Job& /*aJob*/, const FinalAnswer& /*aAnswer*/) {}
   virtual void OnEvent(NodeId /*aNode*/, const Event& /*aEvent*/) {}
+  // A new life of a process begins.
+  virtual void OnStart(NodeId /*aNode*/) {}
   virtual void OnLeaving(NodeId /*aNode*/) {}
   // A leaving process has ended; aOpen: requests that it still had in hand.
   virtual void OnLeft(NodeId /*aNode*/, std::size_t /*aOpen*/) {}
