--- a/src/core/entry.cpp
+++ b/src/core/entry.cpp
@@ -116,7 +116,7 @@
   request.endBy = aNow.steady + request.submission.endWithin;
   this->Note(aNow, EventKind::kAccepted, request, NodeId{},
              { Field("tier", std::to_string(request.submission.tier)),
-               Field("kind", std::string(ToString(request.submission.kind))) });
+               Field("work", std::string(ToString(request.submission.kind))) });
   if (request.submission.kind == WorkKind::kOnce) {
     this->BeginClaim(aNow, request);
   } else {
--- a/src/tools/event_order.cpp
+++ b/src/tools/event_order.cpp
@@ -158,6 +158,15 @@
   return earliest->second;
 }
 
+// Puts an effect behind its cause. The next event of the same process keeps its distance, so that a
+// clock that is behind is corrected from there on.
+void RaiseTime(const ReportedEvent& aCause, ReportedEvent& aEffect)
+{
+  const bool sameProcess = aCause.node == aEffect.node;
+  const auto shift = sameProcess ? aCause.ordered - aCause.wall : milliseconds(0);
+  aEffect.ordered = std::max({ aEffect.ordered, aCause.ordered, aEffect.wall + shift });
+}
+
 std::string TextOf(const Json& aJson, const char* aName)
 {
   const auto found = aJson.find(aName);
@@ -217,7 +226,7 @@
     done[index] = true;
     order.push_back(index);
     for (const std::size_t effect : next[index]) {
-      aEvents[effect].ordered = std::max(aEvents[effect].ordered, aEvents[index].ordered);
+      RaiseTime(aEvents[index], aEvents[effect]);
       if (--waiting[effect] == 0) {
         ready.emplace(aEvents[effect].ordered, effect);
       }
