Keep connections to a subset of the agents

ChooseSubset ranks the agents of a pool and version by a hash of both names (rendezvous), takes two of each failure domain and fills up to 20; smaller pools are taken whole, as today's are.

--- a/src/runtime/membership.cpp
+++ b/src/runtime/membership.cpp
@@ -1,5 +1,7 @@
 #include "runtime/membership.h"
 
+#include "core/subset.h"
+
 #include <algorithm>
 #include <vector>
 
@@ -40,15 +42,30 @@
   return aSelf < aOther || !IsSuccessor(aRing, aOther, aSelf);
 }
 
+// Names of the agents that the entry keeps connections to.
+std::vector<std::string> ChooseAgents(const std::string& aSelf, std::span<const Vm> aVms)
+{
+  std::vector<SubsetMember> members;
+  for (const Vm& vm : aVms) {
+    if (vm.role == Role::kAgent) {
+      members.push_back({ vm.name, vm.failureDomain, vm.pool, vm.version });
+    }
+  }
+  return ChooseSubset(aSelf, members, SubsetOptions{});
+}
+
 } // namespace
 
 std::set<Address> ChoosePeers(const std::string& aSelf, std::span<const Vm> aVms)
 {
   const NodeId self = NodeIdOf(aSelf);
   const std::vector<NodeId> ring = RingOf(self, aVms);
+  const std::vector<std::string> agents = ChooseAgents(aSelf, aVms);
   std::set<Address> chosen;
   for (const Vm& vm : aVms) {
-    if (vm.role == Role::kAgent || ConnectsTo(ring, self, NodeIdOf(vm.name))) {
+    const bool wanted = vm.role == Role::kAgent ? std::ranges::binary_search(agents, vm.name)
+                                                : ConnectsTo(ring, self, NodeIdOf(vm.name));
+    if (wanted) {
       chosen.insert(Address{ vm.address, vm.port });
     }
   }
