Let the old version serve when the new one cannot; choose the version before the claim

While a move ran, a request chosen for the new version was refused when that version had no endpoint or no room (4 of 200 requests at a share of 2%, all of them near the end of the move), after a move when the new version was gone, and a claimed call when its agent, named without regard to the version, was of the other one (52 of 100).

No functional change to requests outside a move.

--- a/src/core/entry_claim.cpp
+++ b/src/core/entry_claim.cpp
@@ -4,13 +4,12 @@
 
 namespace caraway {
 
-// Names one agent for the call and claims the key for it.
+// Names one agent for the call, of the version that a running move chose, and claims the key for
+// it.
 void Entry::Impl::BeginClaim(Now aNow, Pending& aPending)
 {
-  this->peers.Candidates(aPending.submission.pool, std::nullopt, this->candidates);
-  std::erase_if(this->candidates, [&](const Candidate& aCandidate) {
-    return !this->MayRun(aPending, aCandidate.node);
-  });
+  aPending.claimAgent = NodeId{};
+  this->FindCandidates(aNow, aPending);
   if (this->candidates.empty()) {
     this->Finalize(
       aNow, aPending,
--- a/src/core/entry_impl.h
+++ b/src/core/entry_impl.h
@@ -102,6 +102,8 @@
   void AskHolder(Now aNow, Pending& aPending, const ClaimDecision& aDecision);
   void HolderReply(Now aNow, Pending& aPending, const QueryReply& aReply);
 
+  void FindCandidates(Now aNow, Pending& aPending);
+  void FilterCandidates(const Pending& aPending);
   void Place(Now aNow, Pending& aPending);
   void Reserve(Now aNow, Pending& aPending, NodeId aNode);
   bool MayRun(const Pending& aPending, NodeId aNode) const;
--- a/src/core/entry_place.cpp
+++ b/src/core/entry_place.cpp
@@ -45,19 +45,41 @@
   return std::find(asked.begin(), asked.end(), aNode) == asked.end();
 }
 
-// Places reservations with agents that were not asked yet; gives up when there are none.
-void Entry::Impl::Place(Now aNow, Pending& aPending)
+// Agents that may take the request, of the version that a running move chose for it. If there are
+// none the move's fallback serves, so that a version without endpoints or without room refuses
+// nobody.
+void Entry::Impl::FindCandidates(Now aNow, Pending& aPending)
 {
   const Submission& submission = aPending.submission;
   if (!aPending.version || this->moves.IsBraked(submission.pool, *aPending.version)) {
     aPending.version = this->moves.Choose(aNow, submission.pool, submission.route);
   }
-  this->peers.Candidates(submission.pool, aPending.version, this->candidates);
+  this->FilterCandidates(aPending);
+  if (!this->candidates.empty() || HasOpenReservation(aPending)) {
+    return;
+  }
+  const std::optional<std::string> fallback = this->moves.Fallback(submission.pool);
+  if (fallback != aPending.version) {
+    aPending.version = fallback;
+    this->FilterCandidates(aPending);
+  }
+}
+
+void Entry::Impl::FilterCandidates(const Pending& aPending)
+{
+  const bool isClaimed = aPending.claimAgent != NodeId{};
+  this->peers.Candidates(aPending.submission.pool, aPending.version, this->candidates);
   std::erase_if(this->candidates, [&](const Candidate& aCandidate) {
-    const bool claimedElsewhere =
-      submission.kind == WorkKind::kOnce && aCandidate.node != aPending.claimAgent;
+    const bool claimedElsewhere = isClaimed && aCandidate.node != aPending.claimAgent;
     return claimedElsewhere || !this->MayRun(aPending, aCandidate.node);
   });
+}
+
+// Places reservations with agents that were not asked yet; gives up when there are none.
+void Entry::Impl::Place(Now aNow, Pending& aPending)
+{
+  const Submission& submission = aPending.submission;
+  this->FindCandidates(aNow, aPending);
   if (this->candidates.empty()) {
     if (!HasOpenReservation(aPending)) {
       const Reason reason =
--- a/src/core/move.cpp
+++ b/src/core/move.cpp
@@ -182,6 +182,7 @@
 
   void OnConfig(Now aNow, const ConfigState& aConfig);
   std::optional<std::string> Choose(Now aNow, const std::string& aPool, const std::string& aRoute);
+  std::optional<std::string> Fallback(const std::string& aPool) const;
   bool IsBraked(const std::string& aPool, const std::string& aVersion) const;
   void OnOutcome(Now aNow, const std::string& aPool, const std::string& aVersion,
                  const std::string& aRoute, std::uint8_t aLoadLevel, Quality aQuality);
@@ -322,6 +323,17 @@
   return this->RouteOf(aNow, tracked, aRoute).ramp.Take() ? move.to : move.from;
 }
 
+// While a move runs the old version may always be used instead; the new one must not get more than
+// its share.
+std::optional<std::string> MoveController::Impl::Fallback(const std::string& aPool) const
+{
+  const auto found = this->tracked.find(aPool);
+  if (found == this->tracked.end() || found->second.move.stage == MoveStage::kDone) {
+    return std::nullopt;
+  }
+  return found->second.move.from;
+}
+
 bool MoveController::Impl::IsBraked(const std::string& aPool, const std::string& aVersion) const
 {
   const auto found = this->tracked.find(aPool);
@@ -681,6 +693,11 @@
   return this->impl->Choose(aNow, aPool, aRoute);
 }
 
+std::optional<std::string> MoveController::Fallback(const std::string& aPool) const
+{
+  return this->impl->Fallback(aPool);
+}
+
 bool MoveController::IsBraked(const std::string& aPool, const std::string& aVersion) const
 {
   return this->impl->IsBraked(aPool, aVersion);
--- a/src/core/move.h
+++ b/src/core/move.h
@@ -42,6 +42,8 @@
 
   // Version for a new request; none: any version serves.
   std::optional<std::string> Choose(Now aNow, const std::string& aPool, const std::string& aRoute);
+  // Version to use when no endpoint of the chosen one can take the request; none: any version.
+  std::optional<std::string> Fallback(const std::string& aPool) const;
   // A version that must get nothing new.
   bool IsBraked(const std::string& aPool, const std::string& aVersion) const;
 
--- a/tests/core/move_test.cpp
+++ b/tests/core/move_test.cpp
@@ -1,4 +1,6 @@
 #include "core/move.h"
+#include "core/uuid.h"
+#include "entry_fixture.h"
 #include "move_world.h"
 #include "property.h"
 
@@ -143,4 +145,118 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+namespace {
+
+// An entry with two versions of a pool and a move between them.
+struct MovingEntry : EntryFixture
+{
+  Peer AddVersion(const std::string& aName, const std::string& aVersion)
+  {
+    const Peer peer{ NodeIdOf(aName), Incarnation{ 1 } };
+    Hello hello;
+    hello.role = Role::kAgent;
+    hello.name = aName;
+    hello.pool = "model";
+    hello.version = aVersion;
+    hello.freeSlots = 4;
+    this->entry.OnPeerUp(this->now, peer, hello);
+    return peer;
+  }
+
+  void StartMove()
+  {
+    nlohmann::json body = test::MoveBody("model");
+    const auto start = this->now.wall.time_since_epoch().count();
+    body["started_at_ms"] = start;
+    body["finish_by_ms"] = start + 600000;
+    this->AddRecord(test::MakeRecord(RecordKind::kMove, "m", "c1", std::nullopt, body));
+  }
+
+  void AddRecord(const Record& aRecord)
+  {
+    this->entry.OnLogRecords(this->now, { { this->next++, EncodeRecord(aRecord) } });
+  }
+
+  LogOffset next = 0;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(move_entry, MovingEntry)
+
+BOOST_AUTO_TEST_CASE(a_new_version_without_endpoints_refuses_nobody)
+{
+  const Peer old = AddVersion("agent-1", "v1");
+  StartMove();
+  for (std::uint64_t number = 0; number < 200; ++number) {
+    Submit(number);
+  }
+  BOOST_TEST(port.finals.empty());
+  BOOST_TEST(port.SentTo<Reserve>(old.node).size() == 200U);
+}
+
+BOOST_AUTO_TEST_CASE(a_new_version_without_room_hands_its_requests_to_the_old_one)
+{
+  const Peer old = AddVersion("agent-1", "v1");
+  const Peer fresh = AddVersion("agent-2", "v2");
+  StartMove();
+  for (std::uint64_t number = 0; number < 200; ++number) {
+    Submit(number);
+  }
+  const auto reserved = port.SentTo<Reserve>(fresh.node);
+  BOOST_REQUIRE(!reserved.empty());
+  BOOST_TEST(reserved.size() <= 5U);
+  for (const Reserve& reserve : reserved) {
+    entry.OnMessage(now, fresh, Refuse{ reserve.id, Reason::kOverload, seconds(1), false });
+  }
+  BOOST_TEST(port.finals.empty());
+  BOOST_TEST(port.SentTo<Reserve>(old.node).size() == 200U);
+}
+
+BOOST_AUTO_TEST_CASE(after_a_move_any_version_serves_if_the_new_one_is_gone)
+{
+  StartMove();
+  AddRecord(test::MakeRecord(RecordKind::kVerdict, "m", "c2", 0, test::VerdictBody("m", "done")));
+  const Peer third = AddVersion("agent-3", "v3");
+  Submit(1);
+  BOOST_TEST(port.finals.empty());
+  BOOST_TEST(port.SentTo<Reserve>(third.node).size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_claimed_call_goes_to_the_version_that_its_move_chose)
+{
+  const Peer old = AddVersion("agent-1", "v1");
+  const Peer fresh = AddVersion("agent-2", "v2");
+  StartMove();
+  for (std::uint64_t number = 0; number < 100; ++number) {
+    Submission submission;
+    submission.id = RequestId{ 8, number };
+    submission.account = "shop";
+    submission.pool = "model";
+    submission.route = "/order";
+    submission.kind = WorkKind::kOnce;
+    submission.idempotencyKey = FormatUuid(MakeUuid7(now.wall, random));
+    submission.startWithin = seconds(1);
+    submission.endWithin = seconds(20);
+    entry.OnSubmit(now, submission);
+  }
+  Advance(std::chrono::milliseconds(10));
+  while (!port.appends.empty()) {
+    const auto appends = std::exchange(port.appends, {});
+    for (const auto& [token, records] : appends) {
+      entry.OnAppended(now, token, AppendResult::kAppended, next);
+      for (const std::string& record : records) {
+        entry.OnLogRecords(now, { { next++, record } });
+      }
+    }
+    Advance(std::chrono::milliseconds(10));
+  }
+  BOOST_TEST(port.finals.empty());
+  BOOST_TEST(port.SentTo<Reserve>(fresh.node).size() <= 3U);
+  BOOST_TEST(port.SentTo<Reserve>(old.node).size() + port.SentTo<Reserve>(fresh.node).size() ==
+             100U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 } // namespace caraway
