--- a/src/runtime/agent_host.cpp
+++ b/src/runtime/agent_host.cpp
@@ -153,9 +153,6 @@
 
 void AgentHost::OnWorkChunk(const RequestId& aId, std::uint32_t aTokens, const std::string& aData)
 {
-  if (this->settings.endpointKind == WorkKind::kService) {
-    return; // the result holds the whole body
-  }
   this->agent.OnWorkChunk(this->clock.Read(), aId, aTokens, aData);
   this->AfterInput();
 }
--- a/src/runtime/link.cpp
+++ b/src/runtime/link.cpp
@@ -65,7 +65,6 @@
   , owner(aOwner)
   , nonce(MakeNonce())
   , tick([this] { this->OnTick(); })
-  , flush([this] { this->Flush(); })
 {
 }
 
@@ -86,7 +85,7 @@
   this->readSource = g_socket_create_source(this->socket, G_IO_IN, nullptr);
   g_source_set_callback(this->readSource, G_SOURCE_FUNC(&Link::OnReadable), this, nullptr);
   g_source_attach(this->readSource, g_main_context_get_thread_default());
-  this->ArmFlush();
+  this->AskForFlush();
   this->tick.ArmAfter(this->options.heartbeat);
 }
 
@@ -104,14 +103,14 @@
 {
   AppendFrame(this->output, *this->session, this->direction, this->sendSequence++, aPayload);
   this->sentSinceTick = true;
-  this->ArmFlush();
+  this->AskForFlush();
 }
 
-void Link::ArmFlush()
+void Link::AskForFlush()
 {
-  if (!this->flushArmed) {
-    this->flushArmed = true;
-    this->flush.ArmAfter(Duration::zero());
+  if (!this->flushAsked) {
+    this->flushAsked = true;
+    this->owner.OnLinkPending(*this);
   }
 }
 
@@ -123,7 +122,6 @@
   const auto keep = this->shared_from_this();
   this->ended = true;
   this->tick.Cancel();
-  this->flush.Cancel();
   DestroySource(this->readSource);
   DestroySource(this->writeSource);
   g_socket_close(this->socket, nullptr);
@@ -237,7 +235,7 @@
 void Link::Flush()
 {
   const auto keep = this->shared_from_this();
-  this->flushArmed = false;
+  this->flushAsked = false;
   while (!this->ended && this->sent < this->output.size()) {
     GError* raw = nullptr;
     const gssize count = g_socket_send(this->socket, this->output.data() + this->sent,
--- a/src/runtime/link.h
+++ b/src/runtime/link.h
@@ -58,6 +58,8 @@
   virtual ~LinkOwner() = default;
   // The handshake is complete; the first frame may be sent.
   virtual void OnLinkReady(Link& aLink) = 0;
+  // Frames are queued: the owner calls Flush from the main loop.
+  virtual void OnLinkPending(Link& aLink) = 0;
   virtual void OnLinkEnvelope(Link& aLink, const Envelope& aEnvelope) = 0;
   // Last call for aLink.
   virtual void OnLinkEnd(Link& aLink, LinkEnd aEnd) = 0;
@@ -76,6 +78,8 @@
   void Start();
   // Queues an envelope. A full queue or broken socket ends the link later, from the main loop.
   void Send(const Envelope& aEnvelope);
+  // Writes what is queued, as far as the socket takes it.
+  void Flush();
   // Ends the link and reports it.
   void End(LinkEnd aEnd);
 
@@ -96,8 +100,7 @@
   bool ReadFrame(std::size_t& aOffset);
   bool TakePayload(std::string_view aPayload, std::string_view aMac);
   void AppendPayload(std::string_view aPayload);
-  void ArmFlush();
-  void Flush();
+  void AskForFlush();
   void WatchWritable();
   void OnTick();
   Direction RemoteDirection() const;
@@ -122,12 +125,11 @@
   TimePoint receivedAt;
   TimePoint tickedAt;
   bool sentSinceTick = false;
-  bool flushArmed = false;
+  bool flushAsked = false;
   bool ended = false;
   GSource* readSource = nullptr;
   GSource* writeSource = nullptr;
   Timer tick;
-  Timer flush;
 };
 
 } // namespace caraway
--- a/src/runtime/link_hub.cpp
+++ b/src/runtime/link_hub.cpp
@@ -9,6 +9,13 @@
 
 namespace {
 
+// Source of the main loop with the hub that it flushes. It needs no timer and no wake-up: the loop
+// asks it before each wait.
+struct FlushSource
+{
+  GSource base;
+  LinkHub* hub;
+};
 
 } // namespace
 
@@ -42,10 +49,18 @@
   , client(g_socket_client_new())
 {
   g_socket_client_set_enable_proxy(this->client.get(), FALSE);
+  static GSourceFuncs functions = {
+    &LinkHub::HasPending, nullptr, &LinkHub::FlushPending, nullptr, nullptr, nullptr
+  };
+  this->flushSource = g_source_new(&functions, sizeof(FlushSource));
+  reinterpret_cast<FlushSource*>(this->flushSource)->hub = this;
+  g_source_attach(this->flushSource, g_main_context_get_thread_default());
 }
 
 LinkHub::~LinkHub()
 {
+  g_source_destroy(this->flushSource);
+  g_source_unref(this->flushSource);
   for (const auto& [address, dialer] : this->dialers) {
     if (dialer->cancellable) {
       g_cancellable_cancel(dialer->cancellable.get());
@@ -205,6 +220,30 @@
   return link;
 }
 
+int LinkHub::HasPending(GSource* aSource, int* aTimeout)
+{
+  *aTimeout = -1;
+  return !reinterpret_cast<FlushSource*>(aSource)->hub->pending.empty();
+}
+
+// Messages that were sent in one turn of the main loop leave in one system call for each link.
+int LinkHub::FlushPending(GSource* aSource, GSourceFunc, void*)
+{
+  LinkHub* hub = reinterpret_cast<FlushSource*>(aSource)->hub;
+  const std::vector<std::weak_ptr<Link>> links = std::exchange(hub->pending, {});
+  for (const std::weak_ptr<Link>& weak : links) {
+    if (const std::shared_ptr<Link> link = weak.lock()) {
+      link->Flush();
+    }
+  }
+  return G_SOURCE_CONTINUE;
+}
+
+void LinkHub::OnLinkPending(Link& aLink)
+{
+  this->pending.push_back(aLink.weak_from_this());
+}
+
 void LinkHub::OnLinkReady(Link& aLink)
 {
   this->SendHello(aLink);
--- a/src/runtime/link_hub.h
+++ b/src/runtime/link_hub.h
@@ -61,6 +61,7 @@
   std::size_t PeerCount() const { return this->peers.size(); }
 
   void OnLinkReady(Link& aLink) override;
+  void OnLinkPending(Link& aLink) override;
   void OnLinkEnvelope(Link& aLink, const Envelope& aEnvelope) override;
   void OnLinkEnd(Link& aLink, LinkEnd aEnd) override;
 
@@ -69,6 +70,8 @@
 
   static int OnIncoming(GSocketService* aService, GSocketConnection* aConnection, GObject* aSource,
                         void* aData);
+  static int HasPending(GSource* aSource, int* aTimeout);
+  static int FlushPending(GSource* aSource, GSourceFunc aFunction, void* aData);
   static void OnConnected(GObject* aSource, GAsyncResult* aResult, void* aData);
   void Connect(Dialer& aDialer);
   void Retry(Dialer& aDialer);
@@ -90,6 +93,8 @@
   ObjectPtr<GSocketClient> client;
   std::map<Link*, std::shared_ptr<Link>> links;
   std::map<NodeId, Link*> peers;
+  std::vector<std::weak_ptr<Link>> pending; // links with queued frames
+  GSource* flushSource;
   std::map<Address, std::unique_ptr<Dialer>> dialers;
 };
 
