Let a drained agent tell its entries

Cause: the host overwrote the leaving mark of the decisions by its own. The Hello is also built once a period, not for every input.

--- a/src/runtime/agent_host.cpp
+++ b/src/runtime/agent_host.cpp
@@ -11,13 +11,6 @@
 // Hints of free slots and speed are only told this often; they are stale by nature.
 constexpr Duration kHintPeriod = std::chrono::milliseconds(500);
 
-// True when aNew differs in more than its hints.
-bool DiffersInFacts(const Hello& aOld, const Hello& aNew)
-{
-  return aOld.leaving != aNew.leaving || aOld.configOffset != aNew.configOffset ||
-         aOld.name != aNew.name;
-}
-
 AgentIdentity IdentityOf(const AgentSettings& aSettings)
 {
   return { aSettings.name, aSettings.region,  aSettings.failureDomain,
@@ -67,8 +60,7 @@
   status["failure_domain"] = this->settings.failureDomain;
   status["pool"] = this->settings.pool;
   status["version"] = this->settings.version;
-  status["leaving"] = this->leaving;
-  status["ready"] = !this->leaving;
+  status["ready"] = !status.value("leaving", this->leaving);
   status["config_offset"] = this->agent.Config().Next();
   status["links"] = this->hub.PeerCount();
   return status.dump();
@@ -191,26 +183,22 @@
 void AgentHost::AnnounceChanges()
 {
   const TimePoint now = this->clock.Read().steady;
-  const Hello hello = this->CurrentHello();
+  const bool factsChanged = this->announced.name.empty() ||
+                            this->announced.leaving != this->leaving ||
+                            this->announced.configOffset != this->agent.Config().Next();
   const Duration sinceHints = now - this->hintsSentAt;
-  if (!DiffersInFacts(this->announced, hello) && sinceHints < kHintPeriod) {
+  if (!factsChanged && sinceHints < kHintPeriod) {
     if (!this->hintArmed) {
       this->hintArmed = true;
       this->hintTimer.ArmAfter(kHintPeriod - sinceHints);
     }
     return;
   }
+  const Hello hello = this->agent.CurrentHello();
   this->announced = hello;
   this->hintsSentAt = now;
   this->observer.Meters().SetConfigOffset(hello.configOffset);
   this->hub.Announce(hello);
 }
 
-Hello AgentHost::CurrentHello() const
-{
-  Hello hello = this->agent.CurrentHello();
-  hello.leaving = this->leaving;
-  return hello;
-}
-
 } // namespace caraway
--- a/src/runtime/agent_host.h
+++ b/src/runtime/agent_host.h
@@ -56,7 +56,6 @@
 private:
   void AfterInput();
   void AnnounceChanges();
-  Hello CurrentHello() const;
 
   AgentSettings settings;
   const Clock& clock;
