--- a/src/runtime/address.h
+++ b/src/runtime/address.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <tuple>
 
 namespace caraway {
 
@@ -17,7 +18,10 @@
   std::uint16_t port = 0;
 
   friend bool operator==(const Address&, const Address&) = default;
-  friend auto operator<=>(const Address&, const Address&) = default;
+  friend bool operator<(const Address& aLeft, const Address& aRight)
+  {
+    return std::tie(aLeft.host, aLeft.port) < std::tie(aRight.host, aRight.port);
+  }
 };
 
 // Reads "ip:port" or "[ip6]:port"; nullopt for host names and malformed text.
--- a/src/runtime/frame.cpp
+++ b/src/runtime/frame.cpp
@@ -89,7 +89,7 @@
   return nonce;
 }
 
-void SessionKey::HmacFree::operator()(_GHmac* aHmac) const
+void SessionKey::HmacFree::operator()(GHmac* aHmac) const
 {
   g_hmac_unref(aHmac);
 }
--- a/src/runtime/frame.h
+++ b/src/runtime/frame.h
@@ -4,6 +4,8 @@
 
 #include "core/messages.h"
 
+#include <glib.h>
+
 #include <array>
 #include <cstddef>
 #include <cstdint>
@@ -12,8 +14,6 @@
 #include <string>
 #include <string_view>
 
-struct _GHmac;
-
 namespace caraway {
 
 constexpr std::size_t kNonceBytes = 16;
@@ -47,9 +47,9 @@
 private:
   struct HmacFree
   {
-    void operator()(_GHmac* aHmac) const;
+    void operator()(GHmac* aHmac) const;
   };
-  std::unique_ptr<_GHmac, HmacFree> keyed; // keyed context, copied for each frame
+  std::unique_ptr<GHmac, HmacFree> keyed; // keyed context, copied for each frame
 };
 
 // Compares in constant time.
--- a/src/runtime/link.cpp
+++ b/src/runtime/link.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr std::size_t kReadBytes = 64 * 1024;
+constexpr std::size_t kReadBytes = 65536;
 // Limit of the first frame, whose sender has not yet proved that it holds the key.
 constexpr std::uint32_t kMaxHelloBytes = 4096;
 // A tick this many heartbeats late means that this process itself was paused.
--- a/src/runtime/membership.cpp
+++ b/src/runtime/membership.cpp
@@ -28,8 +28,7 @@
     }
   }
   std::ranges::sort(ring);
-  const auto rest = std::ranges::unique(ring);
-  ring.erase(rest.begin(), rest.end());
+  ring.erase(std::unique(ring.begin(), ring.end()), ring.end());
   return ring;
 }
 
--- a/src/runtime/process.h
+++ b/src/runtime/process.h
@@ -11,11 +11,11 @@
 #include "runtime/timeline.h"
 #include "runtime/timer.h"
 
+#include <glib.h>
+
 #include <functional>
 #include <string>
 
-struct _GMainLoop;
-
 namespace caraway {
 
 // Identity of this life of the process: the wall clock in microseconds grows from start to start.
@@ -59,7 +59,7 @@
   AdminView& view;
   std::function<bool()> done;
   std::function<void()> onLeaving;
-  _GMainLoop* loop;
+  GMainLoop* loop;
   unsigned signals = 0;
   int exitCode = 0;
   bool lingering = false;
--- a/src/runtime/timer.h
+++ b/src/runtime/timer.h
@@ -3,9 +3,9 @@
 
 #include "core/types.h"
 
-#include <functional>
+#include <glib.h>
 
-struct _GSource;
+#include <functional>
 
 namespace caraway {
 
@@ -23,10 +23,10 @@
   void Cancel();
 
 private:
-  static int Dispatch(_GSource* aSource, int (*aFunction)(void*), void* aData);
+  static int Dispatch(GSource* aSource, int (*aFunction)(void*), void* aData);
 
   std::function<void()> callback;
-  _GSource* source = nullptr;
+  GSource* source = nullptr;
 };
 
 } // namespace caraway
