--- a/src/bench/host.cpp
+++ b/src/bench/host.cpp
@@ -81,10 +81,12 @@
     return;
   }
   this->leaving = true;
-  for (Observer* observer : this->site.observers) {
-    observer->OnLeaving(this->node);
-  }
-  this->Run([this] { this->DoLeave(); });
+  this->Run([this] {
+    for (Observer* observer : this->site.observers) {
+      observer->OnLeaving(this->node);
+    }
+    this->DoLeave();
+  });
 }
 
 void Host::Run(std::function<void()> aStep)
--- a/src/bench/runner.cpp
+++ b/src/bench/runner.cpp
@@ -11,7 +11,10 @@
 
 constexpr std::string_view kOurs = "late-binding";
 constexpr std::uint32_t kSaturation = 256; // requests kept at an engine whose capacity is measured
-constexpr Duration kDrain = seconds(32);   // longer than the callers' last deadline
+constexpr Duration kSaturationWarmUp =
+  seconds(60); // until the mix of lengths in the batch is steady
+constexpr Duration kSaturationLength = seconds(60);
+constexpr Duration kDrain = seconds(32); // longer than the callers' last deadline
 
 // Keeps one engine saturated and counts what it completes.
 class Saturation final : public EndpointEvents
@@ -137,7 +140,8 @@
   for (const EndpointSpec& spec : UnlikeEngines(aOptions.endpoints)) {
     const auto [found, isNew] = bySpeed.try_emplace(spec.profile.speed, 0);
     if (isNew) {
-      found->second = Saturation(spec.profile, aOptions.seed).Run(aOptions.warmUp, aOptions.length);
+      found->second =
+        Saturation(spec.profile, aOptions.seed).Run(kSaturationWarmUp, kSaturationLength);
     }
     sum += found->second;
   }
