--- a/src/bench/measure.cpp
+++ b/src/bench/measure.cpp
@@ -1,6 +1,7 @@
 #include "bench/measure.h"
 
 #include <algorithm>
+#include <numeric>
 
 namespace caraway::bench {
 
@@ -95,6 +96,8 @@
 void Measure::OnDispatch(const Job& aJob, NodeId aAgent)
 {
   this->Sign(kDispatchStep, aJob, static_cast<std::uint64_t>(aAgent));
+  this->progress[aJob.submission.id].running = true;
+  ++this->running.at(aJob.submission.tier);
 }
 
 void Measure::OnPart(const Job& aJob, const std::string& /*aData*/)
@@ -123,6 +126,14 @@
   if (progress.good && now >= this->from && now < this->until) {
     ++this->goodInWindow;
   }
+  if (progress.running) {
+    --this->running.at(aJob.submission.tier);
+  }
+  const auto lower = std::accumulate(this->running.begin() + aJob.submission.tier + 1,
+                                     this->running.end(), std::uint64_t{ 0 });
+  if (aAnswer.reason == Reason::kOverload && lower > 0) {
+    ++this->result.inversions.at(aJob.submission.tier);
+  }
   this->CountOutcome(aJob, aAnswer);
 }
 
--- a/src/bench/measure.h
+++ b/src/bench/measure.h
@@ -56,7 +56,9 @@
   std::uint64_t attempts = 0;
   double controlPerRequest = 0;  // messages other than chunks and acknowledgements
   double messagesPerRequest = 0; // all messages
-  std::uint64_t violations = 0;  // reported by the program's own checks
+  // Refusals for overload while lower-tier work was running at some endpoint, by tier.
+  std::array<std::uint64_t, kTierCount> inversions{};
+  std::uint64_t violations = 0; // reported by the program's own checks
   std::uint64_t signature = 0;
   std::uint64_t decisions = 0;
   double WastedShare() const;
@@ -85,6 +87,7 @@
     TimePoint first = kNever;
     TimePoint last = kNever;
     bool good = false;
+    bool running = false;
   };
 
   bool Counts(const Job& aJob) const;
@@ -97,6 +100,7 @@
   TimePoint until;
   RunResult result;
   std::uint64_t goodInWindow = 0;
+  std::array<std::uint64_t, kTierCount> running{}; // dispatched and not ended, by tier
   std::unordered_map<RequestId, Progress> progress;
   std::unordered_map<std::uint32_t, bool> goodCalls;
   LatencyHistogram firstToken;
--- a/src/bench/report.cpp
+++ b/src/bench/report.cpp
@@ -161,6 +161,10 @@
   for (const auto& [reason, count] : aResult.refusals) {
     aOut << " " << reason << "=" << count;
   }
+  aOut << "\n  refused_while_lower_tier_ran";
+  for (const std::uint64_t count : aResult.inversions) {
+    aOut << " " << count;
+  }
   aOut << Fill("\n  decisions=%s signature=%016x\n", aResult.decisions, aResult.signature);
 }
 
--- a/tests/bench/target_test.cpp
+++ b/tests/bench/target_test.cpp
@@ -58,6 +58,17 @@
   }
 }
 
+// Order of tiers over the whole pool, seen from outside.
+BOOST_AUTO_TEST_CASE(nothing_is_refused_while_lower_tier_work_runs)
+{
+  for (const double load : { 0.5, 1.0, 1.5, 3.0 }) {
+    for (std::size_t tier = 0; tier < kTierCount; ++tier) {
+      BOOST_TEST(Ours(load).inversions.at(tier) == 0U,
+                 "load " << load << " tier " << tier << ": " << Ours(load).inversions.at(tier));
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(top_tier_keeps_its_goodput_under_overload)
 {
   const double calm = Ours(kCalmLoad).tiers[0].Share();
