Deny nothing that an earlier life of the agent may have run

Now a request made before the life began, or up to 2 s after it (clocks of the VMs differ), is answered with forgotten unless this life holds its reservation; a query that buries keeps it out all the same. Ruled out: refusing reservations of such requests, which would refuse all that waited during a restart; an entry does not reserve again what it has granted.

--- a/src/core/agent.cpp
+++ b/src/core/agent.cpp
@@ -46,6 +46,7 @@
   if (this->peers.contains(aPeer.node)) {
     this->OnPeerDown(aNow, aPeer.node);
   }
+  this->tombstones.SetBirth(aNow.wall);
   this->peers[aPeer.node] = PeerState{ aPeer };
   this->Note(aNow, EventKind::kPeerUp, RequestId{}, aPeer.node, aHello.name);
   this->AskConfig(aNow, aPeer.node, aHello.configOffset);
--- a/src/core/agent_impl.h
+++ b/src/core/agent_impl.h
@@ -135,6 +135,7 @@
   void Replay(NodeId aTo, const Answer& aAnswer, std::uint32_t aFrom);
   void SayNotRun(Now aNow, NodeId aTo, const RequestId& aId, Reason aReason);
   void SayUnknown(NodeId aTo, const RequestId& aId, Reason aReason);
+  bool MayHaveRun(const RequestId& aId) const;
   RunState StateOf(const Query& aQuery, const Answer* aAnswer) const;
 
   // Health.
--- a/src/core/agent_work.cpp
+++ b/src/core/agent_work.cpp
@@ -282,8 +282,7 @@
     }
     return;
   }
-  const Tombstone tombstone = this->tombstones.Find(aCancel.id);
-  if (tombstone == Tombstone::kRan || tombstone == Tombstone::kForgotten) {
+  if (this->MayHaveRun(aCancel.id)) {
     this->SayUnknown(aFrom.node, aCancel.id, aCancel.reason);
     return;
   }
@@ -307,9 +306,12 @@
 {
   Answer* answer = this->answers.Find(aQuery.id);
   const RunState state = this->StateOf(aQuery, answer);
-  if (state == RunState::kNeverRan && aQuery.bury) {
+  const bool isUnknown = answer == nullptr && !this->IsReserved(aQuery.id);
+  if (aQuery.bury && state == RunState::kNeverRan) {
     this->DropReservation(aQuery.id);
     this->tombstones.Add(aNow, aQuery.id, Tombstone::kBuried);
+  } else if (aQuery.bury && isUnknown) {
+    this->tombstones.Add(aNow, aQuery.id, Tombstone::kRan);
   }
   this->port.Send(aFrom.node, QueryReply{ aQuery.id, state });
   const bool isReadable = state == RunState::kRunning || state == RunState::kFinished;
@@ -337,9 +339,19 @@
   if (reserved != nullptr && reserved->request.account != aQuery.account) {
     return RunState::kForgotten;
   }
-  const Tombstone tombstone = this->tombstones.Find(aQuery.id);
-  const bool mayHaveRun = tombstone == Tombstone::kRan || tombstone == Tombstone::kForgotten;
-  return mayHaveRun ? RunState::kForgotten : RunState::kNeverRan;
+  return this->MayHaveRun(aQuery.id) ? RunState::kForgotten : RunState::kNeverRan;
+}
+
+// Whether the request may have been dispatched, in this life or an earlier one. One that waits here
+// for its grant has not been granted before.
+bool Agent::Impl::MayHaveRun(const RequestId& aId) const
+{
+  const Tombstone tombstone = this->tombstones.Find(aId);
+  if (tombstone == Tombstone::kRan || tombstone == Tombstone::kForgotten) {
+    return true;
+  }
+  const bool isKnown = tombstone != Tombstone::kNone || this->IsReserved(aId);
+  return !isKnown && this->tombstones.MayPrecedeBirth(aId);
 }
 
 // Sends the chunks from a number on, and the Finish if there is one.
--- a/src/core/answers.cpp
+++ b/src/core/answers.cpp
@@ -11,6 +11,9 @@
 // Request identifiers are made by callers; their clocks may run ahead by this much.
 constexpr std::chrono::milliseconds kClockSkew{ 60000 };
 
+// Clocks of the system's own VMs differ by less than this.
+constexpr std::chrono::milliseconds kNodeSkew{ 2000 };
+
 } // namespace
 
 AnswerStore::AnswerStore(std::uint32_t aMaxBytes, Duration aKeep)
@@ -238,6 +241,17 @@
   return isNewer ? Tombstone::kNone : Tombstone::kForgotten;
 }
 
+void TombstoneTable::SetBirth(WallTime aWall)
+{
+  this->birth = this->birth.value_or(aWall);
+}
+
+bool TombstoneTable::MayPrecedeBirth(const RequestId& aId) const
+{
+  const std::optional<WallTime> made = TimeOfUuid7(aId);
+  return this->birth.has_value() && (!made.has_value() || *made < *this->birth + kNodeSkew);
+}
+
 void TombstoneTable::Expire(Now aNow)
 {
   while (!this->order.empty() && this->order.front().added + this->keep <= aNow.steady) {
--- a/src/core/answers.h
+++ b/src/core/answers.h
@@ -102,6 +102,10 @@
   // Sets the state; kBuried and kRan stay what they are.
   void Add(Now aNow, const RequestId& aId, Tombstone aState);
   Tombstone Find(const RequestId& aId) const;
+  // The process began at aWall and knows nothing of its earlier lives.
+  void SetBirth(WallTime aWall);
+  // An earlier life may have dispatched the request.
+  bool MayPrecedeBirth(const RequestId& aId) const;
   void Expire(Now aNow);
   std::size_t Size() const { return this->states.size(); }
 
@@ -119,6 +123,7 @@
   std::deque<Entry> order;
   std::unordered_map<RequestId, Tombstone> states;
   std::optional<WallTime> forgottenUntil;
+  std::optional<WallTime> birth;
 };
 
 } // namespace caraway
--- a/tests/core/answers_test.cpp
+++ b/tests/core/answers_test.cpp
@@ -132,6 +132,21 @@
   BOOST_TEST(this->port.dispatched.empty());
 }
 
+BOOST_FIXTURE_TEST_CASE(new_life_denies_nothing_of_an_earlier_one, AgentFixture)
+{
+  const RequestId earlier = MakeUuid7(this->now.wall - milliseconds(100), this->random);
+  this->From(this->left, MakeQuery(earlier, 0));
+  BOOST_TEST((this->SentOf<QueryReply>(earlier).at(0).state == RunState::kForgotten));
+  this->From(this->left, Cancel{ earlier });
+  BOOST_TEST((this->SentOf<Finish>(earlier).at(0).outcome == Outcome::kUnknown));
+  this->From(this->left, MakeQuery(earlier, 0));
+  BOOST_TEST((this->SentOf<QueryReply>(earlier).at(1).state == RunState::kForgotten));
+  this->Advance(seconds(5));
+  const RequestId later = this->NewId();
+  this->From(this->left, MakeQuery(later, 0));
+  BOOST_TEST((this->SentOf<QueryReply>(later).at(0).state == RunState::kNeverRan));
+}
+
 BOOST_FIXTURE_TEST_CASE(work_without_an_entry_is_stopped_after_a_while, AgentFixture)
 {
   const RequestId id = this->Run();
