--- a/src/core/agent_work.cpp
+++ b/src/core/agent_work.cpp
@@ -282,7 +282,7 @@
     }
     return;
   }
-  if (this->MayHaveRun(aCancel.id)) {
+  if (this->MayHaveRun(aCancel.id, false)) {
     this->SayUnknown(aFrom.node, aCancel.id, aCancel.reason);
     return;
   }
@@ -339,18 +339,18 @@
   if (reserved != nullptr && reserved->request.account != aQuery.account) {
     return RunState::kForgotten;
   }
-  return this->MayHaveRun(aQuery.id) ? RunState::kForgotten : RunState::kNeverRan;
+  return this->MayHaveRun(aQuery.id, aQuery.granted) ? RunState::kForgotten : RunState::kNeverRan;
 }
 
-// Whether the request may have been dispatched, in this life or an earlier one. One that waits here
-// for its grant has not been granted before.
-bool Agent::Impl::MayHaveRun(const RequestId& aId) const
+// Whether the request may have been dispatched, in this life or an earlier one. aGranted: the asker
+// itself granted it, to this life. One that waits here for its grant has not been granted before.
+bool Agent::Impl::MayHaveRun(const RequestId& aId, bool aGranted) const
 {
   const Tombstone tombstone = this->tombstones.Find(aId);
   if (tombstone == Tombstone::kRan || tombstone == Tombstone::kForgotten) {
     return true;
   }
-  const bool isKnown = tombstone != Tombstone::kNone || this->IsReserved(aId);
+  const bool isKnown = aGranted || tombstone == Tombstone::kBuried || this->IsReserved(aId);
   return !isKnown && this->tombstones.MayPrecedeBirth(aId);
 }
 
--- a/src/core/answers.cpp
+++ b/src/core/answers.cpp
@@ -8,12 +8,9 @@
 
 namespace {
 
-// Request identifiers are made by callers; their clocks may run ahead by this much.
+// Largest difference between the clocks of two processes, and of a caller who makes identifiers.
 constexpr std::chrono::milliseconds kClockSkew{ 60000 };
 
-// Clocks of the system's own VMs differ by less than this.
-constexpr std::chrono::milliseconds kNodeSkew{ 2000 };
-
 } // namespace
 
 AnswerStore::AnswerStore(std::uint32_t aMaxBytes, Duration aKeep)
@@ -249,7 +246,7 @@
 bool TombstoneTable::MayPrecedeBirth(const RequestId& aId) const
 {
   const std::optional<WallTime> made = TimeOfUuid7(aId);
-  return this->birth.has_value() && (!made.has_value() || *made < *this->birth + kNodeSkew);
+  return this->birth.has_value() && (!made.has_value() || *made < *this->birth + kClockSkew);
 }
 
 void TombstoneTable::Expire(Now aNow)
--- a/tests/core/answers_test.cpp
+++ b/tests/core/answers_test.cpp
@@ -141,7 +141,11 @@
   BOOST_TEST((this->SentOf<Finish>(earlier).at(0).outcome == Outcome::kUnknown));
   this->From(this->left, MakeQuery(earlier, 0));
   BOOST_TEST((this->SentOf<QueryReply>(earlier).at(1).state == RunState::kForgotten));
-  this->Advance(seconds(5));
+  Query owner = MakeQuery(this->NewId(), 0);
+  owner.granted = true;
+  this->From(this->left, owner);
+  BOOST_TEST((this->SentOf<QueryReply>(owner.id).at(0).state == RunState::kNeverRan));
+  this->Advance(minutes(2));
   const RequestId later = this->NewId();
   this->From(this->left, MakeQuery(later, 0));
   BOOST_TEST((this->SentOf<QueryReply>(later).at(0).state == RunState::kNeverRan));
