--- a/src/core/agent_admission.cpp
+++ b/src/core/agent_admission.cpp
@@ -190,11 +190,13 @@
 // until the endpoint is empty, and nothing passes it meanwhile.
 void Agent::Impl::OfferSlots(Now aNow)
 {
+  std::uint32_t pending = 0;
   const auto isEligible = [&](const Reservation& aRow) {
-    const StartPlan plan = PlanStart(aRow, this->pace, this->PendingPrefill());
+    const StartPlan plan = PlanStart(aRow, this->pace, pending);
     return plan.refuseAt > aNow.steady && this->IsEligible(aNow, aRow);
   };
   while (this->queue.Size() > 0 && this->Held() < this->Allowance(aNow)) {
+    pending = this->PendingPrefill();
     const Reservation* first = this->queue.First(isEligible);
     if (first == nullptr) {
       return;
