--- a/src/core/agent.cpp
+++ b/src/core/agent.cpp
@@ -43,10 +43,10 @@
 
 void Agent::Impl::OnPeerUp(Now aNow, Peer aPeer, const Hello& aHello)
 {
-  this->bornAt = this->bornAt.value_or(aNow.wall);
   if (this->peers.contains(aPeer.node)) {
     this->OnPeerDown(aNow, aPeer.node);
   }
+  this->tombstones.SetBirth(aNow.wall);
   this->peers[aPeer.node] = PeerState{ aPeer };
   this->Note(aNow, EventKind::kPeerUp, RequestId{}, aPeer.node, aHello.name);
   this->AskConfig(aNow, aPeer.node, aHello.configOffset);
--- a/src/core/agent_impl.h
+++ b/src/core/agent_impl.h
@@ -135,8 +135,8 @@
   void Replay(NodeId aTo, const Answer& aAnswer, std::uint32_t aFrom);
   void SayNotRun(Now aNow, NodeId aTo, const RequestId& aId, Reason aReason);
   void SayUnknown(NodeId aTo, const RequestId& aId, Reason aReason);
+  bool MayHaveRun(const RequestId& aId, bool aGranted) const;
   RunState StateOf(const Query& aQuery, const Answer* aAnswer) const;
-  bool MayBeOfEarlierLife(const RequestId& aId) const;
 
   // Health.
   Duration SilenceLimit(const Running& aRunning) const;
@@ -180,7 +180,6 @@
   std::vector<BrokenWork> broken;
   std::uint64_t lastOffer = 0;
   bool isLeaving = false;
-  std::optional<WallTime> bornAt; // first link of this life
   bool wasDrained = false;
   bool isProbing = false;
   TimePoint probedAt{};
