--- a/src/core/entry.h
+++ b/src/core/entry.h
@@ -91,7 +91,6 @@
   void OnLogOldest(Now aNow, LogOffset aOldest);
   void OnAppended(Now aNow, std::uint64_t aToken, AppendResult aResult, LogOffset aFirst);
 
-
   void OnTimer(Now aNow);
   // When OnTimer wants to be called next; kNever when nothing is due.
   TimePoint NextTimer() const;
--- a/src/core/key_table.h
+++ b/src/core/key_table.h
@@ -28,8 +28,8 @@
   std::string key; // canonical UUIDv7 text
 
   friend bool operator==(const ScopedKey&, const ScopedKey&) = default;
-  friend auto operator<=>(const ScopedKey&,
-                          const ScopedKey&) = default; // NOLINT(modernize-use-nullptr)
+  // NOLINTNEXTLINE(modernize-use-nullptr): reported inside the compiler-made operator
+  friend auto operator<=>(const ScopedKey&, const ScopedKey&) = default;
 };
 
 // A request asks for a key.
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -57,6 +57,7 @@
   std::uint64_t low = 0;
 
   friend bool operator==(const RequestId&, const RequestId&) = default;
+  // NOLINTNEXTLINE(modernize-use-nullptr): reported inside the compiler-made operator
   friend auto operator<=>(const RequestId&, const RequestId&) = default;
 
   template<class Archive>
--- a/src/runtime/membership.h
+++ b/src/runtime/membership.h
@@ -13,9 +13,9 @@
 // Other entries that an entry connects to.
 constexpr std::size_t kEntryPeers = 3;
 
-// Addresses that the entry called aSelf keeps connections to: a subset of the agents (core/subset.h),
-// and a few other entries, chosen so that all entries form one connected graph and no pair connects
-// twice.
+// Addresses that the entry called aSelf keeps connections to: a subset of the agents
+// (core/subset.h), and a few other entries, chosen so that all entries form one connected graph and
+// no pair connects twice.
 std::set<Address> ChoosePeers(const std::string& aSelf, std::span<const Vm> aVms);
 
 } // namespace caraway
