--- a/src/core/agent_work.cpp
+++ b/src/core/agent_work.cpp
@@ -1,6 +1,5 @@
 // Dispatched work of an agent: grants, answers, and the health of the endpoint.
 #include "core/agent_impl.h"
-#include "core/uuid.h"
 
 #include <algorithm>
 
@@ -8,7 +7,6 @@
 
 namespace {
 
-constexpr auto kClockSkew = minutes(1); // largest between the clocks of two processes
 constexpr Duration kHealthPeriod = milliseconds(50);
 constexpr Duration kCrashWindow = seconds(3); // broken work counts as running when a crash shows
 constexpr int kSilentShare = 2; // offers stop at this part of the silence that is a stall
@@ -284,8 +282,7 @@
     }
     return;
   }
-  const Tombstone tombstone = this->tombstones.Find(aCancel.id);
-  if (tombstone == Tombstone::kRan || tombstone == Tombstone::kForgotten) {
+  if (this->MayHaveRun(aCancel.id, false)) {
     this->SayUnknown(aFrom.node, aCancel.id, aCancel.reason);
     return;
   }
@@ -309,9 +306,12 @@
 {
   Answer* answer = this->answers.Find(aQuery.id);
   const RunState state = this->StateOf(aQuery, answer);
-  if (state == RunState::kNeverRan && aQuery.bury) {
+  const bool isUnknown = answer == nullptr && !this->IsReserved(aQuery.id);
+  if (aQuery.bury && state == RunState::kNeverRan) {
     this->DropReservation(aQuery.id);
     this->tombstones.Add(aNow, aQuery.id, Tombstone::kBuried);
+  } else if (aQuery.bury && isUnknown) {
+    this->tombstones.Add(aNow, aQuery.id, Tombstone::kRan);
   }
   this->port.Send(aFrom.node, QueryReply{ aQuery.id, state });
   const bool isReadable = state == RunState::kRunning || state == RunState::kFinished;
@@ -339,20 +339,19 @@
   if (reserved != nullptr && reserved->request.account != aQuery.account) {
     return RunState::kForgotten;
   }
-  const Tombstone tombstone = this->tombstones.Find(aQuery.id);
-  const bool mayHaveRun = tombstone == Tombstone::kRan || tombstone == Tombstone::kForgotten;
-  const bool isKnownHere = aQuery.granted || reserved != nullptr || tombstone == Tombstone::kBuried;
-  if (mayHaveRun || (!isKnownHere && this->MayBeOfEarlierLife(aQuery.id))) {
-    return RunState::kForgotten;
-  }
-  return RunState::kNeverRan;
+  return this->MayHaveRun(aQuery.id, aQuery.granted) ? RunState::kForgotten : RunState::kNeverRan;
 }
 
-// The request may have run in an earlier life of this process, of which nothing is kept.
-bool Agent::Impl::MayBeOfEarlierLife(const RequestId& aId) const
+// Whether the request may have been dispatched, in this life or an earlier one. aGranted: the asker
+// itself granted it, to this life. One that waits here for its grant has not been granted before.
+bool Agent::Impl::MayHaveRun(const RequestId& aId, bool aGranted) const
 {
-  const std::optional<WallTime> made = TimeOfUuid7(aId);
-  return !made || !this->bornAt || *made <= *this->bornAt + kClockSkew;
+  const Tombstone tombstone = this->tombstones.Find(aId);
+  if (tombstone == Tombstone::kRan || tombstone == Tombstone::kForgotten) {
+    return true;
+  }
+  const bool isKnown = aGranted || tombstone == Tombstone::kBuried || this->IsReserved(aId);
+  return !isKnown && this->tombstones.MayPrecedeBirth(aId);
 }
 
 // Sends the chunks from a number on, and the Finish if there is one.
--- a/src/core/answers.cpp
+++ b/src/core/answers.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-// Request identifiers are made by callers; their clocks may run ahead by this much.
+// Largest difference between the clocks of two processes, and of a caller who makes identifiers.
 constexpr std::chrono::milliseconds kClockSkew{ 60000 };
 
 } // namespace
@@ -238,6 +238,17 @@
   return isNewer ? Tombstone::kNone : Tombstone::kForgotten;
 }
 
+void TombstoneTable::SetBirth(WallTime aWall)
+{
+  this->birth = this->birth.value_or(aWall);
+}
+
+bool TombstoneTable::MayPrecedeBirth(const RequestId& aId) const
+{
+  const std::optional<WallTime> made = TimeOfUuid7(aId);
+  return this->birth.has_value() && (!made.has_value() || *made < *this->birth + kClockSkew);
+}
+
 void TombstoneTable::Expire(Now aNow)
 {
   while (!this->order.empty() && this->order.front().added + this->keep <= aNow.steady) {
