Show the state of the processes while the log is down

carawayctl get and move status failed while the log was down although every entry knows the state (seen in a trial with the log down: exit 1).

--- a/src/tools/command.cpp
+++ b/src/tools/command.cpp
@@ -1,5 +1,7 @@
 #include "tools/command.h"
 
+#include "tools/config_reader.h"
+
 namespace caraway {
 
 namespace po = boost::program_options;
@@ -43,6 +45,20 @@
   return kExitUnreachable;
 }
 
+int CatchUpToShow(CommandContext& aContext, ConfigReader& aReader)
+{
+  const std::error_code error = aReader.CatchUp();
+  if (!error) {
+    return kExitOk;
+  }
+  if (aReader.State().Next() == 0) {
+    return FailUnreachable(aContext, "log", error);
+  }
+  aContext.err << "carawayctl: log: " << error.message() << "; this is the state of the processes, "
+               << "before offset " << aReader.State().Next() << "\n";
+  return kExitOk;
+}
+
 void PrintFindings(std::ostream& aOut, const std::string& aSource,
                    const std::vector<Finding>& aFindings)
 {
--- a/src/tools/command.h
+++ b/src/tools/command.h
@@ -27,6 +27,8 @@
   Duration timeout{}; // of waiting for the log and for the nodes
 };
 
+class ConfigReader;
+
 class Command
 {
 public:
@@ -66,6 +68,10 @@
 // Tells that the log or the VM list could not be read.
 int FailUnreachable(CommandContext& aContext, const char* aWhat, const std::error_code& aError);
 
+// Brings the state up to date for a command that only shows it. While the log cannot be read the
+// state of the processes does, with a warning. Returns the exit code, kExitOk to go on.
+int CatchUpToShow(CommandContext& aContext, ConfigReader& aReader);
+
 // Prints findings, one a line: place, colon, text.
 void PrintFindings(std::ostream& aOut, const std::string& aSource,
                    const std::vector<Finding>& aFindings);
--- a/src/tools/command_get.cpp
+++ b/src/tools/command_get.cpp
@@ -50,8 +50,8 @@
       return kExitUsage;
     }
     ConfigReader reader(aContext.platform, aContext.fleet);
-    if (const std::error_code error = reader.CatchUp()) {
-      return FailUnreachable(aContext, "log", error);
+    if (const int code = CatchUpToShow(aContext, reader); code != kExitOk) {
+      return code;
     }
     Json list = Json::array();
     for (const RecordKind kind : kShownKinds) {
--- a/src/tools/command_move.cpp
+++ b/src/tools/command_move.cpp
@@ -143,8 +143,8 @@
     const auto values = ParseArguments(options, { "name" }, false, aArguments);
     const auto name = values["name"].as<std::string>();
     ConfigReader reader(aContext.platform, aContext.fleet);
-    if (const std::error_code error = reader.CatchUp()) {
-      return FailUnreachable(aContext, "log", error);
+    if (const int code = CatchUpToShow(aContext, reader); code != kExitOk) {
+      return code;
     }
     const auto shares = this->AskEntries(aContext);
     bool found = name.empty();
--- a/tests/tools/command_test.cpp
+++ b/tests/tools/command_test.cpp
@@ -159,6 +159,27 @@
   BOOST_TEST(Run({ "get" }) == kExitUnreachable);
 }
 
+BOOST_AUTO_TEST_CASE(while_the_log_is_down_the_state_of_the_processes_is_shown)
+{
+  const TempFile file(kPool);
+  Run({ "apply", file.name });
+  ConfigState state;
+  state.Apply({ 0, platform.log[0] });
+  platform.vms = { MakeVm("entry-1", Role::kEntry) };
+  platform.readError = std::make_error_code(std::errc::connection_refused);
+  BOOST_TEST(Run({ "get" }) == kExitUnreachable);
+  fleet.answer = [&](const Vm&, const std::string& aPath) {
+    return NodeAnswer{ {},
+                       static_cast<std::uint16_t>(aPath == "/snapshot" ? 200 : 404),
+                       state.Snapshot() };
+  };
+  BOOST_TEST(Run({ "get" }) == kExitOk);
+  BOOST_TEST(Says("pool chat"));
+  BOOST_TEST(Complains("state of the processes, before offset 1"));
+  BOOST_TEST(Run({ "move", "status" }) == kExitOk);
+  BOOST_TEST(Run({ "apply", file.name }) == kExitUnreachable);
+}
+
 BOOST_AUTO_TEST_CASE(diff_shows_what_apply_would_change)
 {
   const TempFile file(kPool);
