--- a/src/runtime/http_call.h
+++ b/src/runtime/http_call.h
@@ -39,7 +39,7 @@
   // None: the answer was read to its end. libsoup takes a connection that closes between two chunks
   // for the end of a chunked body: a stream needs an end mark of its own.
   std::error_code error;
-  bool sent = false;     // bytes of the request may have left this process
+  bool sent = false; // bytes of the request may have left this process
   std::uint16_t status = 0;
 };
 
--- a/tests/standins/engine_model_test.cpp
+++ b/tests/standins/engine_model_test.cpp
@@ -88,7 +88,8 @@
   Bench slow;
   quick.Add(1, 4000, 50);
   slow.Add(1, 4000, 50);
-  const double ratio = static_cast<double>(slow.RunToEnd().count()) / static_cast<double>(quick.RunToEnd().count());
+  const double ratio =
+    static_cast<double>(slow.RunToEnd().count()) / static_cast<double>(quick.RunToEnd().count());
   BOOST_TEST(ratio == 4, boost::test_tools::tolerance(0.01));
 }
 
