--- a/src/core/subset.cpp
+++ b/src/core/subset.cpp
@@ -25,6 +25,7 @@
 {
   const std::uint64_t seed = HashOf(aSelf);
   std::vector<Ranked> ranked;
+  ranked.reserve(aMembers.size());
   for (const SubsetMember* member : aMembers) {
     ranked.push_back({ HashOf(member->name, seed), member });
   }
--- a/tests/runtime/observe_test.cpp
+++ b/tests/runtime/observe_test.cpp
@@ -161,6 +161,7 @@
 {
   for (const int count : { 1, 2, 3, 4, 5, 8, 40 }) {
     std::vector<Vm> vms;
+    vms.reserve(static_cast<std::size_t>(count));
     for (int i = 0; i < count; ++i) {
       vms.push_back(EntryVm(i));
     }
--- a/tests/runtime/settings_test.cpp
+++ b/tests/runtime/settings_test.cpp
@@ -44,6 +44,7 @@
   std::vector<Finding> findings;
   BOOST_TEST(!ReadEntrySettings(aText, findings).has_value());
   std::vector<std::string> places;
+  places.reserve(findings.size());
   for (const Finding& finding : findings) {
     places.push_back(finding.place);
   }
