Refuse nothing while lower-tier work runs: cut at the last moment, also when prefill is in the way

VictimFor spared streams that had begun to answer when only prefill was in the way, and the check in the program counted only what VictimFor would cut, so it was silent. The check now sees all lower-tier work.

--- a/src/core/agent_admission.cpp
+++ b/src/core/agent_admission.cpp
@@ -365,21 +365,24 @@
 }
 
 // Lower-tier work whose place the reservation could take; nullptr if there is none. When only
-// prefill is in its way, that is work that has not begun to answer.
-const Running* Agent::Impl::VictimFor(Now aNow, const Reservation& aReservation) const
+// prefill is in its way, that is work that has not begun to answer, unless aIsLast: the reservation
+// would be refused otherwise, and nothing lower may run on then.
+const Running* Agent::Impl::VictimFor(Now aNow, const Reservation& aReservation, bool aIsLast) const
 {
   if (this->Allowance(aNow) == 0 || !this->IsEligible(aNow, aReservation) ||
       this->IsSuspect(aNow, aReservation) || this->IsAloneBusy()) {
     return nullptr;
   }
   const Tier tier = aReservation.request.tier;
-  return this->IsPrefillFull(aReservation) ? ChoosePrefillVictim(this->running, tier)
-                                           : ChooseVictim(this->running, tier);
+  const Running* unstarted =
+    this->IsPrefillFull(aReservation) ? ChoosePrefillVictim(this->running, tier) : nullptr;
+  const bool onlyUnstarted = this->IsPrefillFull(aReservation) && !aIsLast;
+  return unstarted != nullptr || onlyUnstarted ? unstarted : ChooseVictim(this->running, tier);
 }
 
 bool Agent::Impl::CanRoomBeMade(Now aNow, const Reservation& aReservation) const
 {
-  return this->VictimFor(aNow, aReservation) != nullptr;
+  return this->VictimFor(aNow, aReservation, true) != nullptr;
 }
 
 // Looks at every reservation: cuts lower-tier work for those that would miss their start, and
@@ -423,7 +426,7 @@
   const bool freesInTime = NextFreeSlot(this->running, this->pace) <= timeLeft;
   const bool oneSuffices = this->Held() <= this->Allowance(aNow);
   const bool mustCut = isOver || plan.replaceAt <= aNow.steady || (oneSuffices && !freesInTime);
-  if (mustCut && this->CutFor(aNow, aId)) {
+  if (mustCut && this->CutFor(aNow, aId, isOver)) {
     return;
   }
   if (!isOver) {
@@ -454,11 +457,11 @@
 // Cuts lower-tier work until the queued reservation has its slot; false if nothing more can be cut.
 // Where more is in flight than the limit, the reservation takes the place of what was cut: to cut
 // down to the limit first would waste many answers for one.
-bool Agent::Impl::CutFor(Now aNow, const RequestId& aId)
+bool Agent::Impl::CutFor(Now aNow, const RequestId& aId, bool aIsLast)
 {
   const Reservation* row = this->queue.Find(aId);
   while (row != nullptr) {
-    const Running* victim = this->VictimFor(aNow, *row);
+    const Running* victim = this->VictimFor(aNow, *row, aIsLast);
     if (victim == nullptr) {
       return false;
     }
@@ -481,7 +484,7 @@
     if (!lower.empty()) {
       this->GiveUp(aNow, lower.front());
     } else if (this->CanRoomBeMade(aNow, aReservation)) {
-      this->Stop(aNow, RequestId(this->VictimFor(aNow, aReservation)->id), Reason::kPreempted);
+      this->Stop(aNow, RequestId(this->VictimFor(aNow, aReservation, true)->id), Reason::kPreempted);
     } else {
       return false;
     }
@@ -513,7 +516,7 @@
 // Refuses a queued reservation, unless cutting still lower work gets it a slot.
 void Agent::Impl::GiveUp(Now aNow, const RequestId& aId)
 {
-  if (this->CutFor(aNow, aId)) {
+  if (this->CutFor(aNow, aId, true)) {
     return;
   }
   this->SendRefuse(aNow, *this->queue.Take(aId), Reason::kOverload);
--- a/src/core/agent_impl.h
+++ b/src/core/agent_impl.h
@@ -102,7 +102,7 @@
   bool HasSlotFor(Now aNow, const Reservation& aReservation) const;
   bool IsPrefillFull(const Reservation& aReservation) const;
   std::uint32_t PendingPrefill() const;
-  const Running* VictimFor(Now aNow, const Reservation& aReservation) const;
+  const Running* VictimFor(Now aNow, const Reservation& aReservation, bool aIsLast) const;
   void OfferSlots(Now aNow);
   void SendOffer(Now aNow, const RequestId& aId, bool aIsAlone, std::uint32_t aAllowed);
   const OpenOffer* FindOffer(const RequestId& aId) const;
@@ -119,7 +119,7 @@
   void SweepQueue(Now aNow);
   void ServeDue(Now aNow, const RequestId& aId);
   Reason ReasonOfDelay(Now aNow, const Reservation& aReservation) const;
-  bool CutFor(Now aNow, const RequestId& aId);
+  bool CutFor(Now aNow, const RequestId& aId, bool aIsLast);
   bool MakeQueueRoom(Now aNow, const Reservation& aReservation);
   std::vector<RequestId> QueuedBelow(Tier aTier) const;
   void RefuseBelow(Now aNow, Tier aTier);
