--- a/src/core/agent_admission.cpp
+++ b/src/core/agent_admission.cpp
@@ -484,7 +484,8 @@
     if (!lower.empty()) {
       this->GiveUp(aNow, lower.front());
     } else if (this->CanRoomBeMade(aNow, aReservation)) {
-      this->Stop(aNow, RequestId(this->VictimFor(aNow, aReservation, true)->id), Reason::kPreempted);
+      this->Stop(aNow, RequestId(this->VictimFor(aNow, aReservation, true)->id),
+                 Reason::kPreempted);
     } else {
       return false;
     }
