--- a/src/core/drain_rate.cpp
+++ b/src/core/drain_rate.cpp
@@ -28,28 +28,51 @@
   return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(bounded));
 }
 
+// Weight that is left of a value after aAge.
+double Decay(Duration aAge)
+{
+  return std::exp(-std::max(SecondsOf(aAge), 0.0) / SecondsOf(kMemory));
+}
+
 } // namespace
 
-void DrainRate::OnServed(TimePoint aNow)
+void DrainRate::OnServed(TimePoint aNow, bool aIsFull)
 {
   this->perSecond = this->ServedPerSecond(aNow) + 1 / SecondsOf(kMemory);
   this->updated = aNow;
-  this->servedCount++;
+  if (!aIsFull) {
+    this->fullSince = kNever;
+    return;
+  }
+  if (this->fullSince == kNever) {
+    this->fullSince = aNow;
+    this->fullPerSecond = 0;
+    this->fullCount = 0;
+  }
+  this->fullPerSecond =
+    this->fullPerSecond * Decay(aNow - this->fullUpdated) + 1 / SecondsOf(kMemory);
+  this->fullUpdated = aNow;
+  this->fullCount++;
 }
 
 double DrainRate::ServedPerSecond(TimePoint aNow) const
 {
-  const double age = SecondsOf(aNow - this->updated);
-  return this->perSecond * std::exp(-std::max(age, 0.0) / SecondsOf(kMemory));
+  return this->perSecond * Decay(aNow - this->updated);
 }
 
 Duration DrainRate::WaitFor(TimePoint aNow, std::size_t aAhead) const
 {
-  if (this->servedCount < kFewestServed) {
+  if (this->fullSince == kNever || this->fullCount < kFewestServed) {
     return Duration::zero();
   }
-  const double rate = std::max(this->ServedPerSecond(aNow), kLeastRate);
-  return DurationOf(static_cast<double>(aAhead) / rate);
+  // The decayed sum has not reached its level yet while the endpoint has been full for a short
+  // time.
+  const double reached = 1 - Decay(aNow - this->fullSince);
+  if (reached <= 0) {
+    return Duration::zero();
+  }
+  const double rate = this->fullPerSecond * Decay(aNow - this->fullUpdated) / reached;
+  return DurationOf(static_cast<double>(aAhead) / std::max(rate, kLeastRate));
 }
 
 Duration DrainRate::RetryAfter(TimePoint aNow, std::size_t aBacklog, Random& aRandom) const
