--- a/src/core/agent_admission.cpp
+++ b/src/core/agent_admission.cpp
@@ -113,12 +113,6 @@
   return this->breaker.Allowance(this->limiter->Limit());
 }
 
-// Nothing more can be offered, or prompts wait for the engine's prefill.
-bool Agent::Impl::IsFull(Now aNow) const
-{
-  return this->Held() >= this->Allowance(aNow) || this->queue.Size() > 0;
-}
-
 InFlight Agent::Impl::CurrentInFlight() const
 {
   return InFlight{ this->Held(), this->HeldTokens(), this->queue.Size() > 0 };
@@ -316,12 +310,12 @@
 {
   const Reservation* queued = this->queue.Find(aWithdraw.id);
   if (queued != nullptr && queued->entry == aFrom) {
-    this->drain.OnServed(aNow.steady, this->IsFull(aNow));
+    this->drain.OnServed(aNow.steady);
     this->queue.Take(aWithdraw.id);
   }
   const OpenOffer* offered = this->FindOffer(aWithdraw.id);
   if (offered != nullptr && offered->reservation.entry == aFrom) {
-    this->drain.OnServed(aNow.steady, this->IsFull(aNow));
+    this->drain.OnServed(aNow.steady);
     this->ReleaseOffer(*this->TakeOffer(aWithdraw.id));
   }
   this->OfferSlots(aNow);
--- a/src/core/agent_impl.h
+++ b/src/core/agent_impl.h
@@ -92,7 +92,6 @@
   bool IsLeaving() const { return this->isLeaving || this->feed.IsDrained(); }
   std::uint32_t Held() const;
   std::uint64_t HeldTokens() const;
-  bool IsFull(Now aNow) const;
   std::uint32_t Allowance(Now aNow) const;
   InFlight CurrentInFlight() const;
   bool IsAloneBusy() const;
--- a/src/core/agent_work.cpp
+++ b/src/core/agent_work.cpp
@@ -117,7 +117,7 @@
   row.dispatched = aNow.steady;
   row.lastProgress = aNow.steady;
   this->running.Add(std::move(row));
-  this->drain.OnServed(aNow.steady, this->IsFull(aNow));
+  this->drain.OnServed(aNow.steady);
   this->nextHealth = std::min(this->nextHealth, aNow.steady + kHealthPeriod);
   this->Note(aNow, EventKind::kDispatched, request.id, aOffer.reservation.entry.node,
              request.account, { { "tier", std::to_string(request.tier) } });
--- a/src/core/drain_rate.cpp
+++ b/src/core/drain_rate.cpp
@@ -28,51 +28,28 @@
   return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(bounded));
 }
 
-// Weight that is left of a value after aAge.
-double Decay(Duration aAge)
-{
-  return std::exp(-std::max(SecondsOf(aAge), 0.0) / SecondsOf(kMemory));
-}
-
 } // namespace
 
-void DrainRate::OnServed(TimePoint aNow, bool aIsFull)
+void DrainRate::OnServed(TimePoint aNow)
 {
   this->perSecond = this->ServedPerSecond(aNow) + 1 / SecondsOf(kMemory);
   this->updated = aNow;
-  if (!aIsFull) {
-    this->fullSince = kNever;
-    return;
-  }
-  if (this->fullSince == kNever) {
-    this->fullSince = aNow;
-    this->fullPerSecond = 0;
-    this->fullCount = 0;
-  }
-  this->fullPerSecond =
-    this->fullPerSecond * Decay(aNow - this->fullUpdated) + 1 / SecondsOf(kMemory);
-  this->fullUpdated = aNow;
-  this->fullCount++;
+  this->servedCount++;
 }
 
 double DrainRate::ServedPerSecond(TimePoint aNow) const
 {
-  return this->perSecond * Decay(aNow - this->updated);
+  const double age = SecondsOf(aNow - this->updated);
+  return this->perSecond * std::exp(-std::max(age, 0.0) / SecondsOf(kMemory));
 }
 
 Duration DrainRate::WaitFor(TimePoint aNow, std::size_t aAhead) const
 {
-  if (this->fullSince == kNever || this->fullCount < kFewestServed) {
-    return Duration::zero();
-  }
-  // The decayed sum has not reached its level yet while the endpoint has been full for a short
-  // time.
-  const double reached = 1 - Decay(aNow - this->fullSince);
-  if (reached <= 0) {
+  if (this->servedCount < kFewestServed) {
     return Duration::zero();
   }
-  const double rate = this->fullPerSecond * Decay(aNow - this->fullUpdated) / reached;
-  return DurationOf(static_cast<double>(aAhead) / std::max(rate, kLeastRate));
+  const double rate = std::max(this->ServedPerSecond(aNow), kLeastRate);
+  return DurationOf(static_cast<double>(aAhead) / rate);
 }
 
 Duration DrainRate::RetryAfter(TimePoint aNow, std::size_t aBacklog, Random& aRandom) const
--- a/src/core/drain_rate.h
+++ b/src/core/drain_rate.h
@@ -12,14 +12,12 @@
 {
 public:
   // A reservation left the queue because its request got a slot, here or elsewhere. Refusals do
-  // not count: they are no service. aIsFull: the endpoint was full, so that the rate tells what it
-  // can do and not what was asked of it.
-  void OnServed(TimePoint aNow, bool aIsFull);
+  // not count: they are no service.
+  void OnServed(TimePoint aNow);
 
   // Reservations served each second, exponentially decayed.
   double ServedPerSecond(TimePoint aNow) const;
-  // Time to serve aAhead reservations at the rate of a full endpoint. Zero while too little is
-  // known of it.
+  // Time to serve aAhead reservations. Zero while too little is known.
   Duration WaitFor(TimePoint aNow, std::size_t aAhead) const;
   // When to come back: the time to drain aBacklog reservations, between bounds, with jitter so that
   // refused callers do not return together.
@@ -28,10 +26,7 @@
 private:
   double perSecond = 0;
   TimePoint updated{};
-  double fullPerSecond = 0; // decayed, of the time since the endpoint became full
-  TimePoint fullSince = kNever;
-  TimePoint fullUpdated{};
-  std::uint64_t fullCount = 0;
+  std::uint64_t servedCount = 0;
 };
 
 } // namespace caraway
--- a/tests/core/shed_test.cpp
+++ b/tests/core/shed_test.cpp
@@ -208,7 +208,7 @@
   TimePoint now{ seconds(1) };
   for (int i = 0; i < 200; i++) {
     now += milliseconds(100);
-    drain.OnServed(now, true);
+    drain.OnServed(now);
   }
   BOOST_TEST(drain.ServedPerSecond(now) == 10.0, boost::test_tools::tolerance(0.1));
   const Duration near = drain.RetryAfter(now, 49, this->random);
