--- /dev/null
+++ b/src/direct/dispatcher.h
@@ -0,0 +1,185 @@
+// Decisions of an entry on the direct path: at which endpoints a call queues, where it is sent,
+// when it is sent again and when it is given up. Queues stand in the agents beside the endpoints;
+// where an agent is silent or there is none, the entry queues by itself for its part of the
+// endpoint's slots.
+#pragma once
+
+#include "core/random.h"
+#include "direct/endpoint_health.h"
+#include "direct/endpoint_table.h"
+#include "direct/patience.h"
+#include "direct/retry_budget.h"
+#include "direct/slot_queue.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace caraway::direct {
+
+struct DispatchOptions
+{
+  // Endpoints that get a reservation at once, best first, and all together after widenAfter.
+  std::uint32_t firstReservations = 2;
+  std::uint32_t allReservations = 12;
+  Duration widenAfter = std::chrono::milliseconds(5);
+  // Silence of an agent after which entries queue by themselves; some periods of AgentState.
+  Duration agentSilence = std::chrono::milliseconds(500);
+  Duration holdPeriod = std::chrono::milliseconds(200); // of HoldState
+  // Part of an endpoint's slots that an entry uses without an agent, in multiples of an equal part:
+  // traffic is uneven, and an endpoint queues a little itself.
+  double ownShare = 1.7;
+  SlotQueueOptions queue;
+  PatienceOptions patience;
+};
+
+// What the dispatcher asks of its host. Calls must not call back into the dispatcher.
+class DispatchPort
+{
+public:
+  virtual ~DispatchPort() = default;
+  // Sends the call to the endpoint.
+  virtual void StartAttempt(CallNumber aCall, const EndpointInfo& aEndpoint) = 0;
+  // The call ends without an attempt under way. aRetryAfter zero: coming back does not help.
+  virtual void GiveUp(CallNumber aCall, GiveUpReason aReason, Duration aRetryAfter) = 0;
+  // Queues a message for the agent beside the endpoint.
+  virtual void SendToAgent(const std::string& aHost, const DirectMessage& aMessage) = 0;
+};
+
+class Dispatcher
+{
+public:
+  Dispatcher(const DispatchOptions& aOptions, const Peer& aSelf, const std::string& aFailureDomain,
+             Random& aRandom, RetryBudget& aBudget, DispatchPort& aPort);
+  ~Dispatcher();
+  Dispatcher(const Dispatcher&) = delete;
+  Dispatcher& operator=(const Dispatcher&) = delete;
+
+  // aHasAgents: whether endpoints of a service have agents beside them.
+  void SetEndpoints(TimePoint aNow, const std::map<std::string, EndpointInfo>& aAll,
+                    const std::function<bool(const std::string&)>& aHasAgents);
+  // Whether an endpoint may get new calls beside what its registration says; for version moves.
+  void SetFilter(std::function<bool(const EndpointInfo&, const CallSpec&)> aFilter);
+  void SetEntryCount(std::uint32_t aCount);
+
+  void Submit(TimePoint aNow, const CallSpec& aSpec);
+  // Ends a call at once, whatever it does; the host closes its attempt.
+  void Cancel(TimePoint aNow, CallNumber aCall);
+  // The first event of the answer arrived.
+  void OnFirstEvent(TimePoint aNow, CallNumber aCall);
+  // An attempt ended. True: the call goes on, the next attempt follows. False: the call is over and
+  // the host answers with what it has.
+  bool OnAttemptEnd(TimePoint aNow, CallNumber aCall, AttemptEnd aEnd);
+
+  void OnAgentState(TimePoint aNow, const std::string& aHost, const AgentState& aState);
+  void OnOffer(TimePoint aNow, const std::string& aHost, CallNumber aCall);
+
+  void OnTimer(TimePoint aNow);
+  TimePoint NextTimer() const;
+
+  // When a refused caller of this service and tier should come back.
+  Duration RetryAfter(TimePoint aNow, const std::string& aService, Tier aTier) const;
+  bool HasEndpointFor(const std::string& aService) const;
+  // Endpoint that runs the call; nullptr if none does.
+  const EndpointInfo* EndpointOf(CallNumber aCall) const;
+  std::size_t CallCount() const { return this->calls.size(); }
+  // One line on the state of all endpoints, for logs.
+  std::string Summary(TimePoint aNow) const;
+
+private:
+  // Port of an entry's own queue: collects its offers until they can be taken.
+  struct LocalPort final : SlotQueuePort
+  {
+    void OfferSlotTo(const Peer& aHolder, CallNumber aCall) override;
+    Dispatcher* owner = nullptr;
+    std::string endpoint;
+  };
+  struct Target
+  {
+    EndpointInfo info;
+    bool hasAgent = false;
+    bool isListed = true; // false: only finishes what it runs
+    bool agentLive = false;
+    TimePoint agentHeardAt{};
+    AgentState agent;
+    std::unique_ptr<LocalPort> localPort;
+    std::unique_ptr<SlotQueue> local;
+    EndpointHealth health;
+    std::uint32_t running = 0;     // own calls there
+    std::uint32_t sentPrefill = 0; // own prompt tokens sent since the agent's last state
+  };
+  enum class Stage : std::uint8_t
+  {
+    kQueued,
+    kRunning,
+  };
+  struct Call
+  {
+    CallSpec spec;
+    Stage stage = Stage::kQueued;
+    std::vector<std::string> reserved; // ids of endpoints
+    std::string endpoint;              // while it runs
+    std::set<std::string> tried;       // endpoints that had an attempt
+    std::uint32_t runs = 0;            // attempts that may have run
+    std::uint32_t attempts = 0;
+    bool hasBegun = false; // the first event of this attempt arrived
+    bool isWide = false;
+    TimePoint sentAt{};
+    TimePoint widenAt = kNever;
+    TimePoint giveUpAt = kNever;
+    GiveUpReason reason = GiveUpReason::kOverload; // while it queues without an attempt
+  };
+  struct Due
+  {
+    TimePoint time;
+    CallNumber call;
+    friend bool operator>(const Due& aLeft, const Due& aRight) { return aLeft.time > aRight.time; }
+  };
+  struct Warm
+  {
+    std::string endpoint;
+    TimePoint at;
+  };
+
+  void Place(TimePoint aNow, Call& aCall);
+  std::vector<Target*> Candidates(TimePoint aNow, const Call& aCall);
+  double CostOf(TimePoint aNow, const Target& aTarget, const Call& aCall);
+  std::uint32_t PromptAt(TimePoint aNow, const Target& aTarget, const CallSpec& aSpec) const;
+  void ReserveAt(TimePoint aNow, Target& aTarget, Call& aCall);
+  void WithdrawAll(TimePoint aNow, Call& aCall, const std::string& aExcept);
+  ReserveSlot ReservationOf(TimePoint aNow, const Target& aTarget, const Call& aCall) const;
+  void Start(TimePoint aNow, Target& aTarget, Call& aCall);
+  void LeaveEndpoint(TimePoint aNow, Call& aCall);
+  void GiveUp(TimePoint aNow, CallNumber aCall, GiveUpReason aReason);
+  void TakeOffer(TimePoint aNow, Target& aTarget, CallNumber aCall);
+  void DrainLocalOffers(TimePoint aNow);
+  void SetAgentLive(TimePoint aNow, Target& aTarget, bool aIsLive);
+  std::uint32_t LocalLimit(const Target& aTarget) const;
+  void SendHolds(TimePoint aNow);
+  void Schedule(Call& aCall);
+  bool MayUse(const Target& aTarget, const CallSpec& aSpec) const;
+  Target* FindByHost(const std::string& aHost);
+
+  DispatchOptions options;
+  Peer self;
+  std::string failureDomain;
+  Random& random;
+  RetryBudget& budget;
+  DispatchPort& port;
+  std::function<bool(const EndpointInfo&, const CallSpec&)> filter;
+  std::uint32_t entryCount = 1;
+  std::map<std::string, Target> targets; // by endpoint id
+  std::unordered_map<CallNumber, Call> calls;
+  std::unordered_map<std::uint64_t, Warm> warm; // subject -> endpoint that read it last
+  std::priority_queue<Due, std::vector<Due>, std::greater<>> due;
+  TimePoint nextHold{};
+  std::map<std::string, Duration, std::less<>> runTimes; // usual time of a run by service
+  std::vector<std::pair<std::string, CallNumber>> localOffers;
+};
+
+} // namespace caraway::direct
--- /dev/null
+++ b/src/direct/endpoint_table.cpp
@@ -0,0 +1,50 @@
+#include "direct/endpoint_table.h"
+
+#include <utility>
+
+namespace caraway::direct {
+
+namespace {
+
+// True if aNew says something later about the endpoint than aOld.
+bool IsNewer(const EndpointInfo& aNew, const EndpointInfo& aOld)
+{
+  if (aNew.bornMs != aOld.bornMs) {
+    return aNew.bornMs > aOld.bornMs;
+  }
+  return aNew.sequence >= aOld.sequence;
+}
+
+} // namespace
+
+bool EndpointTable::Put(const EndpointInfo& aInfo)
+{
+  const auto found = this->endpoints.find(aInfo.id);
+  if (found != this->endpoints.end() && !IsNewer(aInfo, found->second)) {
+    return false;
+  }
+  // An address belongs to the endpoint that registered there last.
+  std::erase_if(this->endpoints, [&](const auto& aRow) {
+    return aRow.first != aInfo.id && aRow.second.host == aInfo.host &&
+           aRow.second.port == aInfo.port && aRow.second.bornMs < aInfo.bornMs;
+  });
+  this->endpoints.insert_or_assign(aInfo.id, aInfo);
+  return true;
+}
+
+bool EndpointTable::Remove(const std::string& aId)
+{
+  return this->endpoints.erase(aId) > 0;
+}
+
+void EndpointTable::Replace(const std::map<std::string, EndpointInfo>& aAll)
+{
+  std::map<std::string, EndpointInfo> before = std::exchange(this->endpoints, {});
+  for (const auto& [id, info] : aAll) {
+    const auto known = before.find(id);
+    const bool isOld = known != before.end() && !IsNewer(info, known->second);
+    this->Put(isOld ? known->second : info);
+  }
+}
+
+} // namespace caraway::direct
--- /dev/null
+++ b/src/direct/messages.h
@@ -0,0 +1,184 @@
+// Messages of the direct path between processes, one datagram for all that one process has to say
+// to another. Datagrams may be lost: entries repeat the whole of what they hold at an agent.
+#pragma once
+
+#include "direct/call.h"
+
+#include <cereal/types/array.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/variant.hpp>
+#include <cereal/types/vector.hpp>
+
+#include <array>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace caraway::direct {
+
+// Entry to agent: asks for a slot of the agent's endpoint.
+struct ReserveSlot
+{
+  CallNumber call = 0;
+  Tier tier = kLowestTier;
+  std::int32_t objectiveLeftMs = 0; // negative once it has passed
+  std::int32_t timeLeftMs = 0;
+  std::uint32_t promptTokens = 0; // to be read by this endpoint, as far as the entry knows
+  std::uint32_t outputTokens = 0;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(call, tier, objectiveLeftMs, timeLeftMs, promptTokens, outputTokens);
+  }
+};
+
+// Entry to agent: neither the reservation nor an offer for it is wanted any more.
+struct WithdrawSlot
+{
+  CallNumber call = 0;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(call);
+  }
+};
+
+// Agent to entry: a slot is held for the call for a short time.
+struct OfferSlot
+{
+  CallNumber call = 0;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(call);
+  }
+};
+
+// Entry to agent: the call was sent to the endpoint.
+struct UseSlot
+{
+  CallNumber call = 0;
+  std::uint32_t promptTokens = 0;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(call, promptTokens);
+  }
+};
+
+// Entry to agent: the first event of the call's answer arrived.
+struct BeginAnswer
+{
+  CallNumber call = 0;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(call);
+  }
+};
+
+// Entry to agent: the call has left the endpoint.
+struct ReleaseSlot
+{
+  CallNumber call = 0;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(call);
+  }
+};
+
+// Entry to agent: all that the entry holds there. What is missing in it is released.
+struct HoldState
+{
+  std::uint32_t slots = 0; // of the endpoint, by its registration
+  std::vector<ReserveSlot> waiting;
+  std::vector<UseSlot> running;          // prompt tokens 0: the answer has begun
+  std::vector<std::string> otherEntries; // IP numbers of the entries that the sender hears
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(slots, waiting, running, otherEntries);
+  }
+};
+
+// Agent to entry: the endpoint as the agent beside it sees it.
+struct AgentState
+{
+  std::int64_t endpointBornMs = 0;  // start of the endpoint's process, Unix time; 0: not known
+  bool isReachable = false;         // the endpoint answers the agent
+  bool isLeaving = false;           // the endpoint says that it leaves
+  std::uint32_t limit = 0;          // requests that may be at the endpoint at once
+  std::uint32_t taken = 0;          // offered or running
+  std::uint32_t pendingPrefill = 0; // prompt tokens at the endpoint before their first event
+  std::array<std::uint16_t, kTierCount> waiting{}; // reservations by tier
+  std::vector<std::string> entries;                // IP numbers of the entries that the agent hears
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(endpointBornMs, isReachable, isLeaving, limit, taken, pendingPrefill, waiting,
+             entries);
+  }
+};
+
+// Use of one account's quota at one entry since its start.
+struct AccountUse
+{
+  std::uint64_t account = 0; // hash of its name
+  std::uint64_t tokens = 0;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(account, tokens);
+  }
+};
+
+// Entry to entry: what the bounds over all entries need.
+struct EntryState
+{
+  std::int64_t sentAtUs = 0; // the sender's clock
+  // The receiver's clock as last sent by it: shows that this state is not older than that.
+  std::int64_t echoUs = 0;
+  std::uint64_t configOffset = 0; // of the configuration in force there
+  std::uint32_t configAgeMs = 0;  // since the platform's store confirmed it as the newest
+  std::vector<AccountUse> uses;
+  std::vector<Suspicion> suspicions; // calls that were running when endpoints died
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(sentAtUs, echoUs, configOffset, configAgeMs, uses, suspicions);
+  }
+};
+
+using DirectMessage = std::variant<ReserveSlot, WithdrawSlot, OfferSlot, UseSlot, BeginAnswer,
+                                   ReleaseSlot, HoldState, AgentState, EntryState>;
+
+struct Datagram
+{
+  Peer from;
+  std::vector<DirectMessage> messages;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(from, messages);
+  }
+};
+
+std::string EncodeDatagram(const Datagram& aDatagram);
+// nullopt for anything that is not exactly one datagram.
+std::optional<Datagram> DecodeDatagram(std::string_view aBytes);
+
+} // namespace caraway::direct
--- /dev/null
+++ b/src/direct/service_config.h
@@ -0,0 +1,88 @@
+// Configuration that operators give as one document: routes, services, accounts and limits. A newer
+// document replaces the whole.
+#pragma once
+
+#include "direct/call.h"
+#include "direct/shared_quota.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace caraway::direct {
+
+struct ServiceWeight
+{
+  std::string service;
+  double weight = 1;
+};
+
+struct Route
+{
+  std::string name;
+  std::string host;
+  std::string pathPrefix; // begins and ends with a slash
+  CallKind kind = CallKind::kOnce;
+  bool isResumable = false;
+  bool isOpen = false; // needs no key
+  Duration timeout{};  // longest time that a caller is kept waiting; zero: none
+  Duration objective{};
+  Tier tier = kLowestTier;
+  std::uint32_t maxRuns = 1;
+  std::vector<ServiceWeight> services; // one or more
+};
+
+struct ServiceSpec
+{
+  std::string name;
+  std::uint32_t maxConnections = 0; // to one endpoint, from all callers together; 0: not known
+  std::uint32_t engineSlots = 0;    // requests that an engine runs at once; 0: a plain service
+};
+
+struct AccountSpec
+{
+  std::string name;
+  std::uint64_t hash = 0;    // of the name
+  std::optional<Tier> tier;  // goes before the route's
+  bool countsTokens = false; // quota in tokens instead of requests
+  double plainTokens = 1;    // of a request that names no tokens
+  QuotaLimit quota;
+};
+
+struct CallerLimits
+{
+  std::uint32_t headBytes = 16 * 1024;
+  std::uint64_t bodyBytes = 4 << 20;
+  Duration headTimeout = std::chrono::seconds(3);
+  Duration idleTimeout = std::chrono::seconds(15);
+};
+
+class ServiceConfig
+{
+public:
+  std::uint64_t version = 0;
+  std::vector<Route> routes;
+  std::map<std::string, ServiceSpec, std::less<>> services;
+  std::vector<AccountSpec> accounts;
+  std::unordered_map<std::string, std::size_t> accountOfKey; // key to index in accounts
+  CallerLimits limits;
+  bool hasAccounts = false; // requests need a key
+
+  // Prepares the lookups; called once after the fields are set.
+  void BuildIndex();
+  // Route with the longest prefix of aPath among those of aHost; nullptr if there is none.
+  const Route* FindRoute(std::string_view aHost, std::string_view aPath) const;
+  const AccountSpec* FindAccount(std::string_view aKey) const;
+  const ServiceSpec* FindService(std::string_view aName) const;
+
+private:
+  // Routes of one host by their prefix.
+  using HostRoutes = std::unordered_map<std::string, std::size_t>;
+  std::unordered_map<std::string, HostRoutes> hosts;
+};
+
+} // namespace caraway::direct
--- /dev/null
+++ b/src/direct/shared_quota.h
@@ -0,0 +1,77 @@
+// Quotas of client accounts as one bound over all entries, in a sliding window. Each entry counts
+// its own use and what the others report; for an entry that is silent it assumes an equal part of
+// the quota, so that the bound holds also while entries are cut off from each other.
+#pragma once
+
+#include "direct/messages.h"
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <unordered_map>
+
+namespace caraway::direct {
+
+// Quota of one account in units of its kind: tokens or requests. No rate: no bound.
+struct QuotaLimit
+{
+  double ratePerSecond = 0;
+  double burst = 0;
+};
+
+struct SharedQuotaOptions
+{
+  Duration window = std::chrono::seconds(8); // in which the bound holds
+  // An entry that was not heard for this long is silent; some periods of EntryState.
+  Duration silence = std::chrono::milliseconds(600);
+  // A silent entry counts as gone after this time.
+  Duration forget = std::chrono::seconds(16);
+};
+
+class SharedQuota
+{
+public:
+  explicit SharedQuota(const SharedQuotaOptions& aOptions);
+
+  // Takes aUnits out of the account's quota. Zero: taken. Otherwise nothing is taken, and the
+  // result is how long to wait until there is room.
+  Duration Take(TimePoint aNow, std::uint64_t aAccount, const QuotaLimit& aLimit, double aUnits);
+  // Gives back what a request took that has not run.
+  void Return(TimePoint aNow, std::uint64_t aAccount, double aUnits);
+
+  // Own use since the start, for the other entries.
+  std::vector<AccountUse> OwnUse() const;
+  // Another entry's use since its start.
+  void OnPeerUse(TimePoint aNow, const Peer& aPeer, const std::vector<AccountUse>& aUses);
+  // Entries that are heard, with this one.
+  std::uint32_t EntryCount(TimePoint aNow) const;
+
+private:
+  static constexpr std::size_t kBuckets = 32; // of a window
+  // Units used in the last window, in buckets of equal time.
+  struct Window
+  {
+    std::array<double, kBuckets> buckets{};
+    std::int64_t newest = 0; // number of the newest bucket since the clock's start
+    double total = 0;
+  };
+  struct PeerRow
+  {
+    Incarnation incarnation{};
+    TimePoint heardAt{};
+    std::unordered_map<std::uint64_t, std::uint64_t> uses;
+    std::unordered_map<std::uint64_t, double> assumed;
+  };
+
+  std::int64_t BucketOf(TimePoint aNow) const;
+  void Advance(Window& aWindow, TimePoint aNow) const;
+  void Add(TimePoint aNow, std::uint64_t aAccount, double aUnits);
+  void AssumeSilent(TimePoint aNow, std::uint64_t aAccount, const QuotaLimit& aLimit);
+
+  SharedQuotaOptions options;
+  std::unordered_map<std::uint64_t, Window> windows;
+  std::unordered_map<std::uint64_t, double> own; // since the start
+  std::map<NodeId, PeerRow> peers;
+};
+
+} // namespace caraway::direct
--- /dev/null
+++ b/src/gateway/endpoint_agent.cpp
@@ -0,0 +1,215 @@
+#include "gateway/endpoint_agent.h"
+
+#include "runtime/log.h"
+
+#include <utility>
+
+namespace caraway::gateway {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// A report takes well under a millisecond on the same machine.
+constexpr Duration kReportTimeout = milliseconds(400);
+// Entries without anything here get the state every so many periods.
+constexpr int kIdleStatePeriods = 2;
+
+} // namespace
+
+EndpointAgent::EndpointAgent(const AgentSettings& aSettings, const Peer& aSelf, Poller& aPoller,
+                             const Clock& aClock, const ReportReader& aReports)
+  : settings(aSettings)
+  , clock(aClock)
+  , reports(aReports)
+  , pool(aPoller, aClock)
+  , net(aPoller, aSelf, *this)
+  , queue(aSettings.queue, *this)
+  , reportTimer([this] { this->AskReport(); })
+  , stateTimer([this] { this->SendStates(); })
+  , queueTimer([this] {
+    this->armedFor = kNever;
+    this->queue.OnTimer(this->Now());
+    this->AfterInput();
+  })
+{
+}
+
+std::error_code EndpointAgent::Start()
+{
+  const std::error_code error = this->net.Bind(this->settings.listen);
+  if (!error) {
+    this->AskReport();
+    this->stateTimer.ArmAfter(this->settings.statePeriod);
+  }
+  return error;
+}
+
+direct::AgentState EndpointAgent::State() const
+{
+  direct::AgentState state;
+  state.endpointBornMs = this->report.bornMs;
+  state.isReachable = this->isReachable;
+  state.isLeaving = this->report.isLeaving;
+  state.limit = this->queue.Limit();
+  state.taken = this->queue.Taken();
+  state.pendingPrefill = this->queue.PendingPrefill();
+  state.waiting = this->queue.Waiting();
+  for (const auto& [node, row] : this->entries) {
+    state.entries.push_back(row.address.host);
+  }
+  return state;
+}
+
+void EndpointAgent::OfferSlotTo(const Peer& aHolder, direct::CallNumber aCall)
+{
+  const auto found = this->entries.find(aHolder.node);
+  if (found != this->entries.end()) {
+    this->net.Send(found->second.address, direct::OfferSlot{ aCall });
+  }
+}
+
+void EndpointAgent::OnPeerMessage(const Address& aFrom, const Peer& aPeer,
+                                  const direct::DirectMessage& aMessage)
+{
+  const TimePoint now = this->Now();
+  EntryRow& row = this->entries[aPeer.node];
+  const bool isNew = row.heardAt == TimePoint{};
+  row.address = aFrom;
+  row.heardAt = now;
+  if (isNew) {
+    LogEvent(LogLevel::kInfo, "entry_heard", { { "entry", FormatAddress(aFrom) } });
+    this->net.Send(aFrom, this->State());
+  }
+  if (const auto* reserve = std::get_if<direct::ReserveSlot>(&aMessage)) {
+    row.holds = true;
+    this->queue.Reserve(now, aPeer, *reserve);
+  } else if (const auto* withdraw = std::get_if<direct::WithdrawSlot>(&aMessage)) {
+    this->queue.Withdraw(now, aPeer, withdraw->call);
+  } else if (const auto* use = std::get_if<direct::UseSlot>(&aMessage)) {
+    row.holds = true;
+    this->queue.Use(now, aPeer, *use);
+  } else if (const auto* begin = std::get_if<direct::BeginAnswer>(&aMessage)) {
+    this->queue.BeginAnswer(now, aPeer, begin->call);
+  } else if (const auto* release = std::get_if<direct::ReleaseSlot>(&aMessage)) {
+    this->queue.Release(now, aPeer, release->call);
+  } else if (const auto* state = std::get_if<direct::HoldState>(&aMessage)) {
+    row.holds = !state->waiting.empty() || !state->running.empty();
+    if (state->slots != this->slots) {
+      this->slots = state->slots;
+      this->UpdateLimit();
+    }
+    this->queue.Reconcile(now, aPeer, *state);
+  }
+}
+
+void EndpointAgent::OnPeerMessagesDone()
+{
+  this->AfterInput();
+}
+
+void EndpointAgent::AskReport()
+{
+  const TimePoint now = this->Now();
+  if (this->asking.expired()) {
+    EndpointRequest request;
+    request.address = this->settings.endpoint;
+    request.bytes = this->reports.WriteReportRequest();
+    request.connectTimeout = kReportTimeout;
+    this->askedAt = now;
+    this->reportStatus = 0;
+    this->reportBody.clear();
+    this->asking = this->pool.Send(std::move(request), *this);
+  } else if (now - this->askedAt > kReportTimeout) {
+    this->pool.Cancel(this->asking);
+    this->asking.reset();
+  }
+  if (this->isReachable && now - this->reportedAt > this->settings.endpointSilence) {
+    this->isReachable = false;
+    LogEvent(LogLevel::kWarning, "endpoint_silent",
+             { { "endpoint", FormatAddress(this->settings.endpoint) } });
+    this->UpdateLimit();
+    this->AfterInput();
+  }
+  this->reportTimer.ArmAfter(this->settings.reportPeriod);
+}
+
+void EndpointAgent::OnHead(const ResponseHead& aHead)
+{
+  this->reportStatus = aHead.status;
+}
+
+void EndpointAgent::OnBody(std::string_view aData)
+{
+  this->reportBody.append(aData);
+}
+
+void EndpointAgent::OnEnd(ExchangeEnd aEnd)
+{
+  this->asking.reset();
+  if (aEnd == ExchangeEnd::kComplete) {
+    const auto read = this->reports.ReadReport(this->reportStatus, this->reportBody);
+    if (read) {
+      this->TakeReport(*read);
+      this->AfterInput();
+      return;
+    }
+  }
+  // A refused connection shows at once that no process listens.
+  if (aEnd == ExchangeEnd::kUnsent && this->isReachable) {
+    this->isReachable = false;
+    LogEvent(LogLevel::kWarning, "endpoint_down",
+             { { "endpoint", FormatAddress(this->settings.endpoint) } });
+    this->UpdateLimit();
+    this->AfterInput();
+  }
+}
+
+void EndpointAgent::TakeReport(const EndpointReport& aReport)
+{
+  const bool changed = !this->isReachable || aReport.bornMs != this->report.bornMs ||
+                       aReport.isLeaving != this->report.isLeaving;
+  this->report = aReport;
+  this->reportedAt = this->Now();
+  this->isReachable = true;
+  if (changed) {
+    LogEvent(LogLevel::kInfo, "endpoint_seen",
+             { { "born_ms", std::to_string(aReport.bornMs) },
+               { "leaving", aReport.isLeaving ? "true" : "false" } });
+    this->UpdateLimit();
+    this->SendStates();
+  }
+}
+
+void EndpointAgent::UpdateLimit()
+{
+  const bool mayOffer = this->isReachable && !this->report.isLeaving;
+  this->queue.SetLimit(
+    this->Now(), mayOffer && this->slots > 0 ? this->slots + this->settings.extraRequests : 0);
+}
+
+void EndpointAgent::SendStates()
+{
+  const TimePoint now = this->Now();
+  std::erase_if(this->entries, [&](const auto& aRow) {
+    return now - aRow.second.heardAt > this->settings.entrySilence;
+  });
+  const direct::AgentState state = this->State();
+  for (const auto& [node, row] : this->entries) {
+    this->net.Send(row.address, state);
+  }
+  this->net.Flush();
+  this->stateTimer.ArmAfter(this->settings.statePeriod * kIdleStatePeriods);
+}
+
+void EndpointAgent::AfterInput()
+{
+  this->net.Flush();
+  const TimePoint next = this->queue.NextTimer();
+  if (next < this->armedFor) {
+    this->armedFor = next;
+    this->queueTimer.ArmAfter(next - this->Now());
+  }
+}
+
+} // namespace caraway::gateway
--- /dev/null
+++ b/src/gateway/endpoint_agent.h
@@ -0,0 +1,92 @@
+// The agent beside a model engine: runs the queue before the engine's slots for all entries, and
+// watches the engine through its own fresh report. It carries no request itself, so its end cuts
+// none.
+#pragma once
+
+#include "direct/slot_queue.h"
+#include "gateway/dialect.h"
+#include "gateway/peer_net.h"
+#include "runtime/clock.h"
+#include "runtime/endpoint_pool.h"
+#include "runtime/timer.h"
+
+#include <map>
+#include <string>
+#include <system_error>
+
+namespace caraway::gateway {
+
+struct AgentSettings
+{
+  Address listen;                                         // for datagrams of entries
+  Address endpoint;                                       // the engine beside it
+  Duration reportPeriod = std::chrono::milliseconds(200); // of the engine's report
+  Duration statePeriod = std::chrono::milliseconds(100);  // of AgentState to entries that hold here
+  // An engine that did not answer for this long counts as down; some periods of its report.
+  Duration endpointSilence = std::chrono::milliseconds(700);
+  // An entry that was not heard for this long gets no state any more.
+  Duration entrySilence = std::chrono::seconds(3);
+  // Requests at the engine beyond its slots: one that waits there fills the slot that falls free
+  // without a round trip.
+  std::uint32_t extraRequests = 0;
+  direct::SlotQueueOptions queue;
+};
+
+class EndpointAgent final
+  : private direct::SlotQueuePort
+  , private PeerMessageHandler
+  , private ExchangeHandler
+{
+public:
+  EndpointAgent(const AgentSettings& aSettings, const Peer& aSelf, Poller& aPoller,
+                const Clock& aClock, const ReportReader& aReports);
+
+  std::error_code Start();
+  std::uint16_t Port() const { return this->net.Port(); }
+  direct::AgentState State() const;
+
+private:
+  struct EntryRow
+  {
+    Address address;
+    TimePoint heardAt{};
+    bool holds = false; // holds slots or reservations here
+  };
+
+  void OfferSlotTo(const Peer& aHolder, direct::CallNumber aCall) override;
+  void OnPeerMessage(const Address& aFrom, const Peer& aPeer,
+                     const direct::DirectMessage& aMessage) override;
+  void OnPeerMessagesDone() override;
+  void OnHead(const ResponseHead& aHead) override;
+  void OnBody(std::string_view aData) override;
+  void OnEnd(ExchangeEnd aEnd) override;
+
+  void AskReport();
+  void TakeReport(const EndpointReport& aReport);
+  void UpdateLimit();
+  void SendStates();
+  void AfterInput();
+  TimePoint Now() const { return this->clock.Read().steady; }
+
+  AgentSettings settings;
+  const Clock& clock;
+  const ReportReader& reports;
+  EndpointPool pool;
+  PeerNet net;
+  direct::SlotQueue queue;
+  std::map<NodeId, EntryRow> entries;
+  std::uint32_t slots = 0; // of the engine, as entries know it
+  EndpointReport report;
+  TimePoint reportedAt{};
+  bool isReachable = false;
+  std::weak_ptr<EndpointExchange> asking;
+  std::uint16_t reportStatus = 0;
+  std::string reportBody;
+  TimePoint askedAt{};
+  TimePoint armedFor = kNever;
+  Timer reportTimer;
+  Timer stateTimer;
+  Timer queueTimer;
+};
+
+} // namespace caraway::gateway
--- /dev/null
+++ b/src/gateway/flow.cpp
@@ -0,0 +1,206 @@
+#include "gateway/flow.h"
+
+#include "runtime/log.h"
+
+#include <utility>
+
+namespace caraway::gateway {
+
+using direct::AttemptEnd;
+using direct::CallKind;
+using direct::GiveUpReason;
+
+namespace {
+
+// Idle connections older than this are not used for a call that must run once: the endpoint may
+// have closed them, and a request lost there could not be told from one that ran.
+constexpr Duration kOnceMaxIdle = std::chrono::milliseconds(800);
+constexpr Duration kMaxIdle = std::chrono::seconds(4);
+
+} // namespace
+
+Gateway::Flow::Flow(Gateway& aGateway, direct::CallNumber aNumber,
+                    std::shared_ptr<IngressExchange> aExchange, IngressRequest aRequest)
+  : gateway(aGateway)
+  , number(aNumber)
+  , exchange(std::move(aExchange))
+  , ingress(std::move(aRequest))
+{
+}
+
+void Gateway::Flow::Start(const direct::EndpointInfo& aEndpoint)
+{
+  EndpointCall call{ this->request, this->ingress.body };
+  call.account = this->account == nullptr ? std::string_view() : this->account->name;
+  call.endpointId = aEndpoint.id;
+  call.timeLeft = this->spec.deadline - this->gateway.Now();
+  call.resumeAfter = this->deliveredId ? this->deliveredId : this->request.resumeAfter;
+  EndpointRequest request;
+  request.address = Address{ aEndpoint.host, aEndpoint.port };
+  request.bytes = this->gateway.dialect.WriteEndpointRequest(call);
+  request.isHead = this->request.method == "HEAD";
+  request.maxIdle = this->spec.kind == CallKind::kSafe ? kMaxIdle : kOnceMaxIdle;
+  request.correlationField = this->gateway.dialect.CorrelationField();
+  request.correlationValue = this->request.id;
+  this->hasHead = false;
+  this->kind = AnswerKind::kInvalid;
+  this->body.clear();
+  this->events = EventSplitter();
+  this->attemptOpen = true;
+  this->gateway.counts.attempts++;
+  this->attempt = this->gateway.pool.Send(std::move(request), *this);
+}
+
+void Gateway::Flow::StopAttempt()
+{
+  if (this->attemptOpen) {
+    this->attemptOpen = false;
+    this->mayHaveRun = true;
+    this->gateway.pool.Cancel(this->attempt);
+  }
+}
+
+void Gateway::Flow::EndWithout(GiveUpReason aReason, Duration aRetryAfter)
+{
+  this->StopAttempt();
+  if (this->streaming) {
+    LogEvent(LogLevel::kInfo, "cut",
+             { { "request", this->request.id }, { "reason", std::string(ToString(aReason)) } });
+    this->exchange->Abort();
+    this->gateway.counts.failed++;
+    this->gateway.Remove(*this);
+    return;
+  }
+  if (this->mayHaveRun) {
+    const bool isLate = aReason == GiveUpReason::kDeadline;
+    this->gateway.Refuse(*this, isLate ? 504 : 502, ToString(aReason), Duration::zero());
+    return;
+  }
+  this->gateway.Refuse(*this, 503, ToString(aReason), aRetryAfter);
+}
+
+void Gateway::Flow::OnHead(const ResponseHead& aHead)
+{
+  this->head = aHead;
+  this->hasHead = true;
+  this->kind = this->gateway.dialect.KindOf(aHead);
+}
+
+void Gateway::Flow::OnBody(std::string_view aData)
+{
+  if (this->kind == AnswerKind::kSuccess && this->IsStream()) {
+    this->TakeStreamData(aData);
+  } else {
+    this->body.append(aData);
+  }
+}
+
+// Passes whole events on as they come.
+void Gateway::Flow::TakeStreamData(std::string_view aData)
+{
+  const bool isFirst = this->events.EventCount() == 0;
+  const std::string whole = this->events.Add(aData);
+  if (whole.empty()) {
+    return;
+  }
+  this->BeginStream();
+  if (isFirst) {
+    this->gateway.dispatcher.OnFirstEvent(this->gateway.Now(), this->number);
+  }
+  if (this->events.LastId()) {
+    this->deliveredId = this->events.LastId();
+  }
+  this->exchange->WriteBody(whole);
+  this->gateway.AfterInput();
+}
+
+// The head of the first attempt stands for the whole answer, also when another endpoint goes on.
+void Gateway::Flow::BeginStream()
+{
+  if (!this->streaming) {
+    this->streaming = true;
+    this->exchange->BeginBody(this->head.status, this->head.reason,
+                              this->gateway.dialect.AnswerFields(this->head), std::nullopt);
+  }
+}
+
+void Gateway::Flow::OnEnd(ExchangeEnd aEnd)
+{
+  this->attemptOpen = false;
+  this->FinishAttempt(this->EndOf(aEnd));
+}
+
+AttemptEnd Gateway::Flow::EndOf(ExchangeEnd aEnd) const
+{
+  if (aEnd == ExchangeEnd::kUnsent) {
+    return AttemptEnd::kUnsent;
+  }
+  // A head that says "not run" is enough, also if the connection broke after it.
+  if (this->hasHead && this->kind == AnswerKind::kNotRun) {
+    return AttemptEnd::kRefused;
+  }
+  if (this->hasHead && this->kind == AnswerKind::kMisdirected) {
+    return AttemptEnd::kMisdirected;
+  }
+  if (aEnd != ExchangeEnd::kComplete || this->kind == AnswerKind::kInvalid) {
+    return AttemptEnd::kBroken;
+  }
+  return this->kind == AnswerKind::kSuccess ? AttemptEnd::kAnswered : AttemptEnd::kFailed;
+}
+
+void Gateway::Flow::FinishAttempt(AttemptEnd aEnd)
+{
+  this->mayHaveRun = this->mayHaveRun || !HasNotRun(aEnd);
+  const direct::EndpointInfo* endpoint = this->gateway.dispatcher.EndpointOf(this->number);
+  if (aEnd != AttemptEnd::kAnswered) {
+    LogEvent(LogLevel::kInfo, "attempt_failed",
+             { { "request", this->request.id },
+               { "endpoint", endpoint == nullptr ? "" : endpoint->id },
+               { "end", std::string(ToString(aEnd)) },
+               { "status", std::to_string(this->hasHead ? this->head.status : 0) },
+               { "delivered", std::to_string(this->deliveredId.value_or(0)) } });
+  }
+  const bool goesOn =
+    this->gateway.dispatcher.OnAttemptEnd(this->gateway.Now(), this->number, aEnd);
+  if (goesOn) {
+    this->gateway.counts.resumed += this->streaming ? 1U : 0U;
+    this->gateway.AfterInput();
+    return;
+  }
+  switch (aEnd) {
+    case AttemptEnd::kAnswered:
+      this->PassAnswer();
+      break;
+    case AttemptEnd::kFailed:
+      if (!this->streaming) {
+        this->PassAnswer();
+        break;
+      }
+      [[fallthrough]];
+    default:
+      this->EndWithout(GiveUpReason::kFailed,
+                       this->gateway.dispatcher.RetryAfter(this->gateway.Now(), this->spec.service,
+                                                           this->spec.tier));
+      break;
+  }
+  this->gateway.AfterInput();
+}
+
+// Passes on the rest of a whole answer and ends the request.
+void Gateway::Flow::PassAnswer()
+{
+  const bool isStreamed = this->kind == AnswerKind::kSuccess && this->IsStream();
+  if (isStreamed) {
+    this->BeginStream();
+    this->exchange->WriteBody(this->events.Rest());
+    this->exchange->FinishBody();
+  } else {
+    this->exchange->Respond(this->head.status, this->head.reason,
+                            this->gateway.dialect.AnswerFields(this->head), this->body);
+  }
+  this->gateway.counts.answered += this->kind == AnswerKind::kSuccess ? 1U : 0U;
+  this->gateway.counts.failed += this->kind == AnswerKind::kSuccess ? 0U : 1U;
+  this->gateway.Remove(*this);
+}
+
+} // namespace caraway::gateway
--- /dev/null
+++ b/src/gateway/gateway.cpp
@@ -0,0 +1,419 @@
+#include "gateway/gateway.h"
+
+#include "gateway/flow.h"
+#include "runtime/log.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <utility>
+
+namespace caraway::gateway {
+
+using direct::CallNumber;
+using direct::DirectMessage;
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Duration kDefaultDeadline = seconds(60); // where neither caller nor route names one
+
+std::string_view ReasonPhrase(std::uint16_t aStatus)
+{
+  switch (aStatus) {
+    case 400:
+      return "Bad Request";
+    case 401:
+      return "Unauthorized";
+    case 404:
+      return "Not Found";
+    case 429:
+      return "Too Many Requests";
+    case 502:
+      return "Bad Gateway";
+    case 503:
+      return "Service Unavailable";
+    case 504:
+      return "Gateway Timeout";
+    default:
+      return "Error";
+  }
+}
+
+// Seconds with three decimals, as Retry-After is read here.
+std::string SecondsText(Duration aTime)
+{
+  char text[32];
+  std::snprintf(text, sizeof(text), "%.3f", std::chrono::duration<double>(aTime).count());
+  return text;
+}
+
+} // namespace
+
+Gateway::Gateway(const GatewaySettings& aSettings, const Peer& aSelf, Poller& aPoller,
+                 const Clock& aClock, Random& aRandom, const Dialect& aDialect)
+  : settings(aSettings)
+  , self(aSelf)
+  , clock(aClock)
+  , random(aRandom)
+  , dialect(aDialect)
+  , budget(aSettings.budget)
+  , quota(aSettings.quota)
+  , dispatcher(aSettings.dispatch, aSelf, aSettings.failureDomain, aRandom, this->budget, *this)
+  , pool(aPoller, aClock)
+  , net(aPoller, aSelf, *this)
+  , server(aPoller, aClock, *this)
+  , timer([this] {
+    this->armedFor = kNever;
+    this->dispatcher.OnTimer(this->Now());
+    this->AfterInput();
+  })
+  , stateTimer([this] { this->SendStates(); })
+  , leaveTimer([this] {
+    this->closed = true;
+    this->server.StopListening();
+  })
+{
+  aPoller.AddAfterTurn([this] { this->ended.clear(); });
+}
+
+Gateway::~Gateway() = default;
+
+std::error_code Gateway::Start()
+{
+  if (const std::error_code error = this->net.Bind(this->settings.peerListen)) {
+    return error;
+  }
+  if (const std::error_code error = this->server.Listen(this->settings.listen)) {
+    return error;
+  }
+  this->SendStates();
+  this->AfterInput();
+  return {};
+}
+
+void Gateway::SetConfig(std::uint64_t aOffset, std::shared_ptr<const direct::ServiceConfig> aConfig)
+{
+  if (this->config != nullptr && aOffset <= this->freshness.Offset()) {
+    return;
+  }
+  this->config = std::move(aConfig);
+  const direct::CallerLimits& limits = this->config->limits;
+  this->server.SetLimits(
+    { limits.headBytes, limits.bodyBytes, limits.headTimeout, limits.idleTimeout });
+  LogEvent(LogLevel::kInfo, "config",
+           { { "version", std::to_string(this->config->version) },
+             { "offset", std::to_string(aOffset) },
+             { "routes", std::to_string(this->config->routes.size()) } });
+  this->SetEndpoints(std::map<std::string, direct::EndpointInfo>(this->endpoints));
+}
+
+void Gateway::ConfirmConfig(std::uint64_t aOffset, TimePoint aAskedAt)
+{
+  this->freshness.OnConfirmed(aOffset, aAskedAt);
+}
+
+void Gateway::SetEndpoints(const std::map<std::string, direct::EndpointInfo>& aAll)
+{
+  this->endpoints = aAll;
+  const auto hasAgents = [this](const std::string& aService) {
+    const direct::ServiceSpec* service =
+      this->config == nullptr ? nullptr : this->config->FindService(aService);
+    return service != nullptr && service->engineSlots > 0;
+  };
+  this->dispatcher.SetEndpoints(this->Now(), this->endpoints, hasAgents);
+  this->AfterInput();
+}
+
+bool Gateway::IsReady() const
+{
+  return !this->leaving && this->config != nullptr && !this->endpoints.empty() &&
+         this->freshness.Age(this->Now()) < this->settings.keyFreshness;
+}
+
+void Gateway::BeginLeaving()
+{
+  if (!this->leaving) {
+    this->leaving = true;
+    this->server.BeginLeaving();
+    this->leaveTimer.ArmAfter(this->settings.leaveNotice);
+  }
+}
+
+void Gateway::OnRequest(const std::shared_ptr<IngressExchange>& aExchange, IngressRequest aRequest)
+{
+  const CallNumber number = ++this->lastCall;
+  this->counts.requests++;
+  const auto place = this->flows.emplace(
+    number, std::make_unique<Flow>(*this, number, aExchange, std::move(aRequest)));
+  this->flowOf[aExchange.get()] = number;
+  Flow& flow = *place.first->second;
+  const RequestHead head = std::move(flow.ingress.head);
+  if (this->ReadHead(flow, head) && this->CheckReady(flow) && this->FindRoute(flow) &&
+      this->Authenticate(flow) && this->TakeQuota(flow)) {
+    this->Submit(flow);
+  }
+  this->AfterInput();
+}
+
+bool Gateway::ReadHead(Flow& aFlow, const RequestHead& aHead)
+{
+  std::optional<CallerRequest> request = this->dialect.ReadRequest(aHead);
+  if (!request) {
+    this->Refuse(aFlow, 400, "malformed", Duration::zero());
+    return false;
+  }
+  aFlow.request = std::move(*request);
+  return true;
+}
+
+bool Gateway::CheckReady(Flow& aFlow)
+{
+  if (this->config == nullptr) {
+    this->Refuse(aFlow, 503, "no_config", this->settings.retryWhenNotReady);
+    return false;
+  }
+  aFlow.config = this->config;
+  return true;
+}
+
+// A refusal for a missing route or key must rest on the newest configuration; without one the
+// caller is told to come back.
+bool Gateway::FindRoute(Flow& aFlow)
+{
+  aFlow.route = aFlow.config->FindRoute(aFlow.request.host, aFlow.request.target);
+  if (aFlow.route != nullptr) {
+    return true;
+  }
+  const bool isFresh = this->freshness.Age(this->Now()) < this->settings.denyFreshness;
+  this->Refuse(aFlow, isFresh ? 404 : 503, "no_route", this->settings.retryWhenNotReady);
+  return false;
+}
+
+bool Gateway::Authenticate(Flow& aFlow)
+{
+  if (!aFlow.config->hasAccounts || aFlow.route->isOpen) {
+    return true;
+  }
+  const Duration age = this->freshness.Age(this->Now());
+  if (age >= this->settings.keyFreshness) {
+    this->Refuse(aFlow, 503, "stale_keys", this->settings.retryWhenNotReady);
+    return false;
+  }
+  aFlow.account = aFlow.config->FindAccount(aFlow.request.key);
+  if (aFlow.account != nullptr) {
+    return true;
+  }
+  const bool isFresh = age < this->settings.denyFreshness;
+  this->Refuse(aFlow, isFresh ? 401 : 503, "unknown_key", this->settings.retryWhenNotReady);
+  return false;
+}
+
+bool Gateway::TakeQuota(Flow& aFlow)
+{
+  if (aFlow.account == nullptr) {
+    return true;
+  }
+  const direct::AccountSpec& account = *aFlow.account;
+  aFlow.quotaUnits = 1;
+  if (account.countsTokens) {
+    aFlow.quotaUnits = aFlow.request.namesTokens
+                         ? double{ 1 } * aFlow.request.promptTokens + aFlow.request.outputTokens
+                         : account.plainTokens;
+  }
+  const Duration wait =
+    this->quota.Take(this->Now(), account.hash, account.quota, aFlow.quotaUnits);
+  if (wait == Duration::zero()) {
+    return true;
+  }
+  aFlow.quotaUnits = 0;
+  this->counts.overQuota++;
+  this->Refuse(aFlow, 429, "over_quota", wait);
+  return false;
+}
+
+void Gateway::Submit(Flow& aFlow)
+{
+  const direct::Route& route = *aFlow.route;
+  direct::CallSpec& spec = aFlow.spec;
+  spec.number = aFlow.number;
+  spec.kind = route.kind;
+  spec.isResumable = route.isResumable;
+  spec.tier = aFlow.account != nullptr && aFlow.account->tier ? *aFlow.account->tier : route.tier;
+  spec.maxRuns = route.maxRuns;
+  spec.objective = route.objective;
+  spec.arrived = aFlow.ingress.readAt;
+  spec.promptTokens = aFlow.request.promptTokens;
+  spec.outputTokens = aFlow.request.outputTokens;
+  spec.subject = aFlow.request.subject;
+  const Duration byRoute = route.timeout > Duration::zero() ? route.timeout : kDefaultDeadline;
+  const Duration byCaller = aFlow.request.timeLeft.value_or(kDefaultDeadline);
+  spec.deadline = std::min(aFlow.ingress.readAt + byRoute, aFlow.ingress.firstByteAt + byCaller);
+  double total = 0;
+  for (const direct::ServiceWeight& part : route.services) {
+    total += part.weight;
+  }
+  double drawn = this->random.Unit() * total;
+  for (const direct::ServiceWeight& part : route.services) {
+    spec.service = part.service;
+    drawn -= part.weight;
+    if (drawn < 0) {
+      break;
+    }
+  }
+  this->dispatcher.Submit(this->Now(), spec);
+}
+
+void Gateway::OnCallerGone(IngressExchange& aExchange)
+{
+  const auto found = this->flowOf.find(&aExchange);
+  if (found == this->flowOf.end()) {
+    return;
+  }
+  Flow& flow = *this->flows.at(found->second);
+  this->counts.callersGone++;
+  flow.StopAttempt();
+  this->dispatcher.Cancel(this->Now(), flow.number);
+  this->Remove(flow);
+  this->AfterInput();
+}
+
+void Gateway::StartAttempt(CallNumber aCall, const direct::EndpointInfo& aEndpoint)
+{
+  const auto found = this->flows.find(aCall);
+  if (found != this->flows.end()) {
+    found->second->Start(aEndpoint);
+  }
+}
+
+void Gateway::GiveUp(CallNumber aCall, direct::GiveUpReason aReason, Duration aRetryAfter)
+{
+  const auto found = this->flows.find(aCall);
+  if (found != this->flows.end()) {
+    found->second->EndWithout(aReason, aRetryAfter);
+  }
+}
+
+void Gateway::SendToAgent(const std::string& aHost, const DirectMessage& aMessage)
+{
+  this->net.Send(Address{ aHost, this->settings.agentPort }, aMessage);
+}
+
+void Gateway::OnPeerMessage(const Address& aFrom, const Peer& aPeer, const DirectMessage& aMessage)
+{
+  const TimePoint now = this->Now();
+  if (const auto* offer = std::get_if<direct::OfferSlot>(&aMessage)) {
+    this->dispatcher.OnOffer(now, aFrom.host, offer->call);
+  } else if (const auto* agent = std::get_if<direct::AgentState>(&aMessage)) {
+    this->dispatcher.OnAgentState(now, aFrom.host, *agent);
+    for (const std::string& host : agent->entries) {
+      if (host != this->settings.peerListen.host) {
+        this->peerEntries.try_emplace(
+          host, PeerEntry{ Address{ host, this->settings.peerListen.port }, now, 0 });
+      }
+    }
+  } else if (const auto* state = std::get_if<direct::EntryState>(&aMessage)) {
+    PeerEntry& peer = this->peerEntries[aFrom.host];
+    peer = PeerEntry{ aFrom, now, state->sentAtUs };
+    this->quota.OnPeerUse(now, aPeer, state->uses);
+    if (this->config != nullptr && state->configOffset == this->freshness.Offset()) {
+      // A datagram may have waited long; what it echoes tells its greatest age.
+      const TimePoint notBefore{ Duration(state->echoUs) };
+      this->freshness.OnConfirmed(state->configOffset,
+                                  notBefore - milliseconds(state->configAgeMs));
+    } else if (state->configOffset > this->freshness.Offset() && this->onNewerConfig) {
+      this->onNewerConfig();
+    }
+  }
+}
+
+void Gateway::OnPeerMessagesDone()
+{
+  this->AfterInput();
+}
+
+// Answers a request with a status of the gateway's own.
+void Gateway::Refuse(Flow& aFlow, std::uint16_t aStatus, std::string_view aCause,
+                     Duration aRetryAfter)
+{
+  HeaderFields fields = this->dialect.OwnFields(&aFlow.request);
+  const bool hasRetry = (aStatus == 429 || aStatus == 503) && aRetryAfter > Duration::zero();
+  if (hasRetry) {
+    fields.push_back({ "Retry-After", SecondsText(aRetryAfter) });
+  }
+  fields.push_back({ "Content-Type", "application/json" });
+  const std::string body = "{\"error\":\"" + std::string(aCause) + "\"}";
+  LogEvent(
+    LogLevel::kInfo, "refused",
+    { { "request", aFlow.request.id },
+      { "status", std::to_string(aStatus) },
+      { "cause", std::string(aCause) },
+      { "route", aFlow.route == nullptr ? "" : aFlow.route->name },
+      { "retry_after_ms", std::to_string(aRetryAfter.count() / 1000) },
+      { "config_age_ms", std::to_string(this->freshness.Age(this->Now()).count() / 1000) } });
+  this->counts.refused += aStatus == 503 ? 1U : 0U;
+  this->counts.failed += aStatus == 502 || aStatus == 504 ? 1U : 0U;
+  aFlow.exchange->Respond(aStatus, ReasonPhrase(aStatus), fields, body);
+  this->Remove(aFlow);
+}
+
+// Forgets a request that is over. The object lives on until no call into it is on the stack.
+void Gateway::Remove(Flow& aFlow)
+{
+  if (aFlow.isOver) {
+    return;
+  }
+  aFlow.isOver = true;
+  if (!aFlow.mayHaveRun) {
+    this->ReturnQuota(aFlow);
+  }
+  this->flowOf.erase(aFlow.exchange.get());
+  const auto found = this->flows.find(aFlow.number);
+  this->ended.push_back(std::move(found->second));
+  this->flows.erase(found);
+}
+
+void Gateway::ReturnQuota(Flow& aFlow)
+{
+  if (aFlow.account != nullptr && aFlow.quotaUnits > 0) {
+    this->quota.Return(this->Now(), aFlow.account->hash, aFlow.quotaUnits);
+  }
+}
+
+// Tells the other entries what the bounds over all entries need.
+void Gateway::SendStates()
+{
+  const TimePoint now = this->Now();
+  std::erase_if(this->peerEntries, [&](const auto& aRow) {
+    return now - aRow.second.heardAt > this->settings.entrySilence;
+  });
+  direct::EntryState state;
+  state.configOffset = this->freshness.Offset();
+  state.configAgeMs = static_cast<std::uint32_t>(
+    std::clamp<std::int64_t>(this->freshness.Age(now) / milliseconds(1), 0, 3600000));
+  state.uses = this->quota.OwnUse();
+  if (this->config != nullptr) {
+    state.sentAtUs = now.time_since_epoch().count();
+    for (const auto& [host, peer] : this->peerEntries) {
+      state.echoUs = peer.sentAtUs;
+      this->net.Send(peer.address, state);
+    }
+  }
+  this->dispatcher.SetEntryCount(this->quota.EntryCount(now));
+  this->net.Flush();
+  this->stateTimer.ArmAfter(this->settings.statePeriod);
+}
+
+// Follows every input: sends what was collected, arms the timer, frees what has ended.
+void Gateway::AfterInput()
+{
+  this->net.Flush();
+  const TimePoint next = this->dispatcher.NextTimer();
+  if (next < this->armedFor) {
+    this->armedFor = next;
+    this->timer.ArmAfter(next - this->Now());
+  }
+}
+
+} // namespace caraway::gateway
--- /dev/null
+++ b/src/gateway/gateway.h
@@ -0,0 +1,155 @@
+// The entry on the direct path: takes callers' requests, decides with the dispatcher where they
+// run, sends them to endpoints itself and passes the answers back. Owns each request to its final
+// answer.
+#pragma once
+
+#include "direct/dispatcher.h"
+#include "direct/service_config.h"
+#include "direct/shared_quota.h"
+#include "gateway/config_freshness.h"
+#include "gateway/dialect.h"
+#include "gateway/peer_net.h"
+#include "runtime/endpoint_pool.h"
+#include "runtime/ingress_server.h"
+#include "runtime/timer.h"
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <system_error>
+#include <unordered_map>
+
+namespace caraway::gateway {
+
+struct GatewaySettings
+{
+  Address listen;              // for callers
+  Address peerListen;          // for datagrams of agents and other entries
+  std::uint16_t agentPort = 0; // of the agents beside engines
+  std::string failureDomain;
+  // Requests with keys are refused when nobody has confirmed the configuration for this long.
+  Duration keyFreshness = std::chrono::milliseconds(3000);
+  // Refusals that depend on the newest configuration need a confirmation this young.
+  Duration denyFreshness = std::chrono::milliseconds(2500);
+  Duration statePeriod = std::chrono::milliseconds(200); // of EntryState
+  Duration entrySilence = std::chrono::seconds(3);       // after which another entry gets no state
+  Duration retryWhenNotReady = std::chrono::milliseconds(500);
+  Duration leaveNotice = std::chrono::milliseconds(3200); // unready before the listener closes
+  direct::DispatchOptions dispatch;
+  direct::RetryBudgetOptions budget;
+  direct::SharedQuotaOptions quota;
+};
+
+// Counts since the start, for logs and metrics.
+struct GatewayCounts
+{
+  std::uint64_t requests = 0;
+  std::uint64_t answered = 0;
+  std::uint64_t refused = 0;
+  std::uint64_t overQuota = 0;
+  std::uint64_t failed = 0;
+  std::uint64_t callersGone = 0;
+  std::uint64_t attempts = 0;
+  std::uint64_t resumed = 0;
+};
+
+class Gateway final
+  : private IngressHandler
+  , private direct::DispatchPort
+  , private PeerMessageHandler
+{
+public:
+  Gateway(const GatewaySettings& aSettings, const Peer& aSelf, Poller& aPoller, const Clock& aClock,
+          Random& aRandom, const Dialect& aDialect);
+  ~Gateway() override;
+
+  std::error_code Start();
+  std::uint16_t Port() const { return this->server.Port(); }
+  std::uint16_t PeerPort() const { return this->net.Port(); }
+
+  // A configuration at aOffset of the platform's log; one older than that in force is ignored.
+  void SetConfig(std::uint64_t aOffset, std::shared_ptr<const direct::ServiceConfig> aConfig);
+  // The platform's store was asked at aAskedAt and had nothing newer than aOffset.
+  void ConfirmConfig(std::uint64_t aOffset, TimePoint aAskedAt);
+  void SetEndpoints(const std::map<std::string, direct::EndpointInfo>& aAll);
+  // Called when another entry has a newer configuration than this one.
+  void SetNewerConfigHook(std::function<void()> aHook) { this->onNewerConfig = std::move(aHook); }
+
+  // New requests can be served.
+  bool IsReady() const;
+  void BeginLeaving();
+  bool IsLeaving() const { return this->leaving; }
+  // Nothing is under way any more.
+  bool IsDone() const { return this->closed && this->flows.empty(); }
+  const GatewayCounts& Counts() const { return this->counts; }
+  std::string Summary() const { return this->dispatcher.Summary(this->Now()); }
+
+private:
+  class Flow;
+  struct PeerEntry
+  {
+    Address address;
+    TimePoint heardAt{};
+    std::int64_t sentAtUs = 0; // of its last state, by its own clock
+  };
+
+  void OnRequest(const std::shared_ptr<IngressExchange>& aExchange,
+                 IngressRequest aRequest) override;
+  void OnCallerGone(IngressExchange& aExchange) override;
+
+  void StartAttempt(direct::CallNumber aCall, const direct::EndpointInfo& aEndpoint) override;
+  void GiveUp(direct::CallNumber aCall, direct::GiveUpReason aReason,
+              Duration aRetryAfter) override;
+  void SendToAgent(const std::string& aHost, const direct::DirectMessage& aMessage) override;
+
+  void OnPeerMessage(const Address& aFrom, const Peer& aPeer,
+                     const direct::DirectMessage& aMessage) override;
+  void OnPeerMessagesDone() override;
+
+  // The steps that a request passes before it is submitted; each answers it if it ends there.
+  bool CheckReady(Flow& aFlow);
+  bool ReadHead(Flow& aFlow, const RequestHead& aHead);
+  bool FindRoute(Flow& aFlow);
+  bool Authenticate(Flow& aFlow);
+  bool TakeQuota(Flow& aFlow);
+  void Submit(Flow& aFlow);
+
+  void Refuse(Flow& aFlow, std::uint16_t aStatus, std::string_view aCause, Duration aRetryAfter);
+  void Remove(Flow& aFlow);
+  void ReturnQuota(Flow& aFlow);
+  void RunStarts();
+  void SendStates();
+  void AfterInput();
+  TimePoint Now() const { return this->clock.Read().steady; }
+
+  GatewaySettings settings;
+  Peer self;
+  const Clock& clock;
+  Random& random;
+  const Dialect& dialect;
+  direct::RetryBudget budget;
+  direct::SharedQuota quota;
+  direct::Dispatcher dispatcher;
+  EndpointPool pool;
+  PeerNet net;
+  IngressServer server;
+  std::shared_ptr<const direct::ServiceConfig> config;
+  ConfigFreshness freshness;
+  std::map<std::string, direct::EndpointInfo> endpoints;
+  std::unordered_map<direct::CallNumber, std::unique_ptr<Flow>> flows;
+  std::unordered_map<IngressExchange*, direct::CallNumber> flowOf;
+  std::vector<std::unique_ptr<Flow>> ended;     // destroyed when no call into them is on the stack
+  std::map<std::string, PeerEntry> peerEntries; // by IP number
+  direct::CallNumber lastCall = 0;
+  std::function<void()> onNewerConfig;
+  GatewayCounts counts;
+  bool leaving = false;
+  bool closed = false;
+  TimePoint armedFor = kNever;
+  Timer timer;
+  Timer stateTimer;
+  Timer leaveTimer;
+};
+
+} // namespace caraway::gateway
--- /dev/null
+++ b/src/runtime/boot_clock.h
@@ -0,0 +1,14 @@
+// Clock for machines that may be suspended: its steady time goes on meanwhile.
+#pragma once
+
+#include "runtime/clock.h"
+
+namespace caraway {
+
+class BootClock final : public Clock
+{
+public:
+  Now Read() const override;
+};
+
+} // namespace caraway
--- /dev/null
+++ b/src/runtime/endpoint_pool.h
@@ -0,0 +1,91 @@
+// HTTP client for endpoints: keeps idle connections, sends every request at most once, and tells
+// exactly how far an exchange came.
+#pragma once
+
+#include "runtime/clock.h"
+#include "runtime/http_reader.h"
+#include "runtime/tcp_socket.h"
+#include "runtime/timer.h"
+
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_set>
+
+namespace caraway {
+
+struct EndpointRequest
+{
+  Address address;
+  std::string bytes; // head and body as they go on the wire
+  bool isHead = false;
+  // An idle connection older than this is not used. Zero: always a new connection.
+  Duration maxIdle = std::chrono::seconds(4);
+  Duration connectTimeout = std::chrono::milliseconds(500);
+  // Field that answers repeat from the request. An answer with another value belongs to an earlier
+  // request and is skipped.
+  std::string correlationField;
+  std::string correlationValue;
+};
+
+// How an exchange ended.
+enum class ExchangeEnd : std::uint8_t
+{
+  kComplete,  // the whole answer was read
+  kUnsent,    // no byte of the request left this process
+  kBroken,    // the connection ended before the answer was complete
+  kMalformed, // the answer is not HTTP
+};
+
+std::string_view ToString(ExchangeEnd aEnd);
+
+// Receives the parts of an answer from the main loop; OnEnd is the last call.
+class ExchangeHandler
+{
+public:
+  virtual ~ExchangeHandler() = default;
+  virtual void OnHead(const ResponseHead& aHead) = 0;
+  virtual void OnBody(std::string_view aData) = 0;
+  virtual void OnEnd(ExchangeEnd aEnd) = 0;
+};
+
+class EndpointExchange;
+
+class EndpointPool
+{
+public:
+  EndpointPool(Poller& aPoller, const Clock& aClock);
+  ~EndpointPool();
+  EndpointPool(const EndpointPool&) = delete;
+  EndpointPool& operator=(const EndpointPool&) = delete;
+
+  // Starts an exchange. aHandler must live until OnEnd or Cancel; it is not called before this
+  // returns.
+  std::weak_ptr<EndpointExchange> Send(EndpointRequest aRequest, ExchangeHandler& aHandler);
+  // Closes the connection of an exchange; its handler is not called any more.
+  void Cancel(const std::weak_ptr<EndpointExchange>& aExchange);
+  // Closes all idle connections to an endpoint.
+  void Forget(const Address& aAddress);
+  std::size_t IdleCount() const;
+  std::uint64_t ConnectionsOpened() const { return this->opened; }
+
+private:
+  friend class EndpointExchange;
+
+  class IdleConnection;
+
+  void Keep(const Address& aAddress, std::unique_ptr<TcpSocket> aSocket, Duration aFor);
+  std::unique_ptr<TcpSocket> TakeIdle(const EndpointRequest& aRequest, TcpOwner& aOwner);
+  void Sweep();
+
+  Poller& poller;
+  const Clock& clock;
+  std::unordered_set<std::shared_ptr<EndpointExchange>> exchanges;
+  std::map<Address, std::list<std::unique_ptr<IdleConnection>>> idle;
+  std::uint64_t opened = 0;
+  Timer sweep;
+};
+
+} // namespace caraway
--- a/src/runtime/frame.cpp
+++ b/src/runtime/frame.cpp
@@ -1,5 +1,7 @@
 #include "runtime/frame.h"
 
+#include "core/memory_stream.h"
+
 #include <cereal/archives/portable_binary.hpp>
 
 #include <glib.h>
@@ -8,7 +10,6 @@
 #include <cstring>
 #include <istream>
 #include <sstream>
-#include <streambuf>
 #include <system_error>
 
 namespace caraway {
@@ -19,43 +20,6 @@
 
 using Digest = std::array<std::uint8_t, kDigestBytes>;
 
-// Input stream over memory that it does not own.
-class MemoryBuffer : public std::streambuf
-{
-public:
-  explicit MemoryBuffer(std::string_view aBytes)
-  {
-    char* begin = const_cast<char*>(aBytes.data());
-    this->setg(begin, begin, begin + aBytes.size());
-  }
-};
-
-// Output stream that appends to a string.
-class StringBuffer : public std::streambuf
-{
-public:
-  explicit StringBuffer(std::string& aOut)
-    : out(aOut)
-  {
-  }
-
-protected:
-  std::streamsize xsputn(const char* aData, std::streamsize aCount) override
-  {
-    this->out.append(aData, static_cast<std::size_t>(aCount));
-    return aCount;
-  }
-
-  int_type overflow(int_type aCharacter) override
-  {
-    this->out.push_back(static_cast<char>(aCharacter));
-    return aCharacter;
-  }
-
-private:
-  std::string& out;
-};
-
 void Update(GHmac* aHmac, const void* aData, std::size_t aSize)
 {
   g_hmac_update(aHmac, static_cast<const guchar*>(aData), static_cast<gssize>(aSize));
--- /dev/null
+++ b/src/runtime/http_reader.cpp
@@ -0,0 +1,239 @@
+#include "runtime/http_reader.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/basic_parser.hpp>
+
+#include <strings.h>
+
+#include <limits>
+
+namespace caraway {
+
+namespace {
+
+namespace http = boost::beast::http;
+using boost::beast::error_code;
+using boost::beast::string_view;
+
+constexpr std::uint32_t kMaxResponseHead = 64 * 1024; // bytes
+
+std::string Text(string_view aView)
+{
+  return std::string(aView.data(), aView.size());
+}
+
+ReadState StateOf(const error_code& aError)
+{
+  if (aError == http::error::header_limit) {
+    return ReadState::kHeadTooBig;
+  }
+  return aError == http::error::body_limit ? ReadState::kBodyTooBig : ReadState::kMalformed;
+}
+
+// Feeds a parser from the front of aInput until it is done, wants more or fails.
+template<class Parser>
+ReadState Feed(Parser& aParser, std::string& aInput)
+{
+  std::size_t used = 0;
+  ReadState state = ReadState::kMore;
+  while (true) {
+    if (aParser.is_done()) {
+      state = ReadState::kDone;
+      break;
+    }
+    if (used == aInput.size()) {
+      break;
+    }
+    error_code error;
+    used += aParser.put(boost::asio::buffer(aInput.data() + used, aInput.size() - used), error);
+    if (error == http::error::need_more) {
+      break;
+    }
+    if (error) {
+      state = StateOf(error);
+      break;
+    }
+  }
+  aInput.erase(0, used);
+  return state;
+}
+
+// Collects what both kinds of messages share.
+template<bool kIsRequest>
+class Collector : public http::basic_parser<kIsRequest>
+{
+public:
+  HeaderFields fields;
+  std::string body;
+  std::optional<std::uint64_t> length;
+
+protected:
+  void on_field_impl(http::field, string_view aName, string_view aValue, error_code&) override
+  {
+    this->fields.push_back({ Text(aName), Text(aValue) });
+  }
+  void on_header_impl(error_code&) override {}
+  void on_body_init_impl(const boost::optional<std::uint64_t>& aLength, error_code&) override
+  {
+    if (aLength) {
+      this->length = *aLength;
+    }
+  }
+  std::size_t on_body_impl(string_view aData, error_code&) override
+  {
+    this->body.append(aData.data(), aData.size());
+    return aData.size();
+  }
+  void on_chunk_header_impl(std::uint64_t, string_view, error_code&) override {}
+  std::size_t on_chunk_body_impl(std::uint64_t, string_view aData, error_code&) override
+  {
+    this->body.append(aData.data(), aData.size());
+    return aData.size();
+  }
+  void on_finish_impl(error_code&) override {}
+};
+
+class RequestCollector final : public Collector<true>
+{
+public:
+  RequestHead head;
+
+private:
+  void on_request_impl(http::verb, string_view aMethod, string_view aTarget, int,
+                       error_code&) override
+  {
+    this->head.method = Text(aMethod);
+    this->head.target = Text(aTarget);
+  }
+  void on_response_impl(int, string_view, int, error_code&) override {}
+};
+
+class ResponseCollector final : public Collector<false>
+{
+public:
+  ResponseHead head;
+
+private:
+  void on_request_impl(http::verb, string_view, string_view, int, error_code&) override {}
+  void on_response_impl(int aStatus, string_view aReason, int, error_code&) override
+  {
+    this->head.status = static_cast<std::uint16_t>(aStatus);
+    this->head.reason = Text(aReason);
+  }
+  void on_header_impl(error_code&) override { this->head.fields = std::move(this->fields); }
+};
+
+} // namespace
+
+const HeaderField* FindField(const HeaderFields& aFields, std::string_view aName)
+{
+  for (const HeaderField& field : aFields) {
+    if (SameFieldName(field.name, aName)) {
+      return &field;
+    }
+  }
+  return nullptr;
+}
+
+bool SameFieldName(std::string_view aLeft, std::string_view aRight)
+{
+  return aLeft.size() == aRight.size() &&
+         strncasecmp(aLeft.data(), aRight.data(), aLeft.size()) == 0;
+}
+
+struct RequestReader::Impl
+{
+  RequestCollector collector;
+};
+
+RequestReader::RequestReader(std::uint32_t aMaxHeadBytes, std::uint64_t aMaxBodyBytes)
+  : impl(std::make_unique<Impl>())
+{
+  this->impl->collector.header_limit(aMaxHeadBytes);
+  this->impl->collector.body_limit(aMaxBodyBytes);
+}
+
+RequestReader::~RequestReader() = default;
+
+ReadState RequestReader::Read(std::string& aInput)
+{
+  const ReadState state = Feed(this->impl->collector, aInput);
+  if (state == ReadState::kDone) {
+    this->impl->collector.head.fields = std::move(this->impl->collector.fields);
+  }
+  return state;
+}
+
+bool RequestReader::IsHeadDone() const
+{
+  return this->impl->collector.is_header_done();
+}
+
+bool RequestReader::KeepsAlive() const
+{
+  return this->impl->collector.keep_alive();
+}
+
+RequestHead& RequestReader::Head()
+{
+  return this->impl->collector.head;
+}
+
+std::string& RequestReader::Body()
+{
+  return this->impl->collector.body;
+}
+
+struct ResponseReader::Impl
+{
+  ResponseCollector collector;
+};
+
+ResponseReader::ResponseReader(bool aToHead)
+  : impl(std::make_unique<Impl>())
+{
+  this->impl->collector.header_limit(kMaxResponseHead);
+  this->impl->collector.body_limit(std::numeric_limits<std::uint64_t>::max());
+  this->impl->collector.skip(aToHead);
+}
+
+ResponseReader::~ResponseReader() = default;
+
+ReadState ResponseReader::Read(std::string& aInput)
+{
+  const ReadState state = Feed(this->impl->collector, aInput);
+  this->impl->collector.head.length = this->impl->collector.length;
+  return state;
+}
+
+ReadState ResponseReader::ReadEnd()
+{
+  ResponseCollector& collector = this->impl->collector;
+  if (collector.is_header_done() && collector.need_eof()) {
+    error_code error;
+    collector.put_eof(error);
+  }
+  return collector.is_done() ? ReadState::kDone : ReadState::kMore;
+}
+
+bool ResponseReader::IsHeadDone() const
+{
+  return this->impl->collector.is_header_done();
+}
+
+bool ResponseReader::KeepsAlive() const
+{
+  return this->impl->collector.is_done() && this->impl->collector.keep_alive();
+}
+
+const ResponseHead& ResponseReader::Head() const
+{
+  return this->impl->collector.head;
+}
+
+std::string& ResponseReader::Body()
+{
+  return this->impl->collector.body;
+}
+
+} // namespace caraway
--- /dev/null
+++ b/src/runtime/tcp_socket.cpp
@@ -0,0 +1,315 @@
+#include "runtime/tcp_socket.h"
+
+#include "runtime/socket_address.h"
+
+#include <netinet/tcp.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <cerrno>
+#include <optional>
+#include <system_error>
+#include <utility>
+
+namespace caraway {
+
+namespace {
+
+constexpr std::size_t kReadBytes = 64 * 1024;
+// Largest part of the input that is read in one turn, so that one peer can't starve the others.
+constexpr std::size_t kBytesPerTurn = 256 * 1024;
+// Silence of an acknowledgement after which the kernel gives a connection up.
+constexpr unsigned kUserTimeoutMs = 5000;
+constexpr int kAcceptsPerTurn = 64;
+
+void SetOption(int aFd, int aLevel, int aName, int aValue)
+{
+  setsockopt(aFd, aLevel, aName, &aValue, sizeof(aValue));
+}
+
+} // namespace
+
+TcpSocket::TcpSocket(Poller& aPoller, TcpOwner& aOwner)
+  : poller(aPoller)
+  , owner(&aOwner)
+{
+}
+
+TcpSocket::~TcpSocket()
+{
+  this->Close();
+}
+
+bool TcpSocket::Connect(const Address& aAddress)
+{
+  const std::optional<sockaddr_in> target = ToSocketAddress(aAddress);
+  if (!target) {
+    return false;
+  }
+  this->fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (this->fd < 0) {
+    return false;
+  }
+  SetOption(this->fd, IPPROTO_TCP, TCP_NODELAY, 1);
+  SetOption(this->fd, IPPROTO_TCP, TCP_USER_TIMEOUT, kUserTimeoutMs);
+  const int result = connect(this->fd, AsGeneric(*target), sizeof(*target));
+  if (result != 0 && errno != EINPROGRESS) {
+    close(this->fd);
+    this->fd = -1;
+    return false;
+  }
+  this->connected = result == 0;
+  this->watched =
+    this->connected ? std::uint32_t{ EPOLLIN | EPOLLRDHUP } : std::uint32_t{ EPOLLOUT };
+  this->poller.Add(this->fd, this->watched, *this);
+  return true;
+}
+
+void TcpSocket::Adopt(int aFd)
+{
+  this->fd = aFd;
+  this->connected = true;
+  SetOption(this->fd, IPPROTO_TCP, TCP_NODELAY, 1);
+  SetOption(this->fd, IPPROTO_TCP, TCP_USER_TIMEOUT, kUserTimeoutMs);
+  this->watched = EPOLLIN | EPOLLRDHUP;
+  this->poller.Add(this->fd, this->watched, *this);
+}
+
+void TcpSocket::Write(std::string_view aData)
+{
+  if (this->fd < 0) {
+    return;
+  }
+  this->output.append(aData);
+  if (this->connected) {
+    this->Flush();
+    this->Watch();
+  }
+}
+
+void TcpSocket::SetReading(bool aIsReading)
+{
+  if (this->reading != aIsReading) {
+    this->reading = aIsReading;
+    this->Watch();
+  }
+}
+
+void TcpSocket::ShutdownOutput()
+{
+  this->shutdownAsked = true;
+  if (this->fd >= 0 && this->PendingOutput() == 0) {
+    shutdown(this->fd, SHUT_WR);
+  }
+}
+
+void TcpSocket::Close(bool aAbort)
+{
+  if (this->fd < 0) {
+    return;
+  }
+  if (aAbort) {
+    const linger option{ 1, 0 };
+    setsockopt(this->fd, SOL_SOCKET, SO_LINGER, &option, sizeof(option));
+  }
+  this->poller.Remove(this->fd);
+  close(this->fd);
+  this->fd = -1;
+}
+
+void TcpSocket::OnIo(std::uint32_t aEvents)
+{
+  if (!this->connected) {
+    int error = 0;
+    socklen_t size = sizeof(error);
+    getsockopt(this->fd, SOL_SOCKET, SO_ERROR, &error, &size);
+    if (error != 0 || (aEvents & (EPOLLERR | EPOLLHUP)) != 0) {
+      this->Fail();
+      return;
+    }
+    this->connected = true;
+    if (!this->Flush()) {
+      this->Fail();
+      return;
+    }
+    this->Watch();
+    this->owner->OnConnected();
+    return;
+  }
+  if ((aEvents & EPOLLOUT) != 0) {
+    if (!this->Flush()) {
+      this->Fail();
+      return;
+    }
+    this->Watch();
+    if (this->PendingOutput() == 0) {
+      this->owner->OnDrained();
+      return; // the rest is reported again, if the socket still stands
+    }
+  }
+  if ((aEvents & (EPOLLERR | EPOLLHUP)) != 0 && (aEvents & EPOLLIN) == 0) {
+    this->Fail();
+    return;
+  }
+  if ((aEvents & EPOLLIN) != 0 && this->reading) {
+    if (this->ReadAvailable()) {
+      return;
+    }
+  } else if ((aEvents & EPOLLRDHUP) != 0 && !this->inputEnded) {
+    // The input that is left unread is of no use: its sender is gone.
+    this->inputEnded = true;
+    this->Watch();
+    this->owner->OnInputEnd((aEvents & EPOLLERR) != 0);
+  }
+}
+
+// Reads what is there and reports it. True: a report was made.
+bool TcpSocket::ReadAvailable()
+{
+  std::array<char, kReadBytes> buffer;
+  std::size_t total = 0;
+  bool isReset = false;
+  while (total < kBytesPerTurn) {
+    const ssize_t count = recv(this->fd, buffer.data(), buffer.size(), 0);
+    if (count > 0) {
+      this->input.append(buffer.data(), static_cast<std::size_t>(count));
+      total += static_cast<std::size_t>(count);
+      if (static_cast<std::size_t>(count) < buffer.size()) {
+        break;
+      }
+      continue;
+    }
+    if (count == 0) {
+      this->inputEnded = true;
+    } else if (errno == EINTR) {
+      continue;
+    } else if (errno != EAGAIN && errno != EWOULDBLOCK) {
+      this->inputEnded = true;
+      isReset = true;
+    }
+    break;
+  }
+  const bool hasEnded = this->inputEnded;
+  if (hasEnded) {
+    this->Watch();
+  }
+  if (total > 0) {
+    this->owner->OnInput();
+    return true; // the end is reported by the next readiness
+  }
+  if (hasEnded) {
+    this->owner->OnInputEnd(isReset);
+    return true;
+  }
+  return false;
+}
+
+// Writes what the kernel takes. False: the connection is broken.
+bool TcpSocket::Flush()
+{
+  while (this->PendingOutput() > 0) {
+    const ssize_t count =
+      send(this->fd, this->output.data() + this->outputStart, this->PendingOutput(), MSG_NOSIGNAL);
+    if (count < 0) {
+      if (errno == EINTR) {
+        continue;
+      }
+      return errno == EAGAIN || errno == EWOULDBLOCK;
+    }
+    this->hasSent = true;
+    this->outputStart += static_cast<std::size_t>(count);
+  }
+  this->output.clear();
+  this->outputStart = 0;
+  if (this->shutdownAsked) {
+    shutdown(this->fd, SHUT_WR);
+  }
+  return true;
+}
+
+void TcpSocket::Fail()
+{
+  this->inputEnded = true;
+  this->poller.Remove(this->fd);
+  close(this->fd);
+  this->fd = -1;
+  this->owner->OnInputEnd(true);
+}
+
+void TcpSocket::Watch()
+{
+  if (this->fd < 0 || !this->connected) {
+    return;
+  }
+  std::uint32_t wanted = 0;
+  if (!this->inputEnded) {
+    wanted |= EPOLLRDHUP;
+    wanted |= this->reading ? std::uint32_t{ EPOLLIN } : 0U;
+  }
+  wanted |= this->PendingOutput() > 0 ? std::uint32_t{ EPOLLOUT } : 0U;
+  if (wanted != this->watched) {
+    this->watched = wanted;
+    this->poller.Change(this->fd, wanted);
+  }
+}
+
+TcpListener::TcpListener(Poller& aPoller, std::function<void(int)> aOnAccept)
+  : poller(aPoller)
+  , onAccept(std::move(aOnAccept))
+{
+}
+
+TcpListener::~TcpListener()
+{
+  this->Close();
+}
+
+std::error_code TcpListener::Listen(const Address& aAddress)
+{
+  const std::optional<sockaddr_in> local = ToSocketAddress(aAddress);
+  if (!local) {
+    return std::make_error_code(std::errc::invalid_argument);
+  }
+  this->fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (this->fd < 0) {
+    return { errno, std::generic_category() };
+  }
+  SetOption(this->fd, SOL_SOCKET, SO_REUSEADDR, 1);
+  if (bind(this->fd, AsGeneric(*local), sizeof(*local)) != 0 ||
+      listen(this->fd, kListenBacklog) != 0) {
+    const std::error_code error(errno, std::generic_category());
+    close(this->fd);
+    this->fd = -1;
+    return error;
+  }
+  sockaddr_in bound{};
+  socklen_t size = sizeof(bound);
+  getsockname(this->fd, AsGeneric(bound), &size);
+  this->port = ntohs(bound.sin_port);
+  this->poller.Add(this->fd, EPOLLIN, *this);
+  return {};
+}
+
+void TcpListener::Close()
+{
+  if (this->fd >= 0) {
+    this->poller.Remove(this->fd);
+    close(this->fd);
+    this->fd = -1;
+  }
+}
+
+void TcpListener::OnIo(std::uint32_t)
+{
+  for (int taken = 0; taken < kAcceptsPerTurn && this->fd >= 0; taken++) {
+    const int accepted = accept4(this->fd, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (accepted < 0) {
+      return;
+    }
+    this->onAccept(accepted);
+  }
+}
+
+} // namespace caraway
