Queue calls that can still meet their objective first; count quotas in their own time

Quota units of refused requests were given back to the newest part of the window and so opened a later one, and a restart forgot the window. Change: reservations carry the time by which they must be sent; those that can make it go first, then rank of the route inside the account's tier. Reading time is learned per endpoint as a line over own and pending prompt tokens. Units are returned to the time they were taken; half of the platform's tolerance is used; the window before the start counts as full.

--- a/src/direct/call.h
+++ b/src/direct/call.h
@@ -27,7 +27,8 @@
   CallNumber number = 0;
   CallKind kind = CallKind::kOnce;
   bool isResumable = false; // a stream that another endpoint can go on with
-  Tier tier = kLowestTier;
+  Tier tier = kLowestTier;  // of the client account, or of the route where the account has none
+  Tier rank = kLowestTier;  // of the route, among calls of one tier
   std::string service;
   std::uint32_t maxRuns = 1;   // endpoints that may run it
   Duration objective{};        // until the first event, or the answer
--- a/src/direct/dispatcher.cpp
+++ b/src/direct/dispatcher.cpp
@@ -22,6 +22,8 @@
 constexpr double kFarCost = 0.001;    // seconds
 constexpr double kFailureCost = 1.0;  // seconds, for an endpoint that fails all it gets
 constexpr double kJitterCost = 0.002; // seconds; spreads calls of entries that know the same
+// Way of the first event to the caller and of the request to the endpoint.
+constexpr Duration kStartMargin = milliseconds(20);
 constexpr Duration kInitialRunTime = milliseconds(400);
 constexpr double kRunTimeMemory = 0.05;   // weight of the newest run
 constexpr std::uint32_t kMaxAttempts = 6; // of one call, with those that did not run
@@ -147,7 +149,7 @@
   call.hasBegun = true;
   Target& target = this->targets.at(call.endpoint);
   target.local->BeginAnswer(aNow, this->self, aCall);
-  target.health.OnFirstEvent(aNow - call.sentAt, this->PromptAt(aNow, target, call.spec));
+  target.health.OnFirstEvent(aNow - call.sentAt, call.sentTokens);
   if (call.spec.subject != 0) {
     if (this->warm.size() >= kMaxWarm) {
       this->warm.clear();
@@ -270,7 +272,7 @@
   return this->due.empty() ? next : std::min(next, this->due.top().time);
 }
 
-Duration Dispatcher::RetryAfter(TimePoint, const std::string& aService, Tier aTier) const
+Duration Dispatcher::RetryAfter(const std::string& aService, Tier aRank) const
 {
   double slots = 0;
   double ahead = 0;
@@ -281,8 +283,8 @@
     const std::uint32_t own = this->LocalLimit(target);
     slots += target.agentLive ? target.agent.limit : own;
     double waiting = 0;
-    for (Tier tier = 0; tier <= aTier; tier++) {
-      waiting += target.agentLive ? target.agent.waiting.at(tier) : 0;
+    for (Tier rank = 0; rank <= aRank; rank++) {
+      waiting += target.agentLive ? target.agent.waiting.at(rank) : 0;
     }
     // A call waits at many endpoints at once, so the longest queue holds about all that wait.
     ahead = std::max(ahead, waiting);
@@ -383,8 +385,8 @@
     std::max(aTarget.agentLive ? aTarget.agent.taken : 0U, aTarget.running);
   double queued = 0;
   if (aTarget.agentLive) {
-    for (Tier tier = 0; tier <= aCall.spec.tier; tier++) {
-      queued += aTarget.agent.waiting.at(tier);
+    for (Tier rank = 0; rank <= aCall.spec.rank; rank++) {
+      queued += aTarget.agent.waiting.at(rank);
     }
   } else {
     queued = static_cast<double>(aTarget.local->WaitingCount());
@@ -397,12 +399,9 @@
   } else {
     cost += runTime * 0.1 * taken / limit;
   }
-  const std::uint32_t pending =
-    (aTarget.agentLive ? aTarget.agent.pendingPrefill : aTarget.local->PendingPrefill()) +
-    aTarget.sentPrefill;
   const std::uint32_t prompt = this->PromptAt(aNow, aTarget, aCall.spec);
   if (aTarget.hasAgent) {
-    cost += SecondsOf(aTarget.health.FirstEventTime(pending + prompt));
+    cost += SecondsOf(aTarget.health.FirstEventTime(PendingAt(aTarget) + prompt));
   }
   cost += aTarget.info.failureDomain == this->failureDomain ? 0 : kFarCost;
   cost += kFailureCost * aTarget.health.FailureRate();
@@ -420,6 +419,14 @@
   return isWarm ? static_cast<std::uint32_t>(aSpec.promptTokens * kWarmShare) : aSpec.promptTokens;
 }
 
+// Prompt tokens at the endpoint before their first event, as far as the entry knows.
+std::uint32_t Dispatcher::PendingAt(const Target& aTarget)
+{
+  const std::uint32_t known =
+    aTarget.agentLive ? aTarget.agent.pendingPrefill : aTarget.local->PendingPrefill();
+  return known + (aTarget.agentLive ? aTarget.sentPrefill : 0);
+}
+
 void Dispatcher::ReserveAt(TimePoint aNow, Target& aTarget, Call& aCall)
 {
   const std::string& id = aTarget.info.id;
@@ -442,13 +449,26 @@
   ReserveSlot reservation;
   reservation.call = spec.number;
   reservation.tier = spec.tier;
-  reservation.objectiveLeftMs = MillisecondsOf(spec.arrived + spec.objective - aNow);
+  reservation.rank = spec.rank;
+  reservation.startLeftMs = MillisecondsOf(this->StartBy(aNow, aTarget, spec) - aNow);
   reservation.timeLeftMs = MillisecondsOf(std::min(aCall.giveUpAt, spec.deadline) - aNow);
   reservation.promptTokens = this->PromptAt(aNow, aTarget, spec);
   reservation.outputTokens = spec.outputTokens;
   return reservation;
 }
 
+// When the call must be sent to the endpoint to meet its objective. A prompt that takes longer to
+// read than its objective allows gets the time that it needs.
+TimePoint Dispatcher::StartBy(TimePoint aNow, const Target& aTarget, const CallSpec& aSpec) const
+{
+  if (!aTarget.hasAgent) {
+    return aSpec.arrived + aSpec.objective / 2;
+  }
+  const Duration reading = aTarget.health.FirstEventTime(this->PromptAt(aNow, aTarget, aSpec));
+  const Duration objective = std::max(aSpec.objective, reading * 3 / 2);
+  return aSpec.arrived + objective - reading - kStartMargin;
+}
+
 void Dispatcher::WithdrawAll(TimePoint aNow, Call& aCall, const std::string& aExcept)
 {
   for (const std::string& id : aCall.reserved) {
@@ -499,6 +519,7 @@
   aCall.sentAt = aNow;
   aTarget.running++;
   const UseSlot use{ aCall.spec.number, this->PromptAt(aNow, aTarget, aCall.spec) };
+  aCall.sentTokens = use.promptTokens + PendingAt(aTarget);
   aTarget.sentPrefill += use.promptTokens;
   aTarget.local->Use(aNow, this->self, use);
   if (aTarget.agentLive) {
@@ -531,7 +552,7 @@
 {
   const auto found = this->calls.find(aCall);
   Call& call = found->second;
-  const Duration retryAfter = this->RetryAfter(aNow, call.spec.service, call.spec.tier);
+  const Duration retryAfter = this->RetryAfter(call.spec.service, call.spec.rank);
   this->WithdrawAll(aNow, call, "");
   this->LeaveEndpoint(aNow, call);
   this->calls.erase(found);
--- a/src/direct/dispatcher.h
+++ b/src/direct/dispatcher.h
@@ -82,8 +82,8 @@
   void OnTimer(TimePoint aNow);
   TimePoint NextTimer() const;
 
-  // When a refused caller of this service and tier should come back.
-  Duration RetryAfter(TimePoint aNow, const std::string& aService, Tier aTier) const;
+  // When a refused caller of this service and rank should come back.
+  Duration RetryAfter(const std::string& aService, Tier aRank) const;
   bool HasEndpointFor(const std::string& aService) const;
   // Endpoint that runs the call; nullptr if none does.
   const EndpointInfo* EndpointOf(CallNumber aCall) const;
@@ -130,6 +130,7 @@
     bool hasBegun = false; // the first event of this attempt arrived
     bool isWide = false;
     TimePoint sentAt{};
+    std::uint32_t sentTokens = 0; // to be read until the first event, with prompts before it
     TimePoint widenAt = kNever;
     TimePoint giveUpAt = kNever;
     GiveUpReason reason = GiveUpReason::kOverload; // while it queues without an attempt
@@ -150,6 +151,8 @@
   std::vector<Target*> Candidates(TimePoint aNow, const Call& aCall);
   double CostOf(TimePoint aNow, const Target& aTarget, const Call& aCall);
   std::uint32_t PromptAt(TimePoint aNow, const Target& aTarget, const CallSpec& aSpec) const;
+  static std::uint32_t PendingAt(const Target& aTarget);
+  TimePoint StartBy(TimePoint aNow, const Target& aTarget, const CallSpec& aSpec) const;
   void ReserveAt(TimePoint aNow, Target& aTarget, Call& aCall);
   void WithdrawAll(TimePoint aNow, Call& aCall, const std::string& aExcept);
   ReserveSlot ReservationOf(TimePoint aNow, const Target& aTarget, const Call& aCall) const;
--- a/src/direct/endpoint_health.cpp
+++ b/src/direct/endpoint_health.cpp
@@ -14,9 +14,10 @@
 constexpr Duration kRefusalPause = milliseconds(50);
 // A misdirected request shows that the registration is out of date by some seconds at most.
 constexpr Duration kMisdirectedPause = seconds(2);
-constexpr double kFailureMemory = 0.1;      // weight of the newest attempt
-constexpr double kSpeedMemory = 0.15;       // weight of the newest measurement
-constexpr std::uint32_t kLeastTokens = 256; // shorter prompts say little about reading speed
+constexpr double kFailureMemory = 0.1; // weight of the newest attempt
+// Assumed until the first measurement: a mid-size engine reads some 30 tokens in a millisecond.
+constexpr Duration kInitialTokenTime = milliseconds(1);
+constexpr int kInitialTokens = 30;
 
 } // namespace
 
@@ -48,15 +49,6 @@
   }
 }
 
-void EndpointHealth::OnFirstEvent(Duration aWait, std::uint32_t aPromptTokens)
-{
-  if (aPromptTokens < kLeastTokens) {
-    return;
-  }
-  const double measured = std::chrono::duration<double>(aWait).count() / aPromptTokens;
-  this->secondsPerToken += kSpeedMemory * (measured - this->secondsPerToken);
-}
-
 void EndpointHealth::OnRecovered()
 {
   this->avoidUntil = TimePoint{};
@@ -64,10 +56,10 @@
   this->failureRate = 0;
 }
 
-Duration EndpointHealth::FirstEventTime(std::uint32_t aPromptTokens) const
+Duration EndpointHealth::FirstEventTime(std::uint32_t aTokens) const
 {
-  return std::chrono::duration_cast<Duration>(
-    std::chrono::duration<double>(this->secondsPerToken * aPromptTokens));
+  const Duration learned = this->pace.FirstToken(aTokens);
+  return learned > Duration::zero() ? learned : kInitialTokenTime * aTokens / kInitialTokens;
 }
 
 } // namespace caraway::direct
--- a/src/direct/endpoint_health.h
+++ b/src/direct/endpoint_health.h
@@ -2,6 +2,7 @@
 // from it for a while, and how fast it reads prompts.
 #pragma once
 
+#include "core/health.h"
 #include "direct/call.h"
 
 namespace caraway::direct {
@@ -10,8 +11,12 @@
 {
 public:
   void OnAttempt(TimePoint aNow, AttemptEnd aEnd);
-  // An engine's first event came aWait after the prompt was sent.
-  void OnFirstEvent(Duration aWait, std::uint32_t aPromptTokens);
+  // An engine's first event came aWait after a prompt was sent; aTokens were to be read until then,
+  // with the prompts before it.
+  void OnFirstEvent(Duration aWait, std::uint32_t aTokens)
+  {
+    this->pace.OnFirstToken(aWait, aTokens);
+  }
   // The endpoint registered anew or its agent reaches it: nothing speaks against it any more.
   void OnRecovered();
 
@@ -19,19 +24,17 @@
   TimePoint AvoidUntil() const { return this->avoidUntil; }
   // Part of the recent attempts that failed.
   double FailureRate() const { return this->failureRate; }
-  // Expected time from sending a prompt to its first event.
-  Duration FirstEventTime(std::uint32_t aPromptTokens) const;
+  // Expected time from sending a prompt to its first event while aTokens are to be read until then.
+  Duration FirstEventTime(std::uint32_t aTokens) const;
 
 private:
   TimePoint avoidUntil{};
   Duration nextAvoidance = kFirstAvoidance;
   double failureRate = 0;
-  double secondsPerToken = kInitialSecondsPerToken;
+  Pace pace;
 
   // First pause after an endpoint was not reached; it doubles with each further time.
   static constexpr Duration kFirstAvoidance = std::chrono::milliseconds(200);
-  // Assumed until the first measurement: a mid-size engine reads some 30 tokens in a millisecond.
-  static constexpr double kInitialSecondsPerToken = 1.0 / 30000;
 };
 
 } // namespace caraway::direct
--- a/src/direct/messages.h
+++ b/src/direct/messages.h
@@ -23,7 +23,8 @@
 {
   CallNumber call = 0;
   Tier tier = kLowestTier;
-  std::int32_t objectiveLeftMs = 0; // negative once it has passed
+  Tier rank = kLowestTier;      // among calls of one tier
+  std::int32_t startLeftMs = 0; // until it must be sent to meet its objective; negative afterwards
   std::int32_t timeLeftMs = 0;
   std::uint32_t promptTokens = 0; // to be read by this endpoint, as far as the entry knows
   std::uint32_t outputTokens = 0;
@@ -31,7 +32,7 @@
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(call, tier, objectiveLeftMs, timeLeftMs, promptTokens, outputTokens);
+    aArchive(call, tier, rank, startLeftMs, timeLeftMs, promptTokens, outputTokens);
   }
 };
 
@@ -120,7 +121,7 @@
   std::uint32_t limit = 0;          // requests that may be at the endpoint at once
   std::uint32_t taken = 0;          // offered or running
   std::uint32_t pendingPrefill = 0; // prompt tokens at the endpoint before their first event
-  std::array<std::uint16_t, kTierCount> waiting{}; // reservations by tier
+  std::array<std::uint16_t, kTierCount> waiting{}; // reservations by rank
   std::vector<std::string> entries;                // IP numbers of the entries that the agent hears
 
   template<class Archive>
--- a/src/direct/shared_quota.cpp
+++ b/src/direct/shared_quota.cpp
@@ -18,8 +18,9 @@
 
 } // namespace
 
-SharedQuota::SharedQuota(const SharedQuotaOptions& aOptions)
+SharedQuota::SharedQuota(const SharedQuotaOptions& aOptions, TimePoint aStart)
   : options(aOptions)
+  , start(aStart)
 {
 }
 
@@ -62,9 +63,18 @@
   this->AssumeSilent(aNow, aAccount, aLimit);
   Window& window = this->windows[aAccount];
   this->Advance(window, aNow);
-  const double bound = aLimit.ratePerSecond * SecondsOf(this->options.window) + aLimit.burst;
+  const double bound = this->BoundOf(aLimit);
+  if (!window.isPrimed) {
+    window.isPrimed = true;
+    const std::int64_t oldest = window.newest - static_cast<std::int64_t>(kBuckets) + 1;
+    for (std::int64_t bucket = oldest; bucket < this->BucketOf(this->start); bucket++) {
+      const double part = bound / kBuckets;
+      window.buckets.at(static_cast<std::size_t>(bucket) % kBuckets) += part;
+      window.total += part;
+    }
+  }
   const double over = window.total + aUnits - bound;
-  if (over <= 0 || window.total <= 0) {
+  if (over <= 0) {
     this->Add(aNow, aAccount, aUnits);
     this->own[aAccount] += aUnits;
     return Duration::zero();
@@ -81,19 +91,31 @@
   return this->options.window;
 }
 
-void SharedQuota::Return(TimePoint aNow, std::uint64_t aAccount, double aUnits)
+// Takes the units out of the part of the window that they were counted in.
+void SharedQuota::Return(TimePoint aNow, TimePoint aTakenAt, std::uint64_t aAccount, double aUnits)
 {
   const auto found = this->own.find(aAccount);
-  if (found != this->own.end()) {
-    found->second = std::max(found->second - aUnits, 0.0);
-    Window& window = this->windows[aAccount];
-    this->Advance(window, aNow);
-    double& newest = window.buckets.at(static_cast<std::size_t>(window.newest) % kBuckets);
-    newest -= aUnits;
-    window.total -= aUnits;
+  if (found == this->own.end()) {
+    return;
+  }
+  found->second = std::max(found->second - aUnits, 0.0);
+  Window& window = this->windows[aAccount];
+  this->Advance(window, aNow);
+  const std::int64_t bucket = this->BucketOf(aTakenAt);
+  if (bucket > window.newest - static_cast<std::int64_t>(kBuckets)) {
+    double& taken = window.buckets.at(static_cast<std::size_t>(bucket) % kBuckets);
+    const double returned = std::min(taken, aUnits);
+    taken -= returned;
+    window.total -= returned;
   }
 }
 
+double SharedQuota::BoundOf(const QuotaLimit& aLimit) const
+{
+  const double bound = aLimit.ratePerSecond * SecondsOf(this->options.window) + aLimit.burst;
+  return bound * (1 + this->options.overage) + this->options.slackUnits;
+}
+
 std::vector<AccountUse> SharedQuota::OwnUse() const
 {
   std::vector<AccountUse> uses;
@@ -107,13 +129,20 @@
 void SharedQuota::OnPeerUse(TimePoint aNow, const Peer& aPeer, const std::vector<AccountUse>& aUses)
 {
   PeerRow& row = this->peers[aPeer.node];
-  if (row.heardAt != TimePoint{} && aPeer.incarnation < row.incarnation) {
+  const bool isNew = row.heardAt == TimePoint{};
+  if (!isNew && aPeer.incarnation < row.incarnation) {
     return;
   }
   if (row.incarnation != aPeer.incarnation) {
     row = PeerRow{};
     row.incarnation = aPeer.incarnation;
   }
+  if (isNew && aNow - this->start < this->options.window) {
+    // Used before this process listened: part of the unknown use before its start.
+    for (const AccountUse& use : aUses) {
+      row.uses[use.account] = use.tokens;
+    }
+  }
   row.heardAt = aNow;
   for (const AccountUse& use : aUses) {
     std::uint64_t& known = row.uses[use.account];
--- a/src/direct/shared_quota.h
+++ b/src/direct/shared_quota.h
@@ -22,6 +22,9 @@
 struct SharedQuotaOptions
 {
   Duration window = std::chrono::seconds(8); // in which the bound holds
+  // Parts of the platform's tolerance that are used: the rest covers reports on their way.
+  double overage = 0.05; // of the bound
+  double slackUnits = 0; // beyond it
   // An entry that was not heard for this long is silent; some periods of EntryState.
   Duration silence = std::chrono::milliseconds(600);
   // A silent entry counts as gone after this time.
@@ -31,13 +34,15 @@
 class SharedQuota
 {
 public:
-  explicit SharedQuota(const SharedQuotaOptions& aOptions);
+  // aStart: start of the process. What the entries used in the window before it is not known and
+  // counts as the whole bound, so that a restart of all entries opens no second window.
+  SharedQuota(const SharedQuotaOptions& aOptions, TimePoint aStart);
 
   // Takes aUnits out of the account's quota. Zero: taken. Otherwise nothing is taken, and the
   // result is how long to wait until there is room.
   Duration Take(TimePoint aNow, std::uint64_t aAccount, const QuotaLimit& aLimit, double aUnits);
-  // Gives back what a request took that has not run.
-  void Return(TimePoint aNow, std::uint64_t aAccount, double aUnits);
+  // Gives back what a request took at aTakenAt and that has not run.
+  void Return(TimePoint aNow, TimePoint aTakenAt, std::uint64_t aAccount, double aUnits);
 
   // Own use since the start, for the other entries.
   std::vector<AccountUse> OwnUse() const;
@@ -54,6 +59,7 @@
     std::array<double, kBuckets> buckets{};
     std::int64_t newest = 0; // number of the newest bucket since the clock's start
     double total = 0;
+    bool isPrimed = false; // holds the unknown use before the start
   };
   struct PeerRow
   {
@@ -64,11 +70,13 @@
   };
 
   std::int64_t BucketOf(TimePoint aNow) const;
+  double BoundOf(const QuotaLimit& aLimit) const;
   void Advance(Window& aWindow, TimePoint aNow) const;
   void Add(TimePoint aNow, std::uint64_t aAccount, double aUnits);
   void AssumeSilent(TimePoint aNow, std::uint64_t aAccount, const QuotaLimit& aLimit);
 
   SharedQuotaOptions options;
+  TimePoint start;
   std::unordered_map<std::uint64_t, Window> windows;
   std::unordered_map<std::uint64_t, double> own; // since the start
   std::map<NodeId, PeerRow> peers;
--- a/src/direct/slot_queue.cpp
+++ b/src/direct/slot_queue.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <tuple>
 
 namespace caraway::direct {
 
@@ -36,9 +37,10 @@
   if (this->waiting.contains(key) || this->offers.contains(key) || this->running.contains(key)) {
     return;
   }
-  Reservation reservation{ aHolder, aReserve, aNow, aNow + milliseconds(aReserve.objectiveLeftMs),
+  Reservation reservation{ aHolder, aReserve, aNow, aNow + milliseconds(aReserve.startLeftMs),
                            aNow + milliseconds(aReserve.timeLeftMs) };
   reservation.request.tier = std::min(aReserve.tier, kLowestTier);
+  reservation.request.rank = std::min(aReserve.rank, kLowestTier);
   this->waiting.emplace(key, std::move(reservation));
   this->Pump(aNow);
 }
@@ -182,7 +184,7 @@
 {
   std::array<std::uint16_t, kTierCount> counts{};
   for (const auto& [key, row] : this->waiting) {
-    counts.at(row.request.tier)++;
+    counts.at(row.request.rank)++;
   }
   return counts;
 }
@@ -240,19 +242,15 @@
   return best;
 }
 
-// Tier first. Inside a tier, a call that can still meet its objective goes before one that cannot,
-// and then the one that came first.
+// Tier first. Inside a tier, calls that can still meet their objective go before those that cannot:
+// when more arrives than the slots take, a queue in order of arrival makes all of it late. Then
+// rank, and then the call whose time runs out first, or that waits longest where it has run out.
 bool SlotQueue::GoesBefore(const Reservation& aLeft, const Reservation& aRight, TimePoint aNow)
 {
-  if (aLeft.request.tier != aRight.request.tier) {
-    return aLeft.request.tier < aRight.request.tier;
-  }
-  const bool isLeftLate = aLeft.objectiveAt <= aNow;
-  const bool isRightLate = aRight.objectiveAt <= aNow;
-  if (isLeftLate != isRightLate) {
-    return isRightLate;
-  }
-  return aLeft.objectiveAt < aRight.objectiveAt;
+  const auto keyOf = [aNow](const Reservation& aRow) {
+    return std::tuple(aRow.request.tier, aRow.startBy <= aNow, aRow.request.rank, aRow.startBy);
+  };
+  return keyOf(aLeft) < keyOf(aRight);
 }
 
 } // namespace caraway::direct
--- a/src/direct/slot_queue.h
+++ b/src/direct/slot_queue.h
@@ -18,7 +18,7 @@
   // A holder without a sign of life loses what it holds; some periods of HoldState.
   Duration holderTimeout = std::chrono::milliseconds(1000);
   // Prompt tokens that may wait for their first event at the endpoint before more is offered.
-  std::uint32_t maxPendingPrefill = 12000;
+  std::uint32_t maxPendingPrefill = 6000;
 };
 
 // What a queue asks of its host. Calls must not call back into the queue.
@@ -58,6 +58,7 @@
     return static_cast<std::uint32_t>(this->running.size() + this->offers.size());
   }
   std::uint32_t PendingPrefill() const;
+  // Reservations by rank.
   std::array<std::uint16_t, kTierCount> Waiting() const;
   std::size_t WaitingCount() const { return this->waiting.size(); }
 
@@ -73,7 +74,7 @@
     Peer holder;
     ReserveSlot request;
     TimePoint arrived;
-    TimePoint objectiveAt;
+    TimePoint startBy;
     TimePoint deadline;
   };
   struct Held
--- a/src/gateway/flow.cpp
+++ b/src/gateway/flow.cpp
@@ -179,8 +179,7 @@
       [[fallthrough]];
     default:
       this->EndWithout(GiveUpReason::kFailed,
-                       this->gateway.dispatcher.RetryAfter(this->gateway.Now(), this->spec.service,
-                                                           this->spec.tier));
+                       this->gateway.dispatcher.RetryAfter(this->spec.service, this->spec.rank));
       break;
   }
   this->gateway.AfterInput();
--- a/src/gateway/flow.h
+++ b/src/gateway/flow.h
@@ -35,6 +35,7 @@
   const direct::Route* route = nullptr;                // in that configuration
   const direct::AccountSpec* account = nullptr;
   double quotaUnits = 0;
+  TimePoint quotaTakenAt{};
   bool mayHaveRun = false; // an attempt reached an endpoint that may have run it
   bool isOver = false;
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -59,7 +59,7 @@
   , random(aRandom)
   , dialect(aDialect)
   , budget(aSettings.budget)
-  , quota(aSettings.quota)
+  , quota(aSettings.quota, aClock.Read().steady)
   , dispatcher(aSettings.dispatch, aSelf, aSettings.failureDomain, aRandom, this->budget, *this)
   , pool(aPoller, aClock)
   , net(aPoller, aSelf, *this)
@@ -222,8 +222,9 @@
                          ? double{ 1 } * aFlow.request.promptTokens + aFlow.request.outputTokens
                          : account.plainTokens;
   }
+  aFlow.quotaTakenAt = this->Now();
   const Duration wait =
-    this->quota.Take(this->Now(), account.hash, account.quota, aFlow.quotaUnits);
+    this->quota.Take(aFlow.quotaTakenAt, account.hash, account.quota, aFlow.quotaUnits);
   if (wait == Duration::zero()) {
     return true;
   }
@@ -241,6 +242,7 @@
   spec.kind = route.kind;
   spec.isResumable = route.isResumable;
   spec.tier = aFlow.account != nullptr && aFlow.account->tier ? *aFlow.account->tier : route.tier;
+  spec.rank = route.tier;
   spec.maxRuns = route.maxRuns;
   spec.objective = route.objective;
   spec.arrived = aFlow.ingress.readAt;
@@ -377,7 +379,7 @@
 void Gateway::ReturnQuota(Flow& aFlow)
 {
   if (aFlow.account != nullptr && aFlow.quotaUnits > 0) {
-    this->quota.Return(this->Now(), aFlow.account->hash, aFlow.quotaUnits);
+    this->quota.Return(this->Now(), aFlow.quotaTakenAt, aFlow.account->hash, aFlow.quotaUnits);
   }
 }
 
