Keep the use of hot accounts' quotas in the store, so that it outlives a restart of all entries

Ruled out: agents as keepers (they die with the entries when power goes); a tighter bound after each start (costs honest accounts, and the worst case needs a third of the rate for 8 s). Change: the first live entry saves the windows of accounts above 0.6 of their bound twice a second; a start reads them, and until then counts the bound as used.

--- a/src/direct/shared_quota.cpp
+++ b/src/direct/shared_quota.cpp
@@ -1,7 +1,12 @@
 #include "direct/shared_quota.h"
 
+#include "core/memory_stream.h"
+
+#include <cereal/archives/portable_binary.hpp>
+
 #include <algorithm>
-#include <cmath>
+#include <istream>
+#include <ostream>
 
 namespace caraway::direct {
 
@@ -11,6 +16,10 @@
 // was before anybody asked.
 constexpr Duration kLongestAssumed = std::chrono::seconds(8);
 
+// Accounts that used more than this part of their bound are saved; others may be taken to have used
+// that much.
+constexpr double kHotShare = 0.6;
+
 double SecondsOf(Duration aTime)
 {
   return std::chrono::duration<double>(aTime).count();
@@ -64,16 +73,12 @@
   Window& window = this->windows[aAccount];
   this->Advance(window, aNow);
   const double bound = this->BoundOf(aLimit);
-  if (!window.isPrimed) {
-    window.isPrimed = true;
-    const std::int64_t oldest = window.newest - static_cast<std::int64_t>(kBuckets) + 1;
-    for (std::int64_t bucket = oldest; bucket < this->BucketOf(this->start); bucket++) {
-      const double part = bound / kBuckets;
-      window.buckets.at(static_cast<std::size_t>(bucket) % kBuckets) += part;
-      window.total += part;
-    }
+  window.bound = bound;
+  double used = window.total;
+  for (std::size_t age = 0; age < kBuckets; age++) {
+    used += this->BeforeAt(aAccount, bound, age, aNow);
   }
-  const double over = window.total + aUnits - bound;
+  const double over = used + aUnits - bound;
   if (over <= 0) {
     this->Add(aNow, aAccount, aUnits);
     this->own[aAccount] += aUnits;
@@ -84,6 +89,7 @@
   double freed = 0;
   for (std::size_t step = 1; step <= kBuckets; step++) {
     freed += window.buckets.at((static_cast<std::size_t>(window.newest) + step) % kBuckets);
+    freed += this->BeforeAt(aAccount, bound, kBuckets - step, aNow);
     if (freed >= over) {
       return bucketTime * static_cast<std::int64_t>(step);
     }
@@ -91,6 +97,56 @@
   return this->options.window;
 }
 
+// Use before the start that stands aAge buckets behind the newest one now.
+double SharedQuota::BeforeAt(std::uint64_t aAccount, double aBound, std::size_t aAge,
+                             TimePoint aNow) const
+{
+  const std::int64_t elapsed = this->BucketOf(aNow) - this->BucketOf(this->start);
+  const std::int64_t place = static_cast<std::int64_t>(aAge) - elapsed - 1;
+  if (place < 0 || place >= static_cast<std::int64_t>(kBuckets)) {
+    return 0;
+  }
+  const auto found = this->before.find(aAccount);
+  if (found != this->before.end()) {
+    const auto index = static_cast<std::size_t>(place);
+    return index < found->second.size() ? found->second[index] : 0;
+  }
+  return aBound / kBuckets * (this->isBeforeKnown ? kHotShare : 1);
+}
+
+void SharedQuota::SetUseBefore(std::vector<SavedUse> aSaved)
+{
+  this->isBeforeKnown = true;
+  for (SavedUse& row : aSaved) {
+    this->before[row.account] = std::move(row.units);
+  }
+}
+
+std::vector<SavedUse> SharedQuota::HotUse(TimePoint aNow)
+{
+  std::vector<SavedUse> hot;
+  for (auto& [account, window] : this->windows) {
+    if (window.bound <= 0) {
+      continue;
+    }
+    this->Advance(window, aNow);
+    SavedUse row{ account, {} };
+    double total = 0;
+    for (std::size_t age = 0; age < kBuckets; age++) {
+      const std::size_t index =
+        (static_cast<std::size_t>(window.newest) + kBuckets - age) % kBuckets;
+      const double units =
+        window.buckets.at(index) + this->BeforeAt(account, window.bound, age, aNow);
+      total += units;
+      row.units.push_back(static_cast<std::uint32_t>(units));
+    }
+    if (total > window.bound * kHotShare) {
+      hot.push_back(std::move(row));
+    }
+  }
+  return hot;
+}
+
 // Takes the units out of the part of the window that they were counted in.
 void SharedQuota::Return(TimePoint aNow, TimePoint aTakenAt, std::uint64_t aAccount, double aUnits)
 {
@@ -189,4 +245,28 @@
   }
 }
 
+std::string EncodeSavedUse(const std::vector<SavedUse>& aUse)
+{
+  std::string bytes;
+  StringBuffer buffer(bytes);
+  std::ostream stream(&buffer);
+  cereal::PortableBinaryOutputArchive archive(stream);
+  archive(aUse);
+  return bytes;
+}
+
+std::optional<std::vector<SavedUse>> DecodeSavedUse(std::string_view aBytes)
+{
+  MemoryBuffer buffer(aBytes);
+  std::istream stream(&buffer);
+  std::vector<SavedUse> use;
+  try {
+    cereal::PortableBinaryInputArchive archive(stream);
+    archive(use);
+  } catch (const std::exception&) {
+    return std::nullopt;
+  }
+  return use;
+}
+
 } // namespace caraway::direct
--- a/src/direct/shared_quota.h
+++ b/src/direct/shared_quota.h
@@ -8,6 +8,9 @@
 #include <array>
 #include <cstdint>
 #include <map>
+#include <optional>
+#include <string>
+#include <string_view>
 #include <unordered_map>
 
 namespace caraway::direct {
@@ -31,13 +34,34 @@
   Duration forget = std::chrono::seconds(16);
 };
 
+// Use of one account in the last window, the newest of equal parts of it first.
+struct SavedUse
+{
+  std::uint64_t account = 0;
+  std::vector<std::uint32_t> units;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(account, units);
+  }
+};
+
+std::string EncodeSavedUse(const std::vector<SavedUse>& aUse);
+std::optional<std::vector<SavedUse>> DecodeSavedUse(std::string_view aBytes);
+
 class SharedQuota
 {
 public:
-  // aStart: start of the process. What the entries used in the window before it is not known and
-  // counts as the whole bound, so that a restart of all entries opens no second window.
+  // aStart: start of the process. Until SetUseBefore tells what the entries used in the window
+  // before it, that counts as the whole bound: a restart of all entries must open no second window.
   SharedQuota(const SharedQuotaOptions& aOptions, TimePoint aStart);
 
+  // What was saved by SavedUse before the start; accounts that are not in it used little.
+  void SetUseBefore(std::vector<SavedUse> aSaved);
+  // Use of the accounts that are near their bound, to outlive a restart of all entries.
+  std::vector<SavedUse> HotUse(TimePoint aNow);
+
   // Takes aUnits out of the account's quota. Zero: taken. Otherwise nothing is taken, and the
   // result is how long to wait until there is room.
   Duration Take(TimePoint aNow, std::uint64_t aAccount, const QuotaLimit& aLimit, double aUnits);
@@ -59,7 +83,7 @@
     std::array<double, kBuckets> buckets{};
     std::int64_t newest = 0; // number of the newest bucket since the clock's start
     double total = 0;
-    bool isPrimed = false; // holds the unknown use before the start
+    double bound = 0; // as last asked for
   };
   struct PeerRow
   {
@@ -71,12 +95,15 @@
 
   std::int64_t BucketOf(TimePoint aNow) const;
   double BoundOf(const QuotaLimit& aLimit) const;
+  double BeforeAt(std::uint64_t aAccount, double aBound, std::size_t aAge, TimePoint aNow) const;
   void Advance(Window& aWindow, TimePoint aNow) const;
   void Add(TimePoint aNow, std::uint64_t aAccount, double aUnits);
   void AssumeSilent(TimePoint aNow, std::uint64_t aAccount, const QuotaLimit& aLimit);
 
   SharedQuotaOptions options;
   TimePoint start;
+  bool isBeforeKnown = false;
+  std::unordered_map<std::uint64_t, std::vector<std::uint32_t>> before;
   std::unordered_map<std::uint64_t, Window> windows;
   std::unordered_map<std::uint64_t, double> own; // since the start
   std::map<NodeId, PeerRow> peers;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -74,6 +74,7 @@
     this->closed = true;
     this->server.StopListening();
   })
+  , saveTimer([this] { this->SaveHotUse(); })
 {
   aPoller.AddAfterTurn([this] { this->ended.clear(); });
 }
@@ -89,6 +90,7 @@
     return error;
   }
   this->SendStates();
+  this->saveTimer.ArmAfter(this->settings.savePeriod);
   this->AfterInput();
   return {};
 }
@@ -383,6 +385,37 @@
   }
 }
 
+void Gateway::SetUseBefore(const std::string& aBytes)
+{
+  std::vector<direct::SavedUse> saved;
+  if (!aBytes.empty()) {
+    std::optional<std::vector<direct::SavedUse>> read = direct::DecodeSavedUse(aBytes);
+    if (!read) {
+      LogEvent(LogLevel::kError, "saved_use_unreadable", {});
+      return;
+    }
+    saved = std::move(*read);
+    this->hasSavedUse = !saved.empty();
+  }
+  this->quota.SetUseBefore(std::move(saved));
+}
+
+// One entry saves for all: the one with the lowest address among those that hear each other.
+void Gateway::SaveHotUse()
+{
+  this->saveTimer.ArmAfter(this->settings.savePeriod);
+  const bool isFirst =
+    this->peerEntries.empty() || this->settings.peerListen.host < this->peerEntries.begin()->first;
+  if (this->quotaStore == nullptr || !isFirst) {
+    return;
+  }
+  const std::vector<direct::SavedUse> hot = this->quota.HotUse(this->Now());
+  if (!hot.empty() || this->hasSavedUse) {
+    this->hasSavedUse = !hot.empty();
+    this->quotaStore->SaveUse(hot.empty() ? std::string() : direct::EncodeSavedUse(hot));
+  }
+}
+
 // Tells the other entries what the bounds over all entries need.
 void Gateway::SendStates()
 {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -34,6 +34,7 @@
   Duration denyFreshness = std::chrono::milliseconds(2500);
   Duration statePeriod = std::chrono::milliseconds(200); // of EntryState
   Duration entrySilence = std::chrono::seconds(3);       // after which another entry gets no state
+  Duration savePeriod = std::chrono::milliseconds(500);  // of hot accounts' use
   Duration retryWhenNotReady = std::chrono::milliseconds(500);
   Duration leaveNotice = std::chrono::milliseconds(3200); // unready before the listener closes
   direct::DispatchOptions dispatch;
@@ -41,6 +42,15 @@
   direct::SharedQuotaOptions quota;
 };
 
+// Where a gateway keeps what must outlive all entries.
+class QuotaStore
+{
+public:
+  virtual ~QuotaStore() = default;
+  // Replaces what was saved before; empty: nothing needs to be kept.
+  virtual void SaveUse(const std::string& aBytes) = 0;
+};
+
 // Counts since the start, for logs and metrics.
 struct GatewayCounts
 {
@@ -76,6 +86,10 @@
   // Called when another entry has a newer configuration than this one.
   void SetNewerConfigHook(std::function<void()> aHook) { this->onNewerConfig = std::move(aHook); }
 
+  // Use of quotas that was saved before the start; empty: there was none.
+  void SetUseBefore(const std::string& aBytes);
+  void SetQuotaStore(QuotaStore& aStore) { this->quotaStore = &aStore; }
+
   // New requests can be served.
   bool IsReady() const;
   void BeginLeaving();
@@ -120,6 +134,7 @@
   void ReturnQuota(Flow& aFlow);
   void RunStarts();
   void SendStates();
+  void SaveHotUse();
   void AfterInput();
   TimePoint Now() const { return this->clock.Read().steady; }
 
@@ -143,6 +158,8 @@
   std::map<std::string, PeerEntry> peerEntries; // by IP number
   direct::CallNumber lastCall = 0;
   std::function<void()> onNewerConfig;
+  QuotaStore* quotaStore = nullptr;
+  bool hasSavedUse = false;
   GatewayCounts counts;
   bool leaving = false;
   bool closed = false;
@@ -150,6 +167,7 @@
   Timer timer;
   Timer stateTimer;
   Timer leaveTimer;
+  Timer saveTimer;
 };
 
 } // namespace caraway::gateway
