Let one entry follow the store for all that hear it

Change: entries tell each other the ages of what they know, with an echo of the receiver's clock so that a datagram that waited cannot make old knowledge look young. The first entry by address that reaches the store follows it; the others read on a hint or when an age runs out. States go less often where nothing is held.

--- a/src/direct/dispatcher.cpp
+++ b/src/direct/dispatcher.cpp
@@ -628,8 +628,13 @@
       }
     }
   }
+  // Where nothing is held, the state only shows that this entry lives; the rounds are spread.
+  std::uint32_t index = ++this->holdRound;
   for (const auto& [id, state] : states) {
-    this->port.SendToAgent(this->targets.at(id).info.host, state);
+    const bool isIdle = state.waiting.empty() && state.running.empty();
+    if (!isIdle || index++ % this->options.idleHoldPeriods == 0) {
+      this->port.SendToAgent(this->targets.at(id).info.host, state);
+    }
   }
 }
 
--- a/src/direct/dispatcher.h
+++ b/src/direct/dispatcher.h
@@ -29,8 +29,9 @@
   std::uint32_t allReservations = 12;
   Duration widenAfter = std::chrono::milliseconds(5);
   // Silence of an agent after which entries queue by themselves; some periods of AgentState.
-  Duration agentSilence = std::chrono::milliseconds(500);
-  Duration holdPeriod = std::chrono::milliseconds(200); // of HoldState
+  Duration agentSilence = std::chrono::milliseconds(900);
+  Duration holdPeriod = std::chrono::milliseconds(200); // of HoldState where something is held
+  std::uint32_t idleHoldPeriods = 3;                    // of HoldState where nothing is held
   // Part of an endpoint's slots that an entry uses without an agent, in multiples of an equal part:
   // traffic is uneven, and an endpoint queues a little itself.
   double ownShare = 1.7;
@@ -181,6 +182,7 @@
   std::unordered_map<std::uint64_t, Warm> warm; // subject -> endpoint that read it last
   std::priority_queue<Due, std::vector<Due>, std::greater<>> due;
   TimePoint nextHold{};
+  std::uint32_t holdRound = 0;
   std::map<std::string, Duration, std::less<>> runTimes; // usual time of a run by service
   std::vector<std::pair<std::string, CallNumber>> localOffers;
 };
--- a/src/direct/endpoint_table.cpp
+++ b/src/direct/endpoint_table.cpp
@@ -47,4 +47,16 @@
   }
 }
 
+std::uint64_t HashOf(const std::map<std::string, EndpointInfo>& aAll)
+{
+  std::uint64_t hash = 0;
+  for (const auto& [id, info] : aAll) {
+    hash = caraway::HashOf(id, hash);
+    hash = caraway::HashOf(info.service, hash);
+    hash = caraway::HashOf(info.host, hash + info.port);
+    hash = caraway::HashOf(info.version, hash + (info.isLeaving ? 1 : 0));
+  }
+  return hash;
+}
+
 } // namespace caraway::direct
--- a/src/direct/endpoint_table.h
+++ b/src/direct/endpoint_table.h
@@ -42,4 +42,7 @@
   std::map<std::string, EndpointInfo> endpoints;
 };
 
+// Hash of what decides where calls may go; heartbeats alone do not change it.
+std::uint64_t HashOf(const std::map<std::string, EndpointInfo>& aAll);
+
 } // namespace caraway::direct
--- a/src/direct/messages.h
+++ b/src/direct/messages.h
@@ -151,15 +151,19 @@
   std::int64_t sentAtUs = 0; // the sender's clock
   // The receiver's clock as last sent by it: shows that this state is not older than that.
   std::int64_t echoUs = 0;
-  std::uint64_t configOffset = 0; // of the configuration in force there
-  std::uint32_t configAgeMs = 0;  // since the platform's store confirmed it as the newest
+  std::uint64_t configOffset = 0;   // of the configuration in force there
+  std::uint32_t configAgeMs = 0;    // since the platform's store confirmed it as the newest
+  std::uint64_t endpointsHash = 0;  // of the list of endpoints there
+  std::uint32_t endpointsAgeMs = 0; // since the list was read from the store
+  bool readsStore = false;          // the store answers the sender
   std::vector<AccountUse> uses;
   std::vector<Suspicion> suspicions; // calls that were running when endpoints died
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(sentAtUs, echoUs, configOffset, configAgeMs, uses, suspicions);
+    aArchive(sentAtUs, echoUs, configOffset, configAgeMs, endpointsHash, endpointsAgeMs, readsStore,
+             uses, suspicions);
   }
 };
 
--- a/src/direct/shared_quota.h
+++ b/src/direct/shared_quota.h
@@ -29,7 +29,7 @@
   double overage = 0.05; // of the bound
   double slackUnits = 0; // beyond it
   // An entry that was not heard for this long is silent; some periods of EntryState.
-  Duration silence = std::chrono::milliseconds(600);
+  Duration silence = std::chrono::milliseconds(1500);
   // A silent entry counts as gone after this time.
   Duration forget = std::chrono::seconds(16);
 };
--- a/src/gateway/endpoint_agent.cpp
+++ b/src/gateway/endpoint_agent.cpp
@@ -12,8 +12,6 @@
 
 // A report takes well under a millisecond on the same machine.
 constexpr Duration kReportTimeout = milliseconds(400);
-// Entries without anything here get the state every so many periods.
-constexpr int kIdleStatePeriods = 2;
 
 } // namespace
 
@@ -195,11 +193,14 @@
     return now - aRow.second.heardAt > this->settings.entrySilence;
   });
   const direct::AgentState state = this->State();
+  std::uint32_t index = ++this->stateRound;
   for (const auto& [node, row] : this->entries) {
-    this->net.Send(row.address, state);
+    if (row.holds || index++ % this->settings.idleStatePeriods == 0) {
+      this->net.Send(row.address, state);
+    }
   }
   this->net.Flush();
-  this->stateTimer.ArmAfter(this->settings.statePeriod * kIdleStatePeriods);
+  this->stateTimer.ArmAfter(this->settings.statePeriod);
 }
 
 void EndpointAgent::AfterInput()
--- a/src/gateway/endpoint_agent.h
+++ b/src/gateway/endpoint_agent.h
@@ -21,7 +21,8 @@
   Address listen;                                         // for datagrams of entries
   Address endpoint;                                       // the engine beside it
   Duration reportPeriod = std::chrono::milliseconds(200); // of the engine's report
-  Duration statePeriod = std::chrono::milliseconds(100);  // of AgentState to entries that hold here
+  Duration statePeriod = std::chrono::milliseconds(200);  // of AgentState to entries that hold here
+  std::uint32_t idleStatePeriods = 3;                     // of AgentState to the others
   // An engine that did not answer for this long counts as down; some periods of its report.
   Duration endpointSilence = std::chrono::milliseconds(700);
   // An entry that was not heard for this long gets no state any more.
@@ -50,7 +51,7 @@
   {
     Address address;
     TimePoint heardAt{};
-    bool holds = false; // holds slots or reservations here
+    bool holds = false; // held slots or reservations here when it last said so
   };
 
   void OfferSlotTo(const Peer& aHolder, direct::CallNumber aCall) override;
@@ -83,6 +84,7 @@
   std::uint16_t reportStatus = 0;
   std::string reportBody;
   TimePoint askedAt{};
+  std::uint32_t stateRound = 0;
   TimePoint armedFor = kNever;
   Timer reportTimer;
   Timer stateTimer;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -111,23 +111,56 @@
   this->SetEndpoints(std::map<std::string, direct::EndpointInfo>(this->endpoints));
 }
 
+// A newer configuration is told to the others at once: they read the store when they hear of it.
 void Gateway::ConfirmConfig(std::uint64_t aOffset, TimePoint aAskedAt)
 {
+  const bool isNew = !this->freshness.IsKnown() || aOffset > this->freshness.Offset();
   this->freshness.OnConfirmed(aOffset, aAskedAt);
+  if (isNew) {
+    this->SendStates();
+  }
 }
 
 void Gateway::SetEndpoints(const std::map<std::string, direct::EndpointInfo>& aAll)
 {
   this->endpoints = aAll;
+  const std::uint64_t hash = direct::HashOf(aAll);
+  const bool isOther = hash != this->endpointsHash;
+  this->endpointsHash = hash;
   const auto hasAgents = [this](const std::string& aService) {
     const direct::ServiceSpec* service =
       this->config == nullptr ? nullptr : this->config->FindService(aService);
     return service != nullptr && service->engineSlots > 0;
   };
   this->dispatcher.SetEndpoints(this->Now(), this->endpoints, hasAgents);
+  if (isOther) {
+    this->SendStates();
+  }
   this->AfterInput();
 }
 
+void Gateway::ConfirmEndpoints(TimePoint aAskedAt)
+{
+  this->endpointsReadAt = std::max(this->endpointsReadAt, aAskedAt);
+}
+
+void Gateway::SetHooks(std::function<void()> aOnNewerConfig,
+                       std::function<void()> aOnOtherEndpoints)
+{
+  this->onNewerConfig = std::move(aOnNewerConfig);
+  this->onOtherEndpoints = std::move(aOnOtherEndpoints);
+}
+
+bool Gateway::IsReader() const
+{
+  if (!this->readsStore) {
+    return false;
+  }
+  return std::none_of(this->peerEntries.begin(), this->peerEntries.end(), [this](const auto& aRow) {
+    return aRow.second.readsStore && aRow.first < this->settings.peerListen.host;
+  });
+}
+
 bool Gateway::IsReady() const
 {
   return !this->leaving && this->config != nullptr && !this->endpoints.empty() &&
@@ -314,21 +347,32 @@
     for (const std::string& host : agent->entries) {
       if (host != this->settings.peerListen.host) {
         this->peerEntries.try_emplace(
-          host, PeerEntry{ Address{ host, this->settings.peerListen.port }, now, 0 });
+          host, PeerEntry{ Address{ host, this->settings.peerListen.port }, now });
       }
     }
   } else if (const auto* state = std::get_if<direct::EntryState>(&aMessage)) {
-    PeerEntry& peer = this->peerEntries[aFrom.host];
-    peer = PeerEntry{ aFrom, now, state->sentAtUs };
-    this->quota.OnPeerUse(now, aPeer, state->uses);
-    if (this->config != nullptr && state->configOffset == this->freshness.Offset()) {
-      // A datagram may have waited long; what it echoes tells its greatest age.
-      const TimePoint notBefore{ Duration(state->echoUs) };
-      this->freshness.OnConfirmed(state->configOffset,
-                                  notBefore - milliseconds(state->configAgeMs));
-    } else if (state->configOffset > this->freshness.Offset() && this->onNewerConfig) {
-      this->onNewerConfig();
-    }
+    this->TakeEntryState(aFrom, aPeer, *state);
+  }
+}
+
+// A datagram may have waited long; what it echoes of this entry's clock tells its greatest age.
+void Gateway::TakeEntryState(const Address& aFrom, const Peer& aPeer,
+                             const direct::EntryState& aState)
+{
+  const TimePoint now = this->Now();
+  this->peerEntries[aFrom.host] = PeerEntry{ aFrom, now, aState.sentAtUs, aState.readsStore };
+  this->quota.OnPeerUse(now, aPeer, aState.uses);
+  const TimePoint notBefore{ Duration(aState.echoUs) };
+  if (this->config != nullptr && aState.configOffset == this->freshness.Offset()) {
+    this->freshness.OnConfirmed(aState.configOffset, notBefore - milliseconds(aState.configAgeMs));
+  } else if (aState.configOffset > this->freshness.Offset() && this->onNewerConfig) {
+    this->onNewerConfig();
+  }
+  if (aState.endpointsHash == this->endpointsHash) {
+    this->endpointsReadAt =
+      std::max(this->endpointsReadAt, notBefore - milliseconds(aState.endpointsAgeMs));
+  } else if (aState.endpointsHash != 0 && this->onOtherEndpoints) {
+    this->onOtherEndpoints();
   }
 }
 
@@ -427,6 +471,10 @@
   state.configOffset = this->freshness.Offset();
   state.configAgeMs = static_cast<std::uint32_t>(
     std::clamp<std::int64_t>(this->freshness.Age(now) / milliseconds(1), 0, 3600000));
+  state.endpointsHash = this->endpointsHash;
+  state.endpointsAgeMs = static_cast<std::uint32_t>(
+    std::clamp<std::int64_t>(this->EndpointsAge() / milliseconds(1), 0, 3600000));
+  state.readsStore = this->readsStore;
   state.uses = this->quota.OwnUse();
   if (this->config != nullptr) {
     state.sentAtUs = now.time_since_epoch().count();
@@ -437,7 +485,14 @@
   }
   this->dispatcher.SetEntryCount(this->quota.EntryCount(now));
   this->net.Flush();
-  this->stateTimer.ArmAfter(this->settings.statePeriod);
+  this->stateTimer.ArmAfter(this->StatePeriod());
+}
+
+Duration Gateway::StatePeriod() const
+{
+  const auto entries = static_cast<std::uint32_t>(this->peerEntries.size() + 1);
+  return this->settings.statePeriod * std::max(entries, this->settings.stateEntries) /
+         this->settings.stateEntries;
 }
 
 // Follows every input: sends what was collected, arms the timer, frees what has ended.
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -32,9 +32,12 @@
   Duration keyFreshness = std::chrono::milliseconds(3000);
   // Refusals that depend on the newest configuration need a confirmation this young.
   Duration denyFreshness = std::chrono::milliseconds(2500);
-  Duration statePeriod = std::chrono::milliseconds(200); // of EntryState
-  Duration entrySilence = std::chrono::seconds(3);       // after which another entry gets no state
-  Duration savePeriod = std::chrono::milliseconds(500);  // of hot accounts' use
+  // Of EntryState, among up to stateEntries; longer in proportion among more, so that the messages
+  // of one entry do not grow with their number.
+  Duration statePeriod = std::chrono::milliseconds(200);
+  std::uint32_t stateEntries = 10;
+  Duration entrySilence = std::chrono::seconds(3);      // after which another entry gets no state
+  Duration savePeriod = std::chrono::milliseconds(500); // of hot accounts' use
   Duration retryWhenNotReady = std::chrono::milliseconds(500);
   Duration leaveNotice = std::chrono::milliseconds(3200); // unready before the listener closes
   direct::DispatchOptions dispatch;
@@ -83,8 +86,17 @@
   // The platform's store was asked at aAskedAt and had nothing newer than aOffset.
   void ConfirmConfig(std::uint64_t aOffset, TimePoint aAskedAt);
   void SetEndpoints(const std::map<std::string, direct::EndpointInfo>& aAll);
-  // Called when another entry has a newer configuration than this one.
-  void SetNewerConfigHook(std::function<void()> aHook) { this->onNewerConfig = std::move(aHook); }
+  // The list of endpoints was read at aAskedAt and is complete.
+  void ConfirmEndpoints(TimePoint aAskedAt);
+  void SetStoreReachable(bool aIsReachable) { this->readsStore = aIsReachable; }
+  // Called when another entry has a newer configuration, or another list of endpoints.
+  void SetHooks(std::function<void()> aOnNewerConfig, std::function<void()> aOnOtherEndpoints);
+
+  // This entry follows the store for all that hear it: the first one by address that can.
+  bool IsReader() const;
+  // Since the store confirmed the configuration, to this entry or to one that told it.
+  Duration ConfigAge() const { return this->freshness.Age(this->Now()); }
+  Duration EndpointsAge() const { return this->Now() - this->endpointsReadAt; }
 
   // Use of quotas that was saved before the start; empty: there was none.
   void SetUseBefore(const std::string& aBytes);
@@ -106,6 +118,7 @@
     Address address;
     TimePoint heardAt{};
     std::int64_t sentAtUs = 0; // of its last state, by its own clock
+    bool readsStore = false;
   };
 
   void OnRequest(const std::shared_ptr<IngressExchange>& aExchange,
@@ -134,6 +147,8 @@
   void ReturnQuota(Flow& aFlow);
   void RunStarts();
   void SendStates();
+  Duration StatePeriod() const;
+  void TakeEntryState(const Address& aFrom, const Peer& aPeer, const direct::EntryState& aState);
   void SaveHotUse();
   void AfterInput();
   TimePoint Now() const { return this->clock.Read().steady; }
@@ -158,6 +173,10 @@
   std::map<std::string, PeerEntry> peerEntries; // by IP number
   direct::CallNumber lastCall = 0;
   std::function<void()> onNewerConfig;
+  std::function<void()> onOtherEndpoints;
+  bool readsStore = false;
+  std::uint64_t endpointsHash = 0;
+  TimePoint endpointsReadAt{};
   QuotaStore* quotaStore = nullptr;
   bool hasSavedUse = false;
   GatewayCounts counts;
