--- a/src/direct/dispatcher.cpp
+++ b/src/direct/dispatcher.cpp
@@ -237,7 +237,7 @@
   for (auto& [id, target] : this->targets) {
     target.local->KeepHolder(aNow, this->self);
     target.local->OnTimer(aNow);
-    if (target.agentLive && aNow - target.agentHeardAt > this->options.agentSilence) {
+    if (target.agentLive && this->IsAgentSilent(aNow, target)) {
       this->SetAgentLive(aNow, target, false);
     }
   }
@@ -573,6 +573,17 @@
   }
 }
 
+bool Dispatcher::IsAgentSilent(TimePoint aNow, const Target& aTarget) const
+{
+  if (aTarget.busySince != kNever) {
+    const TimePoint since = std::max(aTarget.busySince, aTarget.agentHeardAt);
+    if (aNow - since > this->options.busyAgentSilence) {
+      return true;
+    }
+  }
+  return aNow - aTarget.agentHeardAt > this->options.agentSilence;
+}
+
 // Moves the reservations between the agent's queue and the entry's own.
 void Dispatcher::SetAgentLive(TimePoint aNow, Target& aTarget, bool aIsLive)
 {
@@ -632,8 +643,10 @@
   std::uint32_t index = ++this->holdRound;
   for (const auto& [id, state] : states) {
     const bool isIdle = state.waiting.empty() && state.running.empty();
+    Target& target = this->targets.at(id);
+    target.busySince = isIdle ? kNever : std::min(target.busySince, aNow);
     if (!isIdle || index++ % this->options.idleHoldPeriods == 0) {
-      this->port.SendToAgent(this->targets.at(id).info.host, state);
+      this->port.SendToAgent(target.info.host, state);
     }
   }
 }
--- a/src/direct/dispatcher.h
+++ b/src/direct/dispatcher.h
@@ -30,6 +30,7 @@
   Duration widenAfter = std::chrono::milliseconds(5);
   // Silence of an agent after which entries queue by themselves; some periods of AgentState.
   Duration agentSilence = std::chrono::milliseconds(900);
+  Duration busyAgentSilence = std::chrono::milliseconds(500); // while something is held there
   Duration holdPeriod = std::chrono::milliseconds(200); // of HoldState where something is held
   std::uint32_t idleHoldPeriods = 3;                    // of HoldState where nothing is held
   // Part of an endpoint's slots that an entry uses without an agent, in multiples of an equal part:
@@ -107,6 +108,7 @@
     bool isListed = true; // false: only finishes what it runs
     bool agentLive = false;
     TimePoint agentHeardAt{};
+    TimePoint busySince = kNever; // something is held there since
     AgentState agent;
     std::unique_ptr<LocalPort> localPort;
     std::unique_ptr<SlotQueue> local;
@@ -162,6 +164,7 @@
   void GiveUp(TimePoint aNow, CallNumber aCall, GiveUpReason aReason);
   void TakeOffer(TimePoint aNow, Target& aTarget, CallNumber aCall);
   void DrainLocalOffers(TimePoint aNow);
+  bool IsAgentSilent(TimePoint aNow, const Target& aTarget) const;
   void SetAgentLive(TimePoint aNow, Target& aTarget, bool aIsLive);
   std::uint32_t LocalLimit(const Target& aTarget) const;
   void SendHolds(TimePoint aNow);
--- a/src/direct/shared_quota.cpp
+++ b/src/direct/shared_quota.cpp
@@ -35,7 +35,7 @@
 
 std::int64_t SharedQuota::BucketOf(TimePoint aNow) const
 {
-  return aNow.time_since_epoch() * static_cast<std::int64_t>(kBuckets) / this->options.window;
+  return aNow.time_since_epoch() * static_cast<std::int64_t>(kParts) / this->options.window;
 }
 
 // Empties the buckets that have left the window.
@@ -85,7 +85,7 @@
     return Duration::zero();
   }
   // Time until the oldest buckets that hold the excess have left the window.
-  const Duration bucketTime = this->options.window / static_cast<std::int64_t>(kBuckets);
+  const Duration bucketTime = this->options.window / static_cast<std::int64_t>(kParts);
   double freed = 0;
   for (std::size_t step = 1; step <= kBuckets; step++) {
     freed += window.buckets.at((static_cast<std::size_t>(window.newest) + step) % kBuckets);
@@ -111,7 +111,7 @@
     const auto index = static_cast<std::size_t>(place);
     return index < found->second.size() ? found->second[index] : 0;
   }
-  return aBound / kBuckets * (this->isBeforeKnown ? kHotShare : 1);
+  return aBound / kParts * (this->isBeforeKnown ? kHotShare : 1);
 }
 
 void SharedQuota::SetUseBefore(std::vector<SavedUse> aSaved)
--- a/src/direct/shared_quota.h
+++ b/src/direct/shared_quota.h
@@ -76,7 +76,9 @@
   std::uint32_t EntryCount(TimePoint aNow) const;
 
 private:
-  static constexpr std::size_t kBuckets = 32; // of a window
+  static constexpr std::size_t kParts = 32; // of a window
+  // One more than the parts: the newest is not over and the oldest not wholly out of the window.
+  static constexpr std::size_t kBuckets = kParts + 1;
   // Units used in the last window, in buckets of equal time.
   struct Window
   {
--- /dev/null
+++ b/tests/direct/dispatcher_test.cpp
@@ -0,0 +1,332 @@
+#include "direct/dispatcher.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <vector>
+
+namespace caraway::direct {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Records what the dispatcher asks for.
+struct Port : DispatchPort
+{
+  void StartAttempt(CallNumber aCall, const EndpointInfo& aEndpoint) override
+  {
+    this->started.emplace_back(aCall, aEndpoint.id);
+  }
+  void GiveUp(CallNumber aCall, GiveUpReason aReason, Duration aRetryAfter) override
+  {
+    this->givenUp.emplace_back(aCall, aReason);
+    this->retryAfter = aRetryAfter;
+  }
+  void SendToAgent(const std::string& aHost, const DirectMessage& aMessage) override
+  {
+    this->sent.emplace_back(aHost, aMessage);
+  }
+
+  template<class Message>
+  std::vector<std::string> HostsOf() const
+  {
+    std::vector<std::string> hosts;
+    for (const auto& [host, message] : this->sent) {
+      if (std::holds_alternative<Message>(message)) {
+        hosts.push_back(host);
+      }
+    }
+    return hosts;
+  }
+
+  std::vector<std::pair<CallNumber, std::string>> started;
+  std::vector<std::pair<CallNumber, GiveUpReason>> givenUp;
+  Duration retryAfter{};
+  std::vector<std::pair<std::string, DirectMessage>> sent;
+};
+
+struct Fixture
+{
+  Fixture()
+  {
+    this->budgetOptions.extra = 1000;
+    this->budget = std::make_unique<RetryBudget>(this->budgetOptions);
+    this->dispatcher =
+      std::make_unique<Dispatcher>(this->options, Peer{ NodeId{ 1 }, Incarnation{ 1 } }, "here",
+                                   this->random, *this->budget, this->port);
+  }
+
+  void List(int aCount, bool aHasAgents, std::uint32_t aSlots = 2)
+  {
+    for (int index = 1; index <= aCount; index++) {
+      EndpointInfo info;
+      info.id = "e" + std::to_string(index);
+      info.service = "pool";
+      info.host = "10.0.0." + std::to_string(index);
+      info.port = 80;
+      info.slots = aSlots;
+      info.failureDomain = "here";
+      info.bornMs = 1000;
+      this->all[info.id] = info;
+    }
+    this->hasAgents = aHasAgents;
+    this->Apply();
+  }
+  void Apply()
+  {
+    this->dispatcher->SetEndpoints(this->now, this->all,
+                                   [this](const std::string&) { return this->hasAgents; });
+  }
+  void AgentsAlive(std::uint32_t aLimit = 2)
+  {
+    for (const auto& [id, info] : this->all) {
+      AgentState state;
+      state.isReachable = true;
+      state.endpointBornMs = info.bornMs;
+      state.limit = aLimit;
+      this->dispatcher->OnAgentState(this->now, info.host, state);
+    }
+  }
+  CallSpec Spec(CallNumber aNumber, CallKind aKind = CallKind::kOnce) const
+  {
+    CallSpec spec;
+    spec.number = aNumber;
+    spec.kind = aKind;
+    spec.service = "pool";
+    spec.maxRuns = aKind == CallKind::kOnce ? 1 : 2;
+    spec.objective = milliseconds(500);
+    spec.arrived = this->now;
+    spec.deadline = this->now + seconds(4);
+    spec.promptTokens = 1000;
+    return spec;
+  }
+  void Advance(Duration aBy)
+  {
+    const TimePoint end = this->now + aBy;
+    while (this->now < end) {
+      this->now = std::min(end, this->now + milliseconds(5));
+      this->dispatcher->OnTimer(this->now);
+    }
+  }
+
+  DispatchOptions options;
+  RetryBudgetOptions budgetOptions;
+  std::unique_ptr<RetryBudget> budget;
+  Random random{ 1 };
+  Port port;
+  TimePoint now{ seconds(100) };
+  std::map<std::string, EndpointInfo> all;
+  bool hasAgents = false;
+  std::unique_ptr<Dispatcher> dispatcher;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(dispatcher, Fixture)
+
+BOOST_AUTO_TEST_CASE(without_agents_the_entry_queues_for_its_part_of_the_slots)
+{
+  this->dispatcher->SetEntryCount(2);
+  this->List(1, false, 4);
+  for (CallNumber call = 1; call <= 6; call++) {
+    this->dispatcher->Submit(this->now, this->Spec(call));
+  }
+  BOOST_TEST(this->port.started.size() == 4U); // 1.7 x 4 / 2, rounded up
+  BOOST_TEST(!this->dispatcher->OnAttemptEnd(this->now, 1, AttemptEnd::kAnswered));
+  BOOST_TEST(this->port.started.size() == 5U);
+}
+
+BOOST_AUTO_TEST_CASE(with_agents_the_first_offer_binds_and_the_others_are_withdrawn)
+{
+  this->List(3, true);
+  this->AgentsAlive();
+  this->dispatcher->Submit(this->now, this->Spec(1));
+  BOOST_TEST(this->port.HostsOf<ReserveSlot>().size() == 2U);
+  this->Advance(milliseconds(10));
+  BOOST_TEST(this->port.HostsOf<ReserveSlot>().size() == 3U);
+  this->dispatcher->OnOffer(this->now, "10.0.0.2", 1);
+  this->dispatcher->OnOffer(this->now, "10.0.0.3", 1);
+  BOOST_TEST(this->port.started.size() == 1U);
+  BOOST_TEST(this->port.started[0].second == "e2");
+  // One withdrawal for each other reservation, and one that declines the second offer.
+  BOOST_TEST(this->port.HostsOf<WithdrawSlot>().size() == 3U);
+  BOOST_TEST(this->port.HostsOf<UseSlot>() == std::vector<std::string>{ "10.0.0.2" });
+}
+
+BOOST_AUTO_TEST_CASE(a_silent_agent_is_replaced_by_the_own_queue_and_back)
+{
+  this->List(1, true);
+  this->AgentsAlive();
+  this->dispatcher->Submit(this->now, this->Spec(1));
+  BOOST_TEST(this->port.started.empty());
+  this->Advance(this->options.busyAgentSilence + this->options.holdPeriod + milliseconds(10));
+  BOOST_TEST(this->port.started.size() == 1U);
+  this->AgentsAlive();
+  this->dispatcher->Submit(this->now, this->Spec(2));
+  BOOST_TEST(this->port.started.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_refused_attempt_is_placed_elsewhere)
+{
+  this->List(2, false);
+  this->dispatcher->Submit(this->now, this->Spec(1));
+  const std::string first = this->port.started[0].second;
+  BOOST_TEST(this->dispatcher->OnAttemptEnd(this->now, 1, AttemptEnd::kMisdirected));
+  BOOST_REQUIRE(this->port.started.size() == 2U);
+  BOOST_TEST(this->port.started[1].second != first);
+}
+
+// A call that must run at most once and may have run is not sent again.
+BOOST_AUTO_TEST_CASE(a_broken_call_is_repeated_only_where_it_may_be)
+{
+  this->List(2, false);
+  this->dispatcher->Submit(this->now, this->Spec(1, CallKind::kOnce));
+  BOOST_TEST(!this->dispatcher->OnAttemptEnd(this->now, 1, AttemptEnd::kBroken));
+  this->Advance(seconds(3));
+  this->dispatcher->Submit(this->now, this->Spec(2, CallKind::kSafe));
+  BOOST_TEST(this->dispatcher->OnAttemptEnd(this->now, 2, AttemptEnd::kBroken));
+  BOOST_TEST(!this->dispatcher->OnAttemptEnd(this->now, 2, AttemptEnd::kBroken));
+  this->Advance(seconds(3));
+  CallSpec stream = this->Spec(3, CallKind::kStream);
+  this->dispatcher->Submit(this->now, stream);
+  BOOST_TEST(!this->dispatcher->OnAttemptEnd(this->now, 3, AttemptEnd::kBroken));
+  this->Advance(seconds(3));
+  stream.number = 4;
+  stream.arrived = this->now;
+  stream.deadline = this->now + seconds(4);
+  stream.isResumable = true;
+  this->dispatcher->Submit(this->now, stream);
+  BOOST_TEST(this->dispatcher->OnAttemptEnd(this->now, 4, AttemptEnd::kBroken));
+}
+
+BOOST_AUTO_TEST_CASE(an_endpoint_that_leaves_gets_nothing_new)
+{
+  this->List(2, false, 1);
+  this->all["e1"].isLeaving = true;
+  this->all["e1"].sequence++;
+  this->Apply();
+  for (CallNumber call = 1; call <= 4; call++) {
+    this->dispatcher->Submit(this->now, this->Spec(call));
+  }
+  for (const auto& [call, endpoint] : this->port.started) {
+    BOOST_TEST(endpoint == "e2");
+  }
+}
+
+BOOST_AUTO_TEST_CASE(an_agents_word_that_its_endpoint_leaves_is_enough)
+{
+  this->List(1, true);
+  this->AgentsAlive();
+  AgentState state;
+  state.isReachable = true;
+  state.isLeaving = true;
+  state.endpointBornMs = 1000;
+  this->dispatcher->OnAgentState(this->now, "10.0.0.1", state);
+  this->dispatcher->Submit(this->now, this->Spec(1));
+  this->dispatcher->OnOffer(this->now, "10.0.0.1", 1);
+  BOOST_TEST(this->port.started.empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_call_without_a_slot_is_given_up_once_and_says_when_to_come_back)
+{
+  this->List(1, true);
+  this->AgentsAlive();
+  this->dispatcher->Submit(this->now, this->Spec(1));
+  for (int step = 0; step < 25; step++) {
+    this->Advance(milliseconds(200));
+    this->AgentsAlive();
+  }
+  BOOST_REQUIRE(this->port.givenUp.size() == 1U);
+  BOOST_TEST((this->port.givenUp[0].second == GiveUpReason::kOverload));
+  BOOST_TEST((this->port.retryAfter > Duration::zero()));
+  BOOST_TEST(this->dispatcher->CallCount() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(a_call_without_endpoints_starts_when_one_is_listed)
+{
+  this->dispatcher->Submit(this->now, this->Spec(1));
+  BOOST_TEST(this->port.started.empty());
+  this->List(1, false);
+  BOOST_TEST(this->port.started.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_running_call_ends_at_its_deadline)
+{
+  this->List(1, false);
+  this->dispatcher->Submit(this->now, this->Spec(1));
+  this->Advance(seconds(5));
+  BOOST_REQUIRE(this->port.givenUp.size() == 1U);
+  BOOST_TEST((this->port.givenUp[0].second == GiveUpReason::kDeadline));
+}
+
+BOOST_AUTO_TEST_CASE(a_cancelled_call_frees_its_slot)
+{
+  this->List(1, false, 1);
+  this->dispatcher->Submit(this->now, this->Spec(1));
+  const std::size_t slots = this->port.started.size();
+  CallNumber call = 2;
+  while (this->port.started.size() == slots + call - 2) {
+    this->dispatcher->Submit(this->now, this->Spec(call++));
+  }
+  const std::size_t before = this->port.started.size();
+  this->dispatcher->Cancel(this->now, 1);
+  BOOST_TEST(this->port.started.size() == before + 1);
+}
+
+BOOST_AUTO_TEST_CASE(the_retry_budget_bounds_repeats)
+{
+  this->budgetOptions.extra = 0;
+  this->budgetOptions.ratio = 0.1;
+  this->budgetOptions.useShare = 1;
+  this->budget = std::make_unique<RetryBudget>(this->budgetOptions);
+  this->dispatcher =
+    std::make_unique<Dispatcher>(this->options, Peer{ NodeId{ 1 }, Incarnation{ 1 } }, "here",
+                                 this->random, *this->budget, this->port);
+  this->List(2, false, 100);
+  int repeated = 0;
+  for (CallNumber call = 1; call <= 50; call++) {
+    this->dispatcher->Submit(this->now, this->Spec(call, CallKind::kSafe));
+    repeated += this->dispatcher->OnAttemptEnd(this->now, call, AttemptEnd::kFailed) ? 1 : 0;
+  }
+  BOOST_TEST(repeated <= 5);
+}
+
+// Load: one endpoint fails everything it gets while others are sound.
+BOOST_AUTO_TEST_CASE(calls_move_away_from_an_endpoint_that_fails)
+{
+  this->List(3, false, 100);
+  int toBad = 0;
+  for (CallNumber call = 1; call <= 300; call++) {
+    this->dispatcher->Submit(this->now, this->Spec(call, CallKind::kOnce));
+    const bool isBad = this->port.started.back().second == "e1";
+    toBad += isBad && call > 100 ? 1 : 0;
+    this->dispatcher->OnAttemptEnd(this->now, call,
+                                   isBad ? AttemptEnd::kFailed : AttemptEnd::kAnswered);
+    this->Advance(milliseconds(5));
+  }
+  BOOST_TEST(toBad <= 20); // a tenth of an equal part, and some that look whether it is sound again
+}
+
+BOOST_AUTO_TEST_CASE(the_holds_name_what_waits_and_what_runs)
+{
+  this->List(1, true, 1);
+  this->AgentsAlive();
+  this->dispatcher->Submit(this->now, this->Spec(1));
+  this->dispatcher->OnOffer(this->now, "10.0.0.1", 1);
+  this->dispatcher->Submit(this->now, this->Spec(2));
+  this->port.sent.clear();
+  this->Advance(this->options.holdPeriod + milliseconds(5));
+  bool found = false;
+  for (const auto& [host, message] : this->port.sent) {
+    if (const auto* hold = std::get_if<HoldState>(&message)) {
+      found = hold->running.size() == 1 && hold->waiting.size() == 1;
+    }
+  }
+  BOOST_TEST(found);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace caraway::direct
--- /dev/null
+++ b/tests/direct/shared_quota_test.cpp
@@ -0,0 +1,149 @@
+#include "direct/shared_quota.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+
+namespace caraway::direct {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::uint64_t kAccount = 7;
+const QuotaLimit kLimit{ 1000, 1000 }; // 9,000 in a window of 8 s
+
+struct Fixture
+{
+  SharedQuotaOptions options;
+  TimePoint now{ seconds(1000) };
+
+  Fixture() { this->options.overage = 0; }
+
+  // Takes units of 100 until the quota refuses; the sum that was taken.
+  double TakeAll(SharedQuota& aQuota)
+  {
+    double taken = 0;
+    while (aQuota.Take(this->now, kAccount, kLimit, 100) == Duration::zero()) {
+      taken += 100;
+    }
+    return taken;
+  }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(shared_quota, Fixture)
+
+BOOST_AUTO_TEST_CASE(bounds_every_window)
+{
+  SharedQuota quota(this->options, this->now - seconds(20));
+  std::vector<std::pair<TimePoint, double>> log;
+  for (int step = 0; step < 200; step++) {
+    log.emplace_back(this->now, this->TakeAll(quota));
+    this->now += milliseconds(130);
+  }
+  for (const auto& [from, unused] : log) {
+    double sum = 0;
+    for (const auto& [at, units] : log) {
+      sum += at >= from && at - from < this->options.window ? units : 0;
+    }
+    BOOST_TEST(sum <= 9000 + 9000 / 32.0);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_refusal_says_when_there_is_room)
+{
+  SharedQuota quota(this->options, this->now - seconds(20));
+  this->TakeAll(quota);
+  const Duration wait = quota.Take(this->now, kAccount, kLimit, 100);
+  BOOST_TEST((wait > Duration::zero()));
+  this->now += wait;
+  BOOST_TEST((quota.Take(this->now, kAccount, kLimit, 100) == Duration::zero()));
+}
+
+// Units of a request that was refused late open no room in a window that it never was in.
+BOOST_AUTO_TEST_CASE(returned_units_count_where_they_were_taken)
+{
+  SharedQuota quota(this->options, this->now - seconds(20));
+  const TimePoint takenAt = this->now;
+  BOOST_TEST((quota.Take(this->now, kAccount, kLimit, 5000) == Duration::zero()));
+  this->now += seconds(7);
+  quota.Return(this->now, takenAt, kAccount, 5000);
+  BOOST_TEST(this->TakeAll(quota) == 9000);
+  this->now += milliseconds(1500);
+  BOOST_TEST(this->TakeAll(quota) == 0);
+}
+
+BOOST_AUTO_TEST_CASE(counts_what_other_entries_use)
+{
+  SharedQuota quota(this->options, this->now - seconds(20));
+  const Peer peer{ NodeId{ 2 }, Incarnation{ 1 } };
+  quota.OnPeerUse(this->now, peer, { { kAccount, 0 } });
+  quota.OnPeerUse(this->now, peer, { { kAccount, 6000 } });
+  BOOST_TEST(this->TakeAll(quota) == 3000);
+}
+
+// Two entries that cannot hear each other: each assumes that the other uses its part.
+BOOST_AUTO_TEST_CASE(bounds_the_sum_while_links_are_cut)
+{
+  SharedQuota left(this->options, this->now - seconds(20));
+  SharedQuota right(this->options, this->now - seconds(20));
+  const Peer leftPeer{ NodeId{ 1 }, Incarnation{ 1 } };
+  const Peer rightPeer{ NodeId{ 2 }, Incarnation{ 1 } };
+  left.OnPeerUse(this->now, rightPeer, {});
+  right.OnPeerUse(this->now, leftPeer, {});
+  this->now += seconds(10); // silent since; each quiet so far
+  std::vector<std::pair<TimePoint, double>> log;
+  for (int step = 0; step < 40; step++) {
+    log.emplace_back(this->now, this->TakeAll(left) + this->TakeAll(right));
+    this->now += milliseconds(100);
+  }
+  double sum = 0;
+  for (const auto& [at, units] : log) {
+    sum += units;
+  }
+  // Twice what is left beside the other's half; the platform tolerates a tenth and more beyond it.
+  BOOST_TEST(sum <= 2 * (9000 - 500 * 8) + 2 * 500 * 4 + 400);
+}
+
+// All entries die and start at once: the window before the restart still counts.
+BOOST_AUTO_TEST_CASE(a_restart_opens_no_second_window)
+{
+  SharedQuota before(this->options, this->now - seconds(20));
+  this->TakeAll(before);
+  const std::vector<SavedUse> saved = before.HotUse(this->now);
+  BOOST_TEST(saved.size() == 1U);
+  this->now += seconds(1);
+  SharedQuota after(this->options, this->now);
+  after.SetUseBefore(*DecodeSavedUse(EncodeSavedUse(saved)));
+  BOOST_TEST(this->TakeAll(after) == 0);
+  this->now += seconds(9);
+  BOOST_TEST(this->TakeAll(after) == 9000);
+}
+
+BOOST_AUTO_TEST_CASE(a_start_without_what_was_saved_counts_the_whole_bound)
+{
+  SharedQuota quota(this->options, this->now);
+  BOOST_TEST(this->TakeAll(quota) == 0);
+  this->now += seconds(2);
+  const double early = this->TakeAll(quota);
+  BOOST_TEST(early <= 9000 / 4 + 300);
+  BOOST_TEST(early > 0);
+}
+
+BOOST_AUTO_TEST_CASE(no_rate_means_no_bound)
+{
+  SharedQuota quota(this->options, this->now);
+  BOOST_TEST((quota.Take(this->now, kAccount, QuotaLimit{}, 1e9) == Duration::zero()));
+}
+
+BOOST_AUTO_TEST_CASE(unreadable_saved_use_is_refused)
+{
+  BOOST_TEST(!DecodeSavedUse("\x05garbage").has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace caraway::direct
--- /dev/null
+++ b/tests/direct/slot_queue_test.cpp
@@ -0,0 +1,182 @@
+#include "direct/slot_queue.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <vector>
+
+namespace caraway::direct {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const Peer kFirst{ NodeId{ 1 }, Incarnation{ 10 } };
+const Peer kSecond{ NodeId{ 2 }, Incarnation{ 10 } };
+
+struct Offered : SlotQueuePort
+{
+  void OfferSlotTo(const Peer& aHolder, CallNumber aCall) override
+  {
+    this->offers.emplace_back(aHolder.node, aCall);
+  }
+  std::vector<std::pair<NodeId, CallNumber>> offers;
+};
+
+struct Fixture
+{
+  Offered port;
+  SlotQueueOptions options;
+  TimePoint now{ seconds(100) };
+  SlotQueue queue{ this->options, this->port };
+
+  ReserveSlot Reservation(CallNumber aCall, Tier aRank, int aStartLeftMs,
+                          std::uint32_t aPrompt = 100, Tier aTier = 1) const
+  {
+    ReserveSlot reserve;
+    reserve.call = aCall;
+    reserve.tier = aTier;
+    reserve.rank = aRank;
+    reserve.startLeftMs = aStartLeftMs;
+    reserve.timeLeftMs = 6000;
+    reserve.promptTokens = aPrompt;
+    return reserve;
+  }
+
+  CallNumber LastOffer() const
+  {
+    return this->port.offers.empty() ? 0 : this->port.offers.back().second;
+  }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(slot_queue, Fixture)
+
+BOOST_AUTO_TEST_CASE(offers_up_to_the_limit)
+{
+  this->queue.SetLimit(this->now, 2);
+  for (CallNumber call = 1; call <= 3; call++) {
+    this->queue.Reserve(this->now, kFirst, this->Reservation(call, 0, 500));
+  }
+  BOOST_TEST(this->port.offers.size() == 2U);
+  this->queue.Use(this->now, kFirst, UseSlot{ 1, 100 });
+  this->queue.Use(this->now, kFirst, UseSlot{ 2, 100 });
+  BOOST_TEST(this->queue.Taken() == 2U);
+  this->queue.Release(this->now, kFirst, 1);
+  BOOST_TEST(this->LastOffer() == 3U);
+}
+
+// Load: more arrives than the slots take. What can still be in time goes first; in order of arrival
+// all of it would be late.
+BOOST_AUTO_TEST_CASE(calls_that_can_be_in_time_go_before_late_ones)
+{
+  this->queue.Reserve(this->now, kFirst, this->Reservation(1, 0, 50));
+  this->queue.Reserve(this->now, kFirst, this->Reservation(2, 2, 400));
+  this->now += milliseconds(100);
+  this->queue.SetLimit(this->now, 1);
+  BOOST_TEST(this->LastOffer() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(tier_goes_before_rank_and_rank_before_arrival)
+{
+  this->queue.Reserve(this->now, kFirst, this->Reservation(1, 2, 100));
+  this->queue.Reserve(this->now, kFirst, this->Reservation(2, 0, 300));
+  this->queue.Reserve(this->now, kSecond, this->Reservation(3, 3, 300, 100, 0));
+  this->queue.SetLimit(this->now, 1);
+  BOOST_TEST(this->LastOffer() == 3U);
+  this->queue.Withdraw(this->now, kSecond, 3);
+  BOOST_TEST(this->LastOffer() == 2U);
+  this->queue.Withdraw(this->now, kFirst, 2);
+  BOOST_TEST(this->LastOffer() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(prompts_wait_while_others_are_read)
+{
+  this->queue.SetLimit(this->now, 6);
+  this->queue.Reserve(this->now, kFirst, this->Reservation(1, 0, 500, 5000));
+  this->queue.Reserve(this->now, kFirst, this->Reservation(2, 0, 500, 5000));
+  BOOST_TEST(this->port.offers.size() == 1U);
+  this->queue.Use(this->now, kFirst, UseSlot{ 1, 5000 });
+  this->queue.BeginAnswer(this->now, kFirst, 1);
+  BOOST_TEST(this->LastOffer() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(a_prompt_over_the_limit_goes_alone)
+{
+  this->queue.SetLimit(this->now, 6);
+  this->queue.Reserve(this->now, kFirst, this->Reservation(1, 0, 500, 39000));
+  BOOST_TEST(this->LastOffer() == 1U);
+}
+
+// An entry that is cut off without a reset must not keep slots that nobody uses.
+BOOST_AUTO_TEST_CASE(a_silent_holder_loses_its_slots)
+{
+  this->queue.SetLimit(this->now, 1);
+  this->queue.Reserve(this->now, kFirst, this->Reservation(1, 0, 500));
+  this->queue.Use(this->now, kFirst, UseSlot{ 1, 100 });
+  this->queue.Reserve(this->now, kSecond, this->Reservation(2, 0, 500));
+  this->now += milliseconds(900);
+  this->queue.KeepHolder(this->now, kSecond);
+  this->queue.OnTimer(this->now);
+  BOOST_TEST(this->LastOffer() == 1U);
+  this->now += milliseconds(200);
+  this->queue.OnTimer(this->now);
+  BOOST_TEST(this->LastOffer() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(an_offer_without_an_answer_is_void)
+{
+  this->queue.SetLimit(this->now, 1);
+  this->queue.Reserve(this->now, kFirst, this->Reservation(1, 0, 500));
+  this->queue.Reserve(this->now, kSecond, this->Reservation(2, 0, 500));
+  this->now += this->options.offerTimeout;
+  this->queue.OnTimer(this->now);
+  BOOST_TEST(this->LastOffer() == 2U);
+}
+
+// A lost ReleaseSlot or ReserveSlot is made good by the next HoldState.
+BOOST_AUTO_TEST_CASE(the_holders_account_repairs_lost_messages)
+{
+  this->queue.SetLimit(this->now, 1);
+  this->queue.Reserve(this->now, kFirst, this->Reservation(1, 0, 500));
+  this->queue.Use(this->now, kFirst, UseSlot{ 1, 100 });
+  this->now += milliseconds(400);
+  HoldState state;
+  state.waiting.push_back(this->Reservation(2, 0, 500));
+  this->queue.Reconcile(this->now, kFirst, state);
+  BOOST_TEST(this->LastOffer() == 2U);
+  BOOST_TEST(this->queue.Taken() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_call_just_sent_is_not_released_by_an_older_account)
+{
+  this->queue.SetLimit(this->now, 1);
+  this->queue.Use(this->now, kFirst, UseSlot{ 1, 100 });
+  this->now += milliseconds(50);
+  this->queue.Reconcile(this->now, kFirst, HoldState{});
+  BOOST_TEST(this->queue.Taken() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_new_life_of_a_holder_holds_nothing)
+{
+  this->queue.SetLimit(this->now, 2);
+  this->queue.Use(this->now, kFirst, UseSlot{ 1, 100 });
+  const Peer reborn{ kFirst.node, Incarnation{ 11 } };
+  this->queue.Reserve(this->now, reborn, this->Reservation(1, 0, 500));
+  BOOST_TEST(this->LastOffer() == 1U);
+  // What the life before has sent and arrives late is refused.
+  this->queue.Use(this->now, kFirst, UseSlot{ 7, 100 });
+  BOOST_TEST(this->queue.Taken() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(no_offer_while_the_endpoint_cannot_be_used)
+{
+  this->queue.SetLimit(this->now, 0);
+  this->queue.Reserve(this->now, kFirst, this->Reservation(1, 0, 500));
+  BOOST_TEST(this->port.offers.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace caraway::direct
--- /dev/null
+++ b/tests/direct/small_test.cpp
@@ -0,0 +1,190 @@
+// Retry budget, patience, endpoint table, configuration and messages.
+#include "../core/property.h"
+#include "direct/endpoint_table.h"
+#include "direct/messages.h"
+#include "direct/patience.h"
+#include "direct/retry_budget.h"
+#include "direct/service_config.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace caraway::direct {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+EndpointInfo MakeEndpoint(const std::string& aId, const std::string& aHost, std::int64_t aBorn,
+                          std::uint64_t aSequence = 1)
+{
+  EndpointInfo info;
+  info.id = aId;
+  info.service = "pool";
+  info.host = aHost;
+  info.port = 80;
+  info.bornMs = aBorn;
+  info.sequence = aSequence;
+  return info;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(retry_budget)
+
+BOOST_AUTO_TEST_CASE(allows_a_share_of_the_requests_and_a_part_of_the_extra)
+{
+  RetryBudgetOptions options;
+  options.extra = 50;
+  options.useShare = 1;
+  RetryBudget budget(options);
+  TimePoint now{ seconds(10) };
+  for (int request = 0; request < 100; request++) {
+    budget.OnRequest(now, "pool");
+  }
+  int repeats = 0;
+  while (budget.Take(now, "pool", 5)) {
+    repeats++;
+  }
+  BOOST_TEST(repeats == 20 + 10);
+  now += seconds(11);
+  budget.OnRequest(now, "pool");
+  BOOST_TEST(budget.Take(now, "pool", 5));
+}
+
+BOOST_AUTO_TEST_CASE(a_service_without_requests_has_no_budget)
+{
+  RetryBudget budget({});
+  BOOST_TEST(!budget.Take(TimePoint{ seconds(1) }, "pool", 5));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(patience)
+
+BOOST_AUTO_TEST_CASE(a_call_waits_for_part_of_its_time_only)
+{
+  PatienceOptions options;
+  CallSpec spec;
+  spec.arrived = TimePoint{ seconds(5) };
+  spec.deadline = spec.arrived + seconds(6);
+  spec.objective = milliseconds(600);
+  BOOST_TEST((GiveUpTime(options, spec) - spec.arrived <= seconds(6) * 3 / 10));
+  BOOST_TEST((GiveUpTime(options, spec) > spec.arrived + spec.objective));
+  spec.deadline = spec.arrived + milliseconds(100);
+  BOOST_TEST((GiveUpTime(options, spec) <= spec.deadline));
+}
+
+BOOST_AUTO_TEST_CASE(a_longer_backlog_sends_callers_away_for_longer)
+{
+  PatienceOptions options;
+  const Duration run = milliseconds(400);
+  BOOST_TEST((RetryTime(options, 10, 50, run) < RetryTime(options, 200, 50, run)));
+  BOOST_TEST((RetryTime(options, 1e9, 1, run) == options.longestRetry));
+  BOOST_TEST((RetryTime(options, 0, 50, run) == options.shortestRetry));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(endpoint_table)
+
+BOOST_AUTO_TEST_CASE(an_older_registration_does_not_come_back)
+{
+  EndpointTable table;
+  BOOST_TEST(table.Put(MakeEndpoint("a", "10.0.0.1", 100, 5)));
+  BOOST_TEST(!table.Put(MakeEndpoint("a", "10.0.0.1", 100, 4)));
+  BOOST_TEST(!table.Put(MakeEndpoint("a", "10.0.0.1", 90, 9)));
+  // A new life counts anew.
+  BOOST_TEST(table.Put(MakeEndpoint("a", "10.0.0.1", 200, 1)));
+}
+
+BOOST_AUTO_TEST_CASE(an_address_belongs_to_the_newest_endpoint_there)
+{
+  EndpointTable table;
+  table.Put(MakeEndpoint("old", "10.0.0.1", 100));
+  table.Put(MakeEndpoint("new", "10.0.0.1", 200));
+  BOOST_TEST(table.All().size() == 1U);
+  BOOST_TEST(table.All().begin()->first == "new");
+}
+
+BOOST_AUTO_TEST_CASE(heartbeats_do_not_change_the_hash)
+{
+  EndpointTable table;
+  table.Put(MakeEndpoint("a", "10.0.0.1", 100, 1));
+  const std::uint64_t before = HashOf(table.All());
+  table.Put(MakeEndpoint("a", "10.0.0.1", 100, 2));
+  BOOST_TEST(HashOf(table.All()) == before);
+  EndpointInfo leaving = MakeEndpoint("a", "10.0.0.1", 100, 3);
+  leaving.isLeaving = true;
+  table.Put(leaving);
+  BOOST_TEST(HashOf(table.All()) != before);
+}
+
+BOOST_AUTO_TEST_CASE(a_complete_list_replaces_the_one_before)
+{
+  EndpointTable table;
+  table.Put(MakeEndpoint("a", "10.0.0.1", 100, 9));
+  table.Put(MakeEndpoint("b", "10.0.0.2", 100));
+  table.Replace({ { "a", MakeEndpoint("a", "10.0.0.1", 100, 3) } });
+  BOOST_TEST(table.All().size() == 1U);
+  BOOST_TEST(table.All().at("a").sequence == 9U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(service_config)
+
+BOOST_AUTO_TEST_CASE(the_longest_prefix_of_the_host_wins)
+{
+  ServiceConfig config;
+  for (const auto& [host, prefix] : std::vector<std::pair<std::string, std::string>>{
+         { "a", "/" }, { "a", "/x/" }, { "a", "/x/y/" }, { "b", "/x/" } }) {
+    Route route;
+    route.name = host + prefix;
+    route.host = host;
+    route.pathPrefix = prefix;
+    config.routes.push_back(route);
+  }
+  config.BuildIndex();
+  BOOST_TEST(config.FindRoute("a", "/x/y/z")->name == "a/x/y/");
+  BOOST_TEST(config.FindRoute("a", "/x/yy")->name == "a/x/");
+  BOOST_TEST(config.FindRoute("a", "/x/?q=/x/y/")->name == "a/x/");
+  BOOST_TEST(config.FindRoute("a", "/q")->name == "a/");
+  BOOST_TEST((config.FindRoute("b", "/q") == nullptr));
+  BOOST_TEST((config.FindRoute("c", "/x/") == nullptr));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(direct_messages)
+
+BOOST_AUTO_TEST_CASE(a_datagram_reads_back_as_it_was_written)
+{
+  HoldState hold;
+  hold.slots = 6;
+  hold.running.push_back({ 4, 100 });
+  const Datagram sent{ Peer{ NodeId{ 1 }, Incarnation{ 2 } },
+                       { ReserveSlot{ 3, 1, 2, -5, 900, 100, 10 }, hold, OfferSlot{ 8 } } };
+  const std::optional<Datagram> read = DecodeDatagram(EncodeDatagram(sent));
+  BOOST_REQUIRE(read.has_value());
+  BOOST_TEST(read->messages.size() == 3U);
+  BOOST_TEST(std::get<ReserveSlot>(read->messages[0]).startLeftMs == -5);
+  BOOST_TEST(std::get<HoldState>(read->messages[1]).running[0].promptTokens == 100U);
+}
+
+// Datagrams come from the network: no bytes may crash a process.
+BOOST_AUTO_TEST_CASE(no_bytes_crash_the_decoder)
+{
+  const std::string whole = EncodeDatagram(
+    { Peer{ NodeId{ 1 }, Incarnation{ 2 } }, { AgentState{}, EntryState{}, HoldState{} } });
+  test::CheckProperty("datagram", [&](const std::string& aNoise, unsigned aCut, unsigned aPlace) {
+    std::string bytes = whole.substr(0, aCut % (whole.size() + 1));
+    bytes.insert(aPlace % (bytes.size() + 1), aNoise);
+    DecodeDatagram(bytes);
+    DecodeDatagram(aNoise);
+  });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace caraway::direct
--- /dev/null
+++ b/tests/platform/documents_test.cpp
@@ -0,0 +1,230 @@
+#include "../core/property.h"
+#include "platform/dialect.h"
+#include "platform/documents.h"
+#include "platform/store_client.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+
+namespace caraway::platform {
+
+namespace {
+
+using direct::CallKind;
+using gateway::AnswerKind;
+using std::chrono::milliseconds;
+
+const std::string kConfig = R"({"version":7,"routes":[
+  {"name":"r1","host":"h.example","path-prefix":"/a/","route-type":"stream","timeout-ms":4000,
+   "target-latency-ms":500,"priority":1,"service":"pool","max-attempts":2,"stream-resume":true},
+  {"name":"r2","host":"h.example","path-prefix":"/b/","route-type":"safe",
+   "traffic-split":[{"service":"app","weight":90},{"service":"pool","weight":10}],"no-auth":true}],
+  "services":[{"name":"pool","max-connections":370,"engine":{"slots":6}},{"name":"app"}],
+  "limits":{"max-header-bytes":8000,"max-body-bytes":100,"header-timeout-ms":2000,"idle-timeout-ms":9000},
+  "tenants":[{"name":"t","api-keys":["k1","k2"],"priority":1,"unit":"tokens","plain-tokens":200,
+   "rate-per-s":85589,"burst":85590}]})";
+
+const std::string kSettings = R"({"node":"front-1","role":"entry","ip":"10.1.0.25","zone":"brno-a",
+  "listen":{"front":"10.1.0.25:8221","ready":"10.1.0.25:8224"},"internal-ports":[7600,7615],
+  "bounds":{"revoke-ms":5000,"grace-s":8,"retry-budget-ratio":0.2,"budget-extra":56,"quota-slack":110000},
+  "platform":{"address":"10.200.1.7:8225"},"something-new":{"x":1}})";
+
+RequestHead MakeHead(HeaderFields aFields)
+{
+  RequestHead head;
+  head.method = "POST";
+  head.target = "/a/2f?x=1";
+  head.fields = std::move(aFields);
+  return head;
+}
+
+ResponseHead MakeAnswer(std::uint16_t aStatus, HeaderFields aFields)
+{
+  ResponseHead head;
+  head.status = aStatus;
+  head.fields = std::move(aFields);
+  return head;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(documents)
+
+BOOST_AUTO_TEST_CASE(a_configuration_is_read_whole)
+{
+  std::string error;
+  const auto config = ReadConfig(kConfig, error);
+  BOOST_REQUIRE(config != nullptr);
+  BOOST_TEST(config->version == 7U);
+  const direct::Route* stream = config->FindRoute("h.example", "/a/x");
+  BOOST_REQUIRE(stream != nullptr);
+  BOOST_TEST((stream->kind == CallKind::kStream));
+  BOOST_TEST(stream->isResumable);
+  BOOST_TEST(!stream->isOpen);
+  BOOST_TEST((stream->timeout == milliseconds(4000)));
+  BOOST_TEST((stream->objective == milliseconds(500)));
+  BOOST_TEST(stream->maxRuns == 2U);
+  const direct::Route* split = config->FindRoute("h.example", "/b/");
+  BOOST_REQUIRE(split != nullptr);
+  BOOST_TEST(split->isOpen);
+  BOOST_TEST(split->services.size() == 2U);
+  BOOST_TEST(config->FindService("pool")->engineSlots == 6U);
+  BOOST_TEST(config->FindService("app")->engineSlots == 0U);
+  const direct::AccountSpec* account = config->FindAccount("k2");
+  BOOST_REQUIRE(account != nullptr);
+  BOOST_TEST(account->name == "t");
+  BOOST_TEST(account->countsTokens);
+  BOOST_TEST(account->quota.burst == 85590);
+  BOOST_TEST((config->FindAccount("k3") == nullptr));
+  BOOST_TEST(config->limits.headBytes == 8000U);
+}
+
+BOOST_AUTO_TEST_CASE(registrations_of_other_writers_name_no_endpoint)
+{
+  const std::string good =
+    R"({"service":"pool","address":"10.128.0.9:8080","zone":"z","version":"v1","slots":6,"state":"ready","seq":4,"born":123})";
+  const auto info = ReadEndpoint("i-1", good);
+  BOOST_REQUIRE(info.has_value());
+  BOOST_TEST(info->host == "10.128.0.9");
+  BOOST_TEST(info->bornMs == 123);
+  BOOST_TEST(info->sequence == 4U);
+  for (const std::string bad :
+       { "", "[]", "{}", "\xff\xfe", R"({"service":3,"address":"10.0.0.1:1","state":"ready"})",
+         R"({"service":"a","address":"nowhere","state":"ready"})",
+         R"({"service":"a","address":"10.0.0.1:1","state":"resting"})" }) {
+    BOOST_TEST(!ReadEndpoint("i-2", bad).has_value());
+  }
+}
+
+BOOST_AUTO_TEST_CASE(settings_are_checked_whole)
+{
+  std::vector<Finding> findings;
+  const auto settings = ReadNodeSettings(kSettings, findings);
+  BOOST_REQUIRE(settings.has_value());
+  BOOST_TEST(findings.empty());
+  BOOST_TEST(settings->callers->port == 8221);
+  BOOST_TEST(settings->firstPort == 7600);
+  BOOST_TEST(settings->quotaSlack == 110000);
+  BOOST_TEST(!ReadNodeSettings(R"({"node":"a","listen":{"front":"x"}})", findings).has_value());
+  BOOST_TEST(findings.size() >= 5U);
+}
+
+BOOST_AUTO_TEST_CASE(no_bytes_crash_a_reader)
+{
+  test::CheckProperty("documents", [](const std::string& aNoise, unsigned aPlace) {
+    for (const std::string& whole : { kConfig, kSettings }) {
+      std::string text = whole;
+      text.insert(aPlace % text.size(), aNoise);
+      std::string error;
+      std::vector<Finding> findings;
+      ReadConfig(text, error);
+      ReadEndpoint("i", text);
+      ReadMoveOrder(text);
+      ReadNodeSettings(text, findings);
+      DecodeRead(text, 3);
+      PlatformReports("h").ReadReport(200, text);
+    }
+  });
+}
+
+BOOST_AUTO_TEST_CASE(keyed_records_read_back)
+{
+  std::string bytes(16, '\0');
+  bytes[7] = 9; // end
+  bytes += EncodeRecord("config", "{}");
+  bytes += EncodeRecord("gone", "");
+  const auto read = DecodeRead(bytes, 5);
+  BOOST_REQUIRE(read.has_value());
+  BOOST_TEST(read->end == 9U);
+  BOOST_TEST(read->next == 7U);
+  BOOST_TEST(read->records[0].value.value() == "{}");
+  BOOST_TEST(read->records[1].offset == 6U);
+  BOOST_TEST(!read->records[1].value.has_value());
+  BOOST_TEST(!DecodeRead(bytes.substr(0, bytes.size() - 1), 5).has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(dialect)
+
+// What only the system may set is taken from no caller.
+BOOST_AUTO_TEST_CASE(forged_fields_are_not_forwarded)
+{
+  const PlatformDialect dialect;
+  const auto request = dialect.ReadRequest(MakeHead({ { "Host", "h.example:80" },
+                                                      { "Request-Id", "r1" },
+                                                      { "Authorization", "Bearer k1" },
+                                                      { "tenant", "other" },
+                                                      { "HOLD", "1" },
+                                                      { "Pin-Ms", "9" },
+                                                      { "Kv-Backup", "x" },
+                                                      { "Kv-From", "x" },
+                                                      { "Kv-Fetch", "x" },
+                                                      { "Expect-Instance", "i" },
+                                                      { "Expect-Version", "2" },
+                                                      { "Deadline-Ms", "900" },
+                                                      { "Connection", "x-hop" },
+                                                      { "X-Hop", "1" },
+                                                      { "Transfer-Encoding", "chunked" },
+                                                      { "Token-Counts", "100, 20" },
+                                                      { "Model", "m" },
+                                                      { "X-Other", "kept" } }));
+  BOOST_REQUIRE(request.has_value());
+  BOOST_TEST(request->key == "k1");
+  BOOST_TEST(request->host == "h.example");
+  BOOST_TEST((*request->timeLeft == milliseconds(900)));
+  BOOST_TEST(request->promptTokens == 100U);
+  BOOST_TEST(request->outputTokens == 20U);
+  std::vector<std::string> names;
+  for (const HeaderField& field : request->forwarded) {
+    names.push_back(field.name);
+  }
+  BOOST_TEST((
+    names == std::vector<std::string>{ "Host", "Request-Id", "Token-Counts", "Model", "X-Other" }));
+}
+
+BOOST_AUTO_TEST_CASE(a_request_without_one_id_is_refused)
+{
+  const PlatformDialect dialect;
+  BOOST_TEST(!dialect.ReadRequest(MakeHead({ { "Host", "h" } })).has_value());
+  BOOST_TEST(
+    !dialect
+       .ReadRequest(MakeHead({ { "Host", "h" }, { "Request-Id", "a" }, { "Request-Id", "b" } }))
+       .has_value());
+}
+
+BOOST_AUTO_TEST_CASE(the_endpoint_gets_one_framing_and_the_time_left)
+{
+  const PlatformDialect dialect;
+  auto request = dialect.ReadRequest(
+    MakeHead({ { "Host", "h" }, { "Request-Id", "r1" }, { "Content-Length", "99" } }));
+  gateway::EndpointCall call{ *request, "body" };
+  call.account = "t";
+  call.endpointId = "i-1";
+  call.timeLeft = milliseconds(1234);
+  call.resumeAfter = 5;
+  BOOST_TEST(dialect.WriteEndpointRequest(call) ==
+             "POST /a/2f?x=1 HTTP/1.1\r\nHost: h\r\nRequest-Id: r1\r\nDeadline-Ms: 1234\r\n"
+             "Expect-Instance: i-1\r\nTenant: t\r\nLast-Event-Id: 5\r\nContent-Length: 4\r\n\r\n"
+             "body");
+}
+
+BOOST_AUTO_TEST_CASE(answers_are_told_apart)
+{
+  const PlatformDialect dialect;
+  const HeaderField proof{ "Response-Stamp", "s" };
+  BOOST_TEST((dialect.KindOf(MakeAnswer(200, { proof })) == AnswerKind::kSuccess));
+  BOOST_TEST((dialect.KindOf(MakeAnswer(200, {})) == AnswerKind::kInvalid));
+  BOOST_TEST((dialect.KindOf(MakeAnswer(200, { proof, { "Content-Encoding", "gzip" } })) ==
+              AnswerKind::kInvalid));
+  BOOST_TEST((dialect.KindOf(MakeAnswer(500, { proof })) == AnswerKind::kFailure));
+  BOOST_TEST((dialect.KindOf(MakeAnswer(503, { { "not-executed", "1" } })) == AnswerKind::kNotRun));
+  BOOST_TEST((dialect.KindOf(MakeAnswer(503, { proof })) == AnswerKind::kFailure));
+  BOOST_TEST((dialect.KindOf(MakeAnswer(503, {})) == AnswerKind::kInvalid));
+  BOOST_TEST((dialect.KindOf(MakeAnswer(421, {})) == AnswerKind::kMisdirected));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace caraway::platform
