--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -205,6 +205,10 @@
 
 bool Gateway::CheckReady(Flow& aFlow)
 {
+  if (this->closed) {
+    this->Refuse(aFlow, 503, "leaving", this->settings.retryWhenLeaving);
+    return false;
+  }
   if (this->config == nullptr) {
     this->Refuse(aFlow, 503, "no_config", this->settings.retryWhenNotReady);
     return false;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -39,7 +39,10 @@
   Duration entrySilence = std::chrono::seconds(3);      // after which another entry gets no state
   Duration savePeriod = std::chrono::milliseconds(500); // of hot accounts' use
   Duration retryWhenNotReady = std::chrono::milliseconds(500);
-  Duration leaveNotice = std::chrono::milliseconds(3200); // unready before the listener closes
+  Duration retryWhenLeaving = std::chrono::milliseconds(50); // other entries take it at once
+  // Unready before the listener closes: the balancer asks each second and takes an entry out after
+  // two misses. What is taken later than three seconds after the signal must not be cut.
+  Duration leaveNotice = std::chrono::milliseconds(2800);
   direct::DispatchOptions dispatch;
   direct::RetryBudgetOptions budget;
   direct::SharedQuotaOptions quota;
--- a/tests/gateway/fixture.h
+++ b/tests/gateway/fixture.h
@@ -156,7 +156,13 @@
 struct GatewayFixture
 {
   GatewayFixture()
+    : GatewayFixture(GatewaySettings().leaveNotice)
   {
+  }
+
+  explicit GatewayFixture(Duration aLeaveNotice)
+  {
+    this->settings.leaveNotice = aLeaveNotice;
     this->settings.listen = { "127.0.0.1", 0 };
     this->settings.peerListen = { "127.0.0.1", 0 };
     this->gateway =
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -25,6 +25,14 @@
   return count;
 }
 
+struct ShortNotice : GatewayFixture
+{
+  ShortNotice()
+    : GatewayFixture(milliseconds(20))
+  {
+  }
+};
+
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(gateway_path, GatewayFixture)
@@ -333,6 +341,26 @@
   BOOST_TEST(RunUntil([&] { return this->gateway->IsDone(); }));
 }
 
+// Found by fresh-be22 of brackenlaw-puddle: a stream taken 3.1 s after the signal was cut at the end.
+BOOST_FIXTURE_TEST_CASE(nothing_is_taken_after_the_notice, ShortNotice)
+{
+  this->Configure();
+  ScriptedEndpoint& endpoint = this->AddEndpoint(
+    [](Connection& aTo, const RequestHead& aHead) { aTo.Write(Whole(aHead, "hello")); });
+  BareClient client(this->gateway->Port());
+  const std::string request = Request("/once/x", "r1", "body");
+  client.Send(request.substr(0, 20));
+  // The connection is taken before the notice ends and its request is read after it.
+  BOOST_REQUIRE(!this->Ask(Request("/once/x", "r0"), "hello").empty());
+  this->gateway->BeginLeaving();
+  BOOST_REQUIRE(RunUntil([&] { return this->gateway->IsDone(); }));
+  client.Send(request.substr(20));
+  BOOST_REQUIRE(RunUntil([&] { return Has(client.Received(), "\r\n\r\n"); }));
+  BOOST_TEST(Has(client.Received(), "HTTP/1.1 503 "));
+  BOOST_TEST(Has(client.Received(), "Connection: close\r\n"));
+  BOOST_TEST(endpoint.requests.size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace caraway::gateway
