--- a/src/direct/dispatcher.cpp
+++ b/src/direct/dispatcher.cpp
@@ -312,6 +312,25 @@
   return target == this->targets.end() ? nullptr : &target->second.info;
 }
 
+std::string Dispatcher::StateOf(TimePoint aNow, const std::string& aEndpoint) const
+{
+  const auto found = this->targets.find(aEndpoint);
+  if (found == this->targets.end()) {
+    return "unknown";
+  }
+  const Target& target = found->second;
+  const std::uint32_t taken = target.agentLive ? target.agent.taken : target.running;
+  const std::uint32_t limit = target.agentLive ? target.agent.limit : target.local->Limit();
+  std::string text = target.agentLive ? "agent" : "own";
+  text += ",taken:" + std::to_string(taken) + "/" + std::to_string(limit);
+  text += ",prefill:" + std::to_string(PendingAt(target));
+  text += ",failures:" + std::to_string(static_cast<int>(target.health.FailureRate() * 100)) + "%";
+  if (target.agentLive) {
+    text += ",age:" + std::to_string((aNow - target.agentHeardAt) / milliseconds(1));
+  }
+  return text;
+}
+
 std::string Dispatcher::Summary(TimePoint aNow) const
 {
   std::string text;
--- a/src/direct/dispatcher.h
+++ b/src/direct/dispatcher.h
@@ -90,6 +90,9 @@
   // Endpoint that runs the call; nullptr if none does.
   const EndpointInfo* EndpointOf(CallNumber aCall) const;
   std::size_t CallCount() const { return this->calls.size(); }
+  // What placed a call at an endpoint: who queues, places taken and their limit, prompt tokens
+  // ahead, part of the attempts that failed, and the age of the agent's word in milliseconds.
+  std::string StateOf(TimePoint aNow, const std::string& aEndpoint) const;
   // One line on the state of all endpoints, for logs.
   std::string Summary(TimePoint aNow) const;
 
--- a/src/gateway/endpoint_agent.cpp
+++ b/src/gateway/endpoint_agent.cpp
@@ -2,6 +2,10 @@
 
 #include "runtime/log.h"
 
+#include <prometheus/gauge.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
 #include <utility>
 
 namespace caraway::gateway {
@@ -63,7 +67,17 @@
 {
   const auto found = this->entries.find(aHolder.node);
   if (found != this->entries.end()) {
+    this->offersMade++;
     this->net.Send(found->second.address, direct::OfferSlot{ aCall });
+    LogEvent(
+      LogLevel::kInfo, "offered",
+      { { "entry", found->second.address.host },
+        { "call", std::to_string(aCall) },
+        { "taken", std::to_string(this->queue.Taken()) },
+        { "limit", std::to_string(this->queue.Limit()) },
+        { "waiting", std::to_string(this->queue.WaitingCount()) },
+        { "prefill", std::to_string(this->queue.PendingPrefill()) },
+        { "report_age_ms", std::to_string((this->Now() - this->reportedAt) / milliseconds(1)) } });
   }
 }
 
@@ -186,6 +200,27 @@
     this->Now(), mayOffer && this->slots > 0 ? this->slots + this->settings.extraRequests : 0);
 }
 
+std::string EndpointAgent::MetricsText() const
+{
+  prometheus::Registry registry;
+  const auto add = [&registry](const char* aName, const char* aHelp, double aValue) {
+    prometheus::BuildGauge().Name(aName).Help(aHelp).Register(registry).Add({}).Set(aValue);
+  };
+  add("caraway_agent_limit", "Requests that may be at the endpoint at once", this->queue.Limit());
+  add("caraway_agent_taken", "Slots offered or used", this->queue.Taken());
+  add("caraway_agent_waiting", "Reservations in the queue",
+      static_cast<double>(this->queue.WaitingCount()));
+  add("caraway_agent_prefill_tokens", "Prompt tokens before their first event",
+      this->queue.PendingPrefill());
+  add("caraway_agent_offers_total", "Offers since the start",
+      static_cast<double>(this->offersMade));
+  add("caraway_agent_endpoint_reachable", "The endpoint answers", this->isReachable ? 1 : 0);
+  add("caraway_agent_entries", "Entries heard", static_cast<double>(this->entries.size()));
+  add("caraway_log_lines_dropped", "Log lines beyond the bound, since the start",
+      static_cast<double>(DroppedLogLines()));
+  return prometheus::TextSerializer().Serialize(registry.Collect());
+}
+
 void EndpointAgent::SendStates()
 {
   const TimePoint now = this->Now();
--- a/src/gateway/endpoint_agent.h
+++ b/src/gateway/endpoint_agent.h
@@ -45,6 +45,8 @@
   std::error_code Start();
   std::uint16_t Port() const { return this->net.Port(); }
   direct::AgentState State() const;
+  // Metrics in the text format of Prometheus.
+  std::string MetricsText() const;
 
 private:
   struct EntryRow
@@ -85,6 +87,7 @@
   std::string reportBody;
   TimePoint askedAt{};
   std::uint32_t stateRound = 0;
+  std::uint64_t offersMade = 0;
   TimePoint armedFor = kNever;
   Timer reportTimer;
   Timer stateTimer;
--- a/src/gateway/flow.cpp
+++ b/src/gateway/flow.cpp
@@ -47,7 +47,6 @@
   this->body.clear();
   this->events = EventSplitter();
   this->attemptOpen = true;
-  this->gateway.counts.attempts++;
   this->attempt = this->gateway.pool.Send(std::move(request), *this);
 }
 
@@ -67,7 +66,7 @@
     LogEvent(LogLevel::kInfo, "cut",
              { { "request", this->request.id }, { "reason", std::string(ToString(aReason)) } });
     this->exchange->Abort();
-    this->gateway.counts.failed++;
+    this->gateway.metrics.CountCut(ToString(aReason));
     this->gateway.Remove(*this);
     return;
   }
@@ -105,6 +104,7 @@
   }
   this->BeginStream();
   if (isFirst) {
+    this->NoteFirst();
     this->gateway.dispatcher.OnFirstEvent(this->gateway.Now(), this->number);
   }
   if (this->events.LastId()) {
@@ -163,7 +163,6 @@
   const bool goesOn =
     this->gateway.dispatcher.OnAttemptEnd(this->gateway.Now(), this->number, aEnd);
   if (goesOn) {
-    this->gateway.counts.resumed += this->streaming ? 1U : 0U;
     this->gateway.AfterInput();
     return;
   }
@@ -185,6 +184,15 @@
   this->gateway.AfterInput();
 }
 
+// Remembers when the caller got the first part of its answer.
+void Gateway::Flow::NoteFirst()
+{
+  if (this->firstAfter == Duration::zero()) {
+    this->firstAfter = this->gateway.Now() - this->ingress.readAt;
+    this->gateway.metrics.ObserveFirst(this->spec.rank, this->firstAfter);
+  }
+}
+
 // Passes on the rest of a whole answer and ends the request.
 void Gateway::Flow::PassAnswer()
 {
@@ -197,8 +205,16 @@
     this->exchange->Respond(this->head.status, this->head.reason,
                             this->gateway.dialect.AnswerFields(this->head), this->body);
   }
-  this->gateway.counts.answered += this->kind == AnswerKind::kSuccess ? 1U : 0U;
-  this->gateway.counts.failed += this->kind == AnswerKind::kSuccess ? 0U : 1U;
+  const bool isSuccess = this->kind == AnswerKind::kSuccess;
+  this->NoteFirst();
+  this->gateway.metrics.CountAnswer(isSuccess);
+  LogEvent(LogLevel::kInfo, "answered",
+           { { "request", this->request.id },
+             { "status", std::to_string(this->head.status) },
+             { "events", std::to_string(this->events.EventCount()) },
+             { "first_ms", std::to_string(this->firstAfter / std::chrono::milliseconds(1)) },
+             { "total_ms", std::to_string((this->gateway.Now() - this->ingress.readAt) /
+                                          std::chrono::milliseconds(1)) } });
   this->gateway.Remove(*this);
 }
 
--- a/src/gateway/flow.h
+++ b/src/gateway/flow.h
@@ -43,6 +43,7 @@
   void TakeStreamData(std::string_view aData);
   void BeginStream();
   void FinishAttempt(direct::AttemptEnd aEnd);
+  void NoteFirst();
   void PassAnswer();
   direct::AttemptEnd EndOf(ExchangeEnd aEnd) const;
 
@@ -55,6 +56,7 @@
   EventSplitter events;
   std::optional<std::uint64_t> deliveredId; // last event that the caller got
   bool streaming = false;                   // the head went to the caller
+  Duration firstAfter{}; // from the request to the first part of its answer; zero: none yet
 };
 
 } // namespace caraway::gateway
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -49,6 +49,11 @@
   return text;
 }
 
+std::string MillisecondsText(Duration aTime)
+{
+  return std::to_string(aTime / milliseconds(1));
+}
+
 } // namespace
 
 Gateway::Gateway(const GatewaySettings& aSettings, const Peer& aSelf, Poller& aPoller,
@@ -179,7 +184,7 @@
 void Gateway::OnRequest(const std::shared_ptr<IngressExchange>& aExchange, IngressRequest aRequest)
 {
   const CallNumber number = ++this->lastCall;
-  this->counts.requests++;
+  this->metrics.CountRequest();
   const auto place = this->flows.emplace(
     number, std::make_unique<Flow>(*this, number, aExchange, std::move(aRequest)));
   this->flowOf[aExchange.get()] = number;
@@ -268,7 +273,6 @@
     return true;
   }
   aFlow.quotaUnits = 0;
-  this->counts.overQuota++;
   this->Refuse(aFlow, 429, "over_quota", wait);
   return false;
 }
@@ -313,7 +317,10 @@
     return;
   }
   Flow& flow = *this->flows.at(found->second);
-  this->counts.callersGone++;
+  this->metrics.CountCallerGone();
+  const Duration waited = this->Now() - flow.ingress.readAt;
+  LogEvent(LogLevel::kInfo, "caller_gone",
+           { { "request", flow.request.id }, { "after_ms", MillisecondsText(waited) } });
   flow.StopAttempt();
   this->dispatcher.Cancel(this->Now(), flow.number);
   this->Remove(flow);
@@ -324,6 +331,22 @@
 {
   const auto found = this->flows.find(aCall);
   if (found != this->flows.end()) {
+    const Flow& flow = *found->second;
+    const Duration waited = this->Now() - flow.ingress.readAt;
+    this->metrics.ObserveWait(flow.spec.rank, waited);
+    LogEvent(LogLevel::kInfo, "sent",
+             { { "request", flow.request.id },
+               { "call", std::to_string(aCall) },
+               { "endpoint", aEndpoint.id },
+               { "address", FormatAddress({ aEndpoint.host, aEndpoint.port }) },
+               { "version", aEndpoint.version },
+               { "route", flow.route->name },
+               { "rank", std::to_string(flow.spec.rank) },
+               { "waited_ms", MillisecondsText(waited) },
+               { "left_ms", MillisecondsText(flow.spec.deadline - this->Now()) },
+               { "config_version", std::to_string(flow.config->version) },
+               { "endpoints_age_ms", MillisecondsText(this->EndpointsAge()) },
+               { "state", this->dispatcher.StateOf(this->Now(), aEndpoint.id) } });
     found->second->Start(aEndpoint);
   }
 }
@@ -402,10 +425,14 @@
       { "status", std::to_string(aStatus) },
       { "cause", std::string(aCause) },
       { "route", aFlow.route == nullptr ? "" : aFlow.route->name },
-      { "retry_after_ms", std::to_string(aRetryAfter.count() / 1000) },
-      { "config_age_ms", std::to_string(this->freshness.Age(this->Now()).count() / 1000) } });
-  this->counts.refused += aStatus == 503 ? 1U : 0U;
-  this->counts.failed += aStatus == 502 || aStatus == 504 ? 1U : 0U;
+      { "account", aFlow.account == nullptr ? "" : aFlow.account->name },
+      { "after_ms", MillisecondsText(this->Now() - aFlow.ingress.readAt) },
+      { "retry_after_ms", MillisecondsText(aRetryAfter) },
+      { "may_have_run", aFlow.mayHaveRun ? "true" : "false" },
+      { "config_version", std::to_string(this->config == nullptr ? 0 : this->config->version) },
+      { "config_age_ms", this->config == nullptr ? "" : MillisecondsText(this->ConfigAge()) },
+      { "waiting", std::to_string(this->dispatcher.CallCount()) } });
+  this->metrics.CountRefusal(aStatus, aCause);
   aFlow.exchange->Respond(aStatus, ReasonPhrase(aStatus), fields, body);
   this->Remove(aFlow);
 }
@@ -464,6 +491,15 @@
   }
 }
 
+std::string Gateway::MetricsText()
+{
+  this->metrics.SetConfig(this->config == nullptr ? 0 : this->config->version, this->ConfigAge());
+  this->metrics.SetEndpoints(this->endpoints.size(), this->EndpointsAge());
+  this->metrics.SetOpenRequests(this->flows.size());
+  this->metrics.SetLogLinesDropped(DroppedLogLines());
+  return this->metrics.Text();
+}
+
 // Tells the other entries what the bounds over all entries need.
 void Gateway::SendStates()
 {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -8,6 +8,7 @@
 #include "direct/shared_quota.h"
 #include "gateway/config_freshness.h"
 #include "gateway/dialect.h"
+#include "gateway/gateway_metrics.h"
 #include "gateway/peer_net.h"
 #include "runtime/endpoint_pool.h"
 #include "runtime/ingress_server.h"
@@ -57,19 +58,6 @@
   virtual void SaveUse(const std::string& aBytes) = 0;
 };
 
-// Counts since the start, for logs and metrics.
-struct GatewayCounts
-{
-  std::uint64_t requests = 0;
-  std::uint64_t answered = 0;
-  std::uint64_t refused = 0;
-  std::uint64_t overQuota = 0;
-  std::uint64_t failed = 0;
-  std::uint64_t callersGone = 0;
-  std::uint64_t attempts = 0;
-  std::uint64_t resumed = 0;
-};
-
 class Gateway final
   : private IngressHandler
   , private direct::DispatchPort
@@ -111,7 +99,8 @@
   bool IsLeaving() const { return this->leaving; }
   // Nothing is under way any more.
   bool IsDone() const { return this->closed && this->flows.empty(); }
-  const GatewayCounts& Counts() const { return this->counts; }
+  // Text of the metrics, with the state as of now.
+  std::string MetricsText();
   std::string Summary() const { return this->dispatcher.Summary(this->Now()); }
 
 private:
@@ -182,7 +171,7 @@
   TimePoint endpointsReadAt{};
   QuotaStore* quotaStore = nullptr;
   bool hasSavedUse = false;
-  GatewayCounts counts;
+  GatewayMetrics metrics;
   bool leaving = false;
   bool closed = false;
   TimePoint armedFor = kNever;
--- /dev/null
+++ b/src/gateway/gateway_metrics.cpp
@@ -0,0 +1,129 @@
+#include "gateway/gateway_metrics.h"
+
+#include <prometheus/text_serializer.h>
+
+#include <algorithm>
+
+namespace caraway::gateway {
+
+namespace {
+
+const prometheus::Histogram::BucketBoundaries kTimeBounds = { // seconds
+  0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.4, 0.6, 1, 2, 4, 8, 16
+};
+
+prometheus::Family<prometheus::Counter>& Counters(prometheus::Registry& aRegistry,
+                                                  const char* aName, const char* aHelp)
+{
+  return prometheus::BuildCounter().Name(aName).Help(aHelp).Register(aRegistry);
+}
+
+prometheus::Gauge& GaugeOf(prometheus::Registry& aRegistry, const char* aName, const char* aHelp)
+{
+  return prometheus::BuildGauge().Name(aName).Help(aHelp).Register(aRegistry).Add({});
+}
+
+void AddHistograms(prometheus::Registry& aRegistry, const char* aName, const char* aHelp,
+                   std::array<prometheus::Histogram*, kTierCount>& aOut)
+{
+  auto& family = prometheus::BuildHistogram().Name(aName).Help(aHelp).Register(aRegistry);
+  for (std::size_t rank = 0; rank < aOut.size(); rank++) {
+    aOut[rank] = &family.Add({ { "rank", std::to_string(rank) } }, kTimeBounds);
+  }
+}
+
+double SecondsOf(Duration aTime)
+{
+  return std::chrono::duration<double>(aTime).count();
+}
+
+} // namespace
+
+GatewayMetrics::GatewayMetrics()
+  : requests(Counters(this->registry, "caraway_entry_requests_total", "Requests read").Add({}))
+  , answers(Counters(this->registry, "caraway_entry_answers_total",
+                     "Whole answers of endpoints passed on, by result"))
+  , refusals(Counters(this->registry, "caraway_entry_refusals_total",
+                      "Answers of the entry's own, by status and cause"))
+  , cuts(Counters(this->registry, "caraway_entry_cuts_total", "Streams ended early, by cause"))
+  , callersGone(Counters(this->registry, "caraway_entry_callers_gone_total",
+                         "Callers that left before their answer")
+                  .Add({}))
+  , attempts(Counters(this->registry, "caraway_entry_attempts_total",
+                      "Attempts at endpoints, by how they ended"))
+  , configVersion(GaugeOf(this->registry, "caraway_entry_config_version", "Configuration in force"))
+  , configAge(GaugeOf(this->registry, "caraway_entry_config_age_seconds",
+                      "Since the configuration was confirmed as the newest"))
+  , endpoints(GaugeOf(this->registry, "caraway_entry_endpoints", "Endpoints listed"))
+  , endpointsAge(GaugeOf(this->registry, "caraway_entry_endpoints_age_seconds",
+                         "Since the list of endpoints was read"))
+  , openRequests(
+      GaugeOf(this->registry, "caraway_entry_open_requests", "Requests not yet answered"))
+  , logLinesDropped(GaugeOf(this->registry, "caraway_log_lines_dropped",
+                            "Log lines beyond the bound, since the start"))
+{
+  AddHistograms(this->registry, "caraway_entry_wait_seconds",
+                "Time from a request to its first attempt, by rank", this->waits);
+  AddHistograms(this->registry, "caraway_entry_first_seconds",
+                "Time from a request to its first event or its answer, by rank", this->firsts);
+}
+
+void GatewayMetrics::CountAnswer(bool aIsSuccess)
+{
+  this->answers.Add({ { "result", aIsSuccess ? "success" : "failure" } }).Increment();
+}
+
+void GatewayMetrics::CountRefusal(std::uint16_t aStatus, std::string_view aCause)
+{
+  this->refusals.Add({ { "status", std::to_string(aStatus) }, { "cause", std::string(aCause) } })
+    .Increment();
+}
+
+void GatewayMetrics::CountCut(std::string_view aCause)
+{
+  this->cuts.Add({ { "cause", std::string(aCause) } }).Increment();
+}
+
+void GatewayMetrics::CountAttempt(direct::AttemptEnd aEnd)
+{
+  this->attempts.Add({ { "end", std::string(ToString(aEnd)) } }).Increment();
+}
+
+void GatewayMetrics::ObserveWait(Tier aRank, Duration aTime)
+{
+  this->waits.at(std::min(aRank, kLowestTier))->Observe(SecondsOf(aTime));
+}
+
+void GatewayMetrics::ObserveFirst(Tier aRank, Duration aTime)
+{
+  this->firsts.at(std::min(aRank, kLowestTier))->Observe(SecondsOf(aTime));
+}
+
+void GatewayMetrics::SetConfig(std::uint64_t aVersion, Duration aAge)
+{
+  this->configVersion.Set(static_cast<double>(aVersion));
+  this->configAge.Set(SecondsOf(aAge));
+}
+
+void GatewayMetrics::SetEndpoints(std::size_t aCount, Duration aAge)
+{
+  this->endpoints.Set(static_cast<double>(aCount));
+  this->endpointsAge.Set(SecondsOf(aAge));
+}
+
+void GatewayMetrics::SetOpenRequests(std::size_t aCount)
+{
+  this->openRequests.Set(static_cast<double>(aCount));
+}
+
+void GatewayMetrics::SetLogLinesDropped(std::uint64_t aCount)
+{
+  this->logLinesDropped.Set(static_cast<double>(aCount));
+}
+
+std::string GatewayMetrics::Text() const
+{
+  return prometheus::TextSerializer().Serialize(this->registry.Collect());
+}
+
+} // namespace caraway::gateway
--- a/src/runtime/log.cpp
+++ b/src/runtime/log.cpp
@@ -2,8 +2,12 @@
 
 #include <easylogging++.h>
 
+#include <poll.h>
+#include <unistd.h>
+
 #include <algorithm>
-#include <iostream>
+#include <chrono>
+#include <climits>
 
 INITIALIZE_EASYLOGGINGPP
 
@@ -12,18 +16,78 @@
 namespace {
 
 LogLevel leastLevel = LogLevel::kInfo;
+std::uint64_t droppedLines = 0;  // since the start
+std::uint64_t reportedDrops = 0; // of them, told by a line
 
-// Writes finished lines to standard error.
-class ErrorStream final : public el::LogDispatchCallback
+// Writes finished lines to standard output. A reader that does not keep up loses lines; it never
+// holds up the process.
+class OutputStream final : public el::LogDispatchCallback
 {
 protected:
   void handle(const el::LogDispatchData* aData) override
   {
     const el::LogMessage* message = aData->logMessage();
-    std::cerr << message->logger()->logBuilder()->build(message, true) << std::flush;
+    const std::string line = message->logger()->logBuilder()->build(message, true);
+    if (this->pending.size() + line.size() > kMaxPending) {
+      droppedLines++;
+    } else {
+      this->pending += line;
+    }
+    this->Flush();
+  }
+
+private:
+  // Writes what the reader takes now. A pipe that polls writable takes PIPE_BUF bytes without a
+  // wait.
+  void Flush()
+  {
+    std::size_t written = 0;
+    while (written < this->pending.size()) {
+      pollfd output{ STDOUT_FILENO, POLLOUT, 0 };
+      if (poll(&output, 1, 0) <= 0 || (output.revents & POLLOUT) == 0) {
+        break;
+      }
+      const std::size_t part = std::min<std::size_t>(this->pending.size() - written, PIPE_BUF);
+      const ssize_t count = write(STDOUT_FILENO, this->pending.data() + written, part);
+      if (count <= 0) {
+        break;
+      }
+      written += static_cast<std::size_t>(count);
+    }
+    this->pending.erase(0, written);
+  }
+
+  static constexpr std::size_t kMaxPending = 256 * 1024; // bytes
+  std::string pending;
+};
+
+// Bounds the volume: so many lines a second, and a few seconds' worth at once.
+class LineBudget
+{
+public:
+  // Takes one line; false if the budget is used up.
+  bool Take()
+  {
+    const auto now = std::chrono::steady_clock::now();
+    const std::chrono::duration<double> passed = now - this->filledAt;
+    this->filledAt = now;
+    this->level = std::min(kBurst, this->level + passed.count() * kLinesPerSecond);
+    if (this->level < 1) {
+      return false;
+    }
+    this->level -= 1;
+    return true;
   }
+
+private:
+  static constexpr double kLinesPerSecond = 400; // a few lines for each request at full load
+  static constexpr double kBurst = 1200;
+  double level = kBurst;
+  std::chrono::steady_clock::time_point filledAt = std::chrono::steady_clock::now();
 };
 
+LineBudget budget;
+
 // True for values that stand in a line as they are.
 bool IsPlain(std::string_view aValue)
 {
@@ -75,7 +139,7 @@
                             "time=%datetime{%Y-%M-%dT%H:%m:%s.%g} level=%level" + process +
                               " %msg");
   el::Loggers::reconfigureAllLoggers(configuration);
-  el::Helpers::installLogDispatchCallback<ErrorStream>("standard_error");
+  el::Helpers::installLogDispatchCallback<OutputStream>("standard_output");
 }
 
 bool IsLogged(LogLevel aLevel)
@@ -88,6 +152,14 @@
   if (!IsLogged(aLevel)) {
     return;
   }
+  if (!budget.Take()) {
+    droppedLines++;
+    return;
+  }
+  if (droppedLines > reportedDrops) {
+    reportedDrops = droppedLines;
+    LOG(WARNING) << "event=log_lines_dropped total=" << droppedLines;
+  }
   std::string line = "event=" + std::string(aEvent);
   for (const EventField& field : aFields) {
     AppendField(line, field.key, field.value);
@@ -108,6 +180,11 @@
   }
 }
 
+std::uint64_t DroppedLogLines()
+{
+  return droppedLines;
+}
+
 void AppendField(std::string& aLine, std::string_view aKey, std::string_view aValue)
 {
   aLine.push_back(' ');
--- a/src/runtime/log.h
+++ b/src/runtime/log.h
@@ -1,4 +1,5 @@
-// Log of a process: one line of key=value pairs on standard error for each event.
+// Log of a process: one line of key=value pairs on standard output for each event. Lines beyond a
+// bound are dropped and counted; writing never waits for the reader.
 #pragma once
 
 #include "core/event.h"
@@ -20,7 +21,7 @@
 // Level of its name in the settings; kInfo for anything else.
 LogLevel LogLevelOf(std::string_view aName);
 
-// Sets up easylogging++ to write lines of at least aLevel to standard error, each with the time
+// Sets up easylogging++ to write lines of at least aLevel to standard output, each with the time
 // and the name of the process.
 void StartLog(LogLevel aLevel, const std::string& aProcess);
 
@@ -29,6 +30,9 @@
 // Writes one line: event=aEvent and the fields.
 void LogEvent(LogLevel aLevel, std::string_view aEvent, const std::vector<EventField>& aFields);
 
+// Lines that were dropped since the start.
+std::uint64_t DroppedLogLines();
+
 // Appends " key=value"; values with spaces, quotes or control characters are quoted and escaped.
 void AppendField(std::string& aLine, std::string_view aKey, std::string_view aValue);
 
