--- a/src/direct/dispatcher.cpp
+++ b/src/direct/dispatcher.cpp
@@ -350,8 +350,9 @@
 void Dispatcher::Place(TimePoint aNow, Call& aCall)
 {
   const std::vector<Target*> candidates = this->Candidates(aNow, aCall);
-  const std::size_t wanted =
-    aCall.isWide ? this->options.allReservations : this->options.firstReservations;
+  const bool isSmallPool = candidates.size() <= this->options.smallPool;
+  const std::size_t wide = isSmallPool ? candidates.size() : this->options.reservations;
+  const std::size_t wanted = aCall.isWide ? wide : this->options.firstReservations;
   for (std::size_t index = 0; index < candidates.size() && index < wanted; index++) {
     this->ReserveAt(aNow, *candidates[index], aCall);
   }
--- a/src/direct/dispatcher.h
+++ b/src/direct/dispatcher.h
@@ -24,10 +24,12 @@
 
 struct DispatchOptions
 {
-  // Endpoints that get a reservation at once, best first, and all together after widenAfter.
+  // Endpoints that get a reservation at once, best first, and together after widenAfter: each in a
+  // small pool, some in a larger one, so that the messages of a call do not grow with the pool.
   std::uint32_t firstReservations = 2;
-  std::uint32_t allReservations = 12;
-  Duration widenAfter = std::chrono::milliseconds(5);
+  std::uint32_t smallPool = 16;
+  std::uint32_t reservations = 6;
+  Duration widenAfter = std::chrono::milliseconds(10);
   // Silence of an agent after which entries queue by themselves; some periods of AgentState.
   Duration agentSilence = std::chrono::milliseconds(900);
   Duration busyAgentSilence = std::chrono::milliseconds(500); // while something is held there
--- a/src/direct/shared_quota.cpp
+++ b/src/direct/shared_quota.cpp
@@ -19,6 +19,7 @@
 // Accounts that used more than this part of their bound are saved; others may be taken to have used
 // that much.
 constexpr double kHotShare = 0.6;
+constexpr double kRateMemory = 0.5; // weight of the newest report in a peer's rate
 
 double SecondsOf(Duration aTime)
 {
@@ -74,7 +75,7 @@
   this->Advance(window, aNow);
   const double bound = this->BoundOf(aLimit);
   window.bound = bound;
-  double used = window.total;
+  double used = window.total + this->UnheardUse(aNow, aAccount);
   for (std::size_t age = 0; age < kBuckets; age++) {
     used += this->BeforeAt(aAccount, bound, age, aNow);
   }
@@ -199,9 +200,15 @@
       row.uses[use.account] = use.tokens;
     }
   }
+  const double sinceHeard = isNew ? 0 : SecondsOf(aNow - row.heardAt);
   row.heardAt = aNow;
   for (const AccountUse& use : aUses) {
     std::uint64_t& known = row.uses[use.account];
+    if (sinceHeard > 0) {
+      const double grown = use.tokens > known ? static_cast<double>(use.tokens - known) : 0;
+      double& rate = row.rates[use.account];
+      rate += kRateMemory * (grown / sinceHeard - rate);
+    }
     if (use.tokens > known) {
       // What was assumed during a silence is part of what is reported after it.
       double& assumed = row.assumed[use.account];
@@ -224,6 +231,20 @@
   return count;
 }
 
+// What the other entries have probably used since they were last heard.
+double SharedQuota::UnheardUse(TimePoint aNow, std::uint64_t aAccount) const
+{
+  double units = 0;
+  for (const auto& [node, row] : this->peers) {
+    const auto rate = row.rates.find(aAccount);
+    const Duration age = aNow - row.heardAt;
+    if (rate != row.rates.end() && age <= this->options.silence) {
+      units += rate->second * SecondsOf(age);
+    }
+  }
+  return units;
+}
+
 // A silent peer may go on serving: its part of the rate counts as used.
 void SharedQuota::AssumeSilent(TimePoint aNow, std::uint64_t aAccount, const QuotaLimit& aLimit)
 {
--- a/src/direct/shared_quota.h
+++ b/src/direct/shared_quota.h
@@ -93,6 +93,7 @@
     TimePoint heardAt{};
     std::unordered_map<std::uint64_t, std::uint64_t> uses;
     std::unordered_map<std::uint64_t, double> assumed;
+    std::unordered_map<std::uint64_t, double> rates; // units a second, as of the last reports
   };
 
   std::int64_t BucketOf(TimePoint aNow) const;
@@ -100,6 +101,7 @@
   double BeforeAt(std::uint64_t aAccount, double aBound, std::size_t aAge, TimePoint aNow) const;
   void Advance(Window& aWindow, TimePoint aNow) const;
   void Add(TimePoint aNow, std::uint64_t aAccount, double aUnits);
+  double UnheardUse(TimePoint aNow, std::uint64_t aAccount) const;
   void AssumeSilent(TimePoint aNow, std::uint64_t aAccount, const QuotaLimit& aLimit);
 
   SharedQuotaOptions options;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -518,21 +518,29 @@
   state.uses = this->quota.OwnUse();
   if (this->config != nullptr) {
     state.sentAtUs = now.time_since_epoch().count();
+    const bool isReader = this->IsReader();
+    const auto reader = std::find_if(this->peerEntries.begin(), this->peerEntries.end(),
+                                     [](const auto& aRow) { return aRow.second.readsStore; });
+    std::size_t index = ++this->stateRound;
     for (const auto& [host, peer] : this->peerEntries) {
-      state.echoUs = peer.sentAtUs;
-      this->net.Send(peer.address, state);
+      // The reader and the others hear each other in every round: its word keeps theirs fresh.
+      const bool isDue = isReader || (reader != this->peerEntries.end() && host == reader->first) ||
+                         index++ % this->StateRounds() == 0;
+      if (isDue) {
+        state.echoUs = peer.sentAtUs;
+        this->net.Send(peer.address, state);
+      }
     }
   }
   this->dispatcher.SetEntryCount(this->quota.EntryCount(now));
   this->net.Flush();
-  this->stateTimer.ArmAfter(this->StatePeriod());
+  this->stateTimer.ArmAfter(this->settings.statePeriod);
 }
 
-Duration Gateway::StatePeriod() const
+std::size_t Gateway::StateRounds() const
 {
-  const auto entries = static_cast<std::uint32_t>(this->peerEntries.size() + 1);
-  return this->settings.statePeriod * std::max(entries, this->settings.stateEntries) /
-         this->settings.stateEntries;
+  const std::size_t entries = this->peerEntries.size() + 1;
+  return (entries + this->settings.stateEntries - 1) / this->settings.stateEntries;
 }
 
 // Follows every input: sends what was collected, arms the timer, frees what has ended.
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -33,7 +33,7 @@
   Duration keyFreshness = std::chrono::milliseconds(3000);
   // Refusals that depend on the newest configuration need a confirmation this young.
   Duration denyFreshness = std::chrono::milliseconds(2500);
-  // Of EntryState, among up to stateEntries; longer in proportion among more, so that the messages
+  // Of EntryState, among up to stateEntries; every so many rounds among more, so that the messages
   // of one entry do not grow with their number.
   Duration statePeriod = std::chrono::milliseconds(200);
   std::uint32_t stateEntries = 10;
@@ -139,7 +139,7 @@
   void ReturnQuota(Flow& aFlow);
   void RunStarts();
   void SendStates();
-  Duration StatePeriod() const;
+  std::size_t StateRounds() const;
   void TakeEntryState(const Address& aFrom, const Peer& aPeer, const direct::EntryState& aState);
   void SaveHotUse();
   void AfterInput();
@@ -169,6 +169,7 @@
   bool readsStore = false;
   std::uint64_t endpointsHash = 0;
   TimePoint endpointsReadAt{};
+  std::size_t stateRound = 0;
   QuotaStore* quotaStore = nullptr;
   bool hasSavedUse = false;
   GatewayMetrics metrics;
--- a/tests/direct/shared_quota_test.cpp
+++ b/tests/direct/shared_quota_test.cpp
@@ -85,6 +85,21 @@
   BOOST_TEST(this->TakeAll(quota) == 3000);
 }
 
+// Many entries hear each other late: what they use meanwhile is counted at their last rate.
+BOOST_AUTO_TEST_CASE(counts_what_was_probably_used_since_the_last_report)
+{
+  SharedQuota quota(this->options, this->now - seconds(20));
+  const Peer peer{ NodeId{ 2 }, Incarnation{ 1 } };
+  for (int report = 0; report <= 8; report++) {
+    quota.OnPeerUse(this->now, peer, { { kAccount, 600U * static_cast<unsigned>(report) } });
+    this->now += milliseconds(600);
+  }
+  // 4,800 reported, and about 600 of the time since; a bound of 9,000.
+  const double taken = this->TakeAll(quota);
+  BOOST_TEST(taken <= 9000 - 4800 - 500);
+  BOOST_TEST(taken >= 9000 - 4800 - 700);
+}
+
 // Two entries that cannot hear each other: each assumes that the other uses its part.
 BOOST_AUTO_TEST_CASE(bounds_the_sum_while_links_are_cut)
 {
