--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -395,10 +395,10 @@
   } else if (aState.configOffset > this->freshness.Offset() && this->onNewerConfig) {
     this->onNewerConfig();
   }
+  const TimePoint readAt = notBefore - milliseconds(aState.endpointsAgeMs);
   if (aState.endpointsHash == this->endpointsHash) {
-    this->endpointsReadAt =
-      std::max(this->endpointsReadAt, notBefore - milliseconds(aState.endpointsAgeMs));
-  } else if (aState.endpointsHash != 0 && this->onOtherEndpoints) {
+    this->endpointsReadAt = std::max(this->endpointsReadAt, readAt);
+  } else if (readAt > this->endpointsReadAt && this->onOtherEndpoints) {
     this->onOtherEndpoints();
   }
 }
