Agents tell how fast their engines read; idle agents are heard in time

Change: the agent learns time to first event over all entries and tells base and slope; turns are counted for all. Both tests failed before.

--- a/src/direct/dispatcher.cpp
+++ b/src/direct/dispatcher.cpp
@@ -421,7 +421,7 @@
   }
   const std::uint32_t prompt = this->PromptAt(aNow, aTarget, aCall.spec);
   if (aTarget.hasAgent) {
-    cost += SecondsOf(aTarget.health.FirstEventTime(PendingAt(aTarget) + prompt));
+    cost += SecondsOf(FirstEventTime(aTarget, PendingAt(aTarget) + prompt));
   }
   cost += aTarget.info.failureDomain == this->failureDomain ? 0 : kFarCost;
   cost += kFailureCost * aTarget.health.FailureRate();
@@ -477,6 +477,18 @@
   return reservation;
 }
 
+// Expected time to a first event with aTokens to be read until then. The agent has seen all
+// entries' calls; the own measurements count where it says nothing.
+Duration Dispatcher::FirstEventTime(const Target& aTarget, std::uint32_t aTokens)
+{
+  const AgentState& agent = aTarget.agent;
+  if (!aTarget.agentLive || agent.firstEventPer1000Us == 0) {
+    return aTarget.health.FirstEventTime(aTokens);
+  }
+  return Duration(agent.firstEventBaseUs +
+                  std::uint64_t{ agent.firstEventPer1000Us } * aTokens / 1000);
+}
+
 // When the call must be sent to the endpoint to meet its objective. A prompt that takes longer to
 // read than its objective allows gets the time that it needs.
 TimePoint Dispatcher::StartBy(TimePoint aNow, const Target& aTarget, const CallSpec& aSpec) const
@@ -484,7 +496,7 @@
   if (!aTarget.hasAgent) {
     return aSpec.arrived + aSpec.objective / 2;
   }
-  const Duration reading = aTarget.health.FirstEventTime(this->PromptAt(aNow, aTarget, aSpec));
+  const Duration reading = FirstEventTime(aTarget, this->PromptAt(aNow, aTarget, aSpec));
   const Duration objective = std::max(aSpec.objective, reading * 3 / 2);
   return aSpec.arrived + objective - reading - kStartMargin;
 }
@@ -611,6 +623,7 @@
     return;
   }
   aTarget.agentLive = aIsLive;
+  this->port.OnAgentChange(aTarget.info, aIsLive, aNow - aTarget.agentHeardAt);
   aTarget.local->SetLimit(aNow, aIsLive ? 0 : this->LocalLimit(aTarget));
   for (auto& [number, call] : this->calls) {
     const auto& reserved = call.reserved;
@@ -665,7 +678,8 @@
     const bool isIdle = state.waiting.empty() && state.running.empty();
     Target& target = this->targets.at(id);
     target.busySince = isIdle ? kNever : std::min(target.busySince, aNow);
-    if (!isIdle || index++ % this->options.idleHoldPeriods == 0) {
+    const bool isItsTurn = index++ % this->options.idleHoldPeriods == 0;
+    if (!isIdle || isItsTurn) {
       this->port.SendToAgent(target.info.host, state);
     }
   }
--- a/src/direct/dispatcher.h
+++ b/src/direct/dispatcher.h
@@ -53,6 +53,8 @@
   virtual void GiveUp(CallNumber aCall, GiveUpReason aReason, Duration aRetryAfter) = 0;
   // Queues a message for the agent beside the endpoint.
   virtual void SendToAgent(const std::string& aHost, const DirectMessage& aMessage) = 0;
+  // The agent beside the endpoint answers again, or has fallen silent for aSilence.
+  virtual void OnAgentChange(const EndpointInfo& aEndpoint, bool aIsLive, Duration aSilence) = 0;
 };
 
 class Dispatcher
@@ -160,6 +162,7 @@
   double CostOf(TimePoint aNow, const Target& aTarget, const Call& aCall);
   std::uint32_t PromptAt(TimePoint aNow, const Target& aTarget, const CallSpec& aSpec) const;
   static std::uint32_t PendingAt(const Target& aTarget);
+  static Duration FirstEventTime(const Target& aTarget, std::uint32_t aTokens);
   TimePoint StartBy(TimePoint aNow, const Target& aTarget, const CallSpec& aSpec) const;
   void ReserveAt(TimePoint aNow, Target& aTarget, Call& aCall);
   void WithdrawAll(TimePoint aNow, Call& aCall, const std::string& aExcept);
--- a/src/direct/messages.h
+++ b/src/direct/messages.h
@@ -122,7 +122,11 @@
   std::uint32_t taken = 0;          // offered or running
   std::uint32_t pendingPrefill = 0; // prompt tokens at the endpoint before their first event
   std::array<std::uint16_t, kTierCount> waiting{}; // reservations by rank
-  std::vector<std::string> entries;                // IP numbers of the entries that the agent hears
+  // Time to a first event, learned over all entries: without a prompt, and for each 1,000 prompt
+  // tokens to be read until then. Zero: nothing learned yet.
+  std::uint32_t firstEventBaseUs = 0;
+  std::uint32_t firstEventPer1000Us = 0;
+  std::vector<std::string> entries; // IP numbers of the entries that the agent hears
 
   template<class Archive>
   void serialize(Archive& aArchive)
--- a/src/direct/slot_queue.cpp
+++ b/src/direct/slot_queue.cpp
@@ -64,7 +64,8 @@
   const Key key{ aHolder.node, aUse.call };
   this->waiting.erase(key);
   this->offers.erase(key);
-  this->running.insert_or_assign(key, Held{ aHolder, aUse.promptTokens, aNow });
+  const std::uint32_t ahead = this->PendingPrefill() + aUse.promptTokens;
+  this->running.insert_or_assign(key, Held{ aHolder, aUse.promptTokens, ahead, aNow });
 }
 
 void SlotQueue::BeginAnswer(TimePoint aNow, const Peer& aHolder, CallNumber aCall)
@@ -74,6 +75,9 @@
   }
   const auto found = this->running.find(Key{ aHolder.node, aCall });
   if (found != this->running.end()) {
+    if (found->second.prefill > 0) {
+      this->pace.OnFirstToken(aNow - found->second.since, found->second.ahead);
+    }
     found->second.prefill = 0;
     this->Pump(aNow);
   }
@@ -116,7 +120,7 @@
     this->waiting.erase(key);
     this->offers.erase(key);
     const auto [place, isNew] =
-      this->running.try_emplace(key, Held{ aHolder, row.promptTokens, aNow });
+      this->running.try_emplace(key, Held{ aHolder, row.promptTokens, row.promptTokens, aNow });
     if (!isNew) {
       place->second.prefill = row.promptTokens;
     }
@@ -217,7 +221,8 @@
     const Key key = first->first;
     const Reservation reservation = std::move(first->second);
     this->waiting.erase(first);
-    this->offers.emplace(key, Held{ reservation.holder, reservation.request.promptTokens, aNow });
+    this->offers.emplace(key,
+                         Held{ reservation.holder, reservation.request.promptTokens, 0, aNow });
     this->port.OfferSlotTo(reservation.holder, key.call);
   }
 }
--- a/src/direct/slot_queue.h
+++ b/src/direct/slot_queue.h
@@ -3,6 +3,7 @@
 // one of its own for an endpoint whose agent is silent or that has none.
 #pragma once
 
+#include "core/health.h"
 #include "direct/messages.h"
 
 #include <array>
@@ -58,6 +59,8 @@
     return static_cast<std::uint32_t>(this->running.size() + this->offers.size());
   }
   std::uint32_t PendingPrefill() const;
+  // How long the endpoint takes to the first event, as seen over all holders.
+  const Pace& FirstEvents() const { return this->pace; }
   // Reservations by rank.
   std::array<std::uint16_t, kTierCount> Waiting() const;
   std::size_t WaitingCount() const { return this->waiting.size(); }
@@ -81,6 +84,7 @@
   {
     Peer holder;
     std::uint32_t prefill = 0; // prompt tokens before the first event
+    std::uint32_t ahead = 0;   // with those of the prompts before it
     TimePoint since;           // of the offer or the use
   };
   struct Holder
@@ -98,6 +102,7 @@
   SlotQueueOptions options;
   SlotQueuePort& port;
   std::uint32_t limit = 0;
+  Pace pace;
   std::map<Key, Reservation> waiting;
   std::map<Key, Held> offers;
   std::map<Key, Held> running;
--- a/src/gateway/endpoint_agent.cpp
+++ b/src/gateway/endpoint_agent.cpp
@@ -57,6 +57,10 @@
   state.taken = this->queue.Taken();
   state.pendingPrefill = this->queue.PendingPrefill();
   state.waiting = this->queue.Waiting();
+  const Pace& pace = this->queue.FirstEvents();
+  state.firstEventBaseUs = static_cast<std::uint32_t>(pace.FirstToken(0).count());
+  state.firstEventPer1000Us =
+    static_cast<std::uint32_t>((pace.FirstToken(1000) - pace.FirstToken(0)).count());
   for (const auto& [node, row] : this->entries) {
     state.entries.push_back(row.address.host);
   }
@@ -230,7 +234,8 @@
   const direct::AgentState state = this->State();
   std::uint32_t index = ++this->stateRound;
   for (const auto& [node, row] : this->entries) {
-    if (row.holds || index++ % this->settings.idleStatePeriods == 0) {
+    const bool isItsTurn = index++ % this->settings.idleStatePeriods == 0;
+    if (row.holds || isItsTurn) {
       this->net.Send(row.address, state);
     }
   }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -364,6 +364,14 @@
   this->net.Send(Address{ aHost, this->settings.agentPort }, aMessage);
 }
 
+void Gateway::OnAgentChange(const direct::EndpointInfo& aEndpoint, bool aIsLive, Duration aSilence)
+{
+  LogEvent(aIsLive ? LogLevel::kInfo : LogLevel::kWarning, aIsLive ? "agent_heard" : "agent_silent",
+           { { "endpoint", aEndpoint.id },
+             { "address", aEndpoint.host },
+             { "silent_ms", aIsLive ? "" : MillisecondsText(aSilence) } });
+}
+
 void Gateway::OnPeerMessage(const Address& aFrom, const Peer& aPeer, const DirectMessage& aMessage)
 {
   const TimePoint now = this->Now();
@@ -524,8 +532,9 @@
     std::size_t index = ++this->stateRound;
     for (const auto& [host, peer] : this->peerEntries) {
       // The reader and the others hear each other in every round: its word keeps theirs fresh.
-      const bool isDue = isReader || (reader != this->peerEntries.end() && host == reader->first) ||
-                         index++ % this->StateRounds() == 0;
+      const bool isItsTurn = index++ % this->StateRounds() == 0;
+      const bool isToReader = reader != this->peerEntries.end() && host == reader->first;
+      const bool isDue = isReader || isToReader || isItsTurn;
       if (isDue) {
         state.echoUs = peer.sentAtUs;
         this->net.Send(peer.address, state);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -121,6 +121,8 @@
   void GiveUp(direct::CallNumber aCall, direct::GiveUpReason aReason,
               Duration aRetryAfter) override;
   void SendToAgent(const std::string& aHost, const direct::DirectMessage& aMessage) override;
+  void OnAgentChange(const direct::EndpointInfo& aEndpoint, bool aIsLive,
+                     Duration aSilence) override;
 
   void OnPeerMessage(const Address& aFrom, const Peer& aPeer,
                      const direct::DirectMessage& aMessage) override;
--- a/tests/direct/dispatcher_test.cpp
+++ b/tests/direct/dispatcher_test.cpp
@@ -28,6 +28,7 @@
   {
     this->sent.emplace_back(aHost, aMessage);
   }
+  void OnAgentChange(const EndpointInfo&, bool, Duration) override {}
 
   template<class Message>
   std::vector<std::string> HostsOf() const
@@ -155,6 +156,26 @@
   BOOST_TEST(this->port.HostsOf<UseSlot>() == std::vector<std::string>{ "10.0.0.2" });
 }
 
+// Load: prompts a hundredfold apart before engines of unlike speed. A long one goes where it is
+// read in time, also when this entry has sent nothing there yet.
+BOOST_AUTO_TEST_CASE(a_long_prompt_goes_to_an_engine_that_reads_fast)
+{
+  this->List(3, true);
+  for (const auto& [id, info] : this->all) {
+    AgentState state;
+    state.isReachable = true;
+    state.endpointBornMs = info.bornMs;
+    state.limit = 2;
+    state.firstEventBaseUs = 10000;
+    state.firstEventPer1000Us = id == "e2" ? 15000 : 45000;
+    this->dispatcher->OnAgentState(this->now, info.host, state);
+  }
+  CallSpec spec = this->Spec(1, CallKind::kStream);
+  spec.promptTokens = 15000;
+  this->dispatcher->Submit(this->now, spec);
+  BOOST_TEST(this->port.HostsOf<ReserveSlot>().at(0) == "10.0.0.2");
+}
+
 BOOST_AUTO_TEST_CASE(a_silent_agent_is_replaced_by_the_own_queue_and_back)
 {
   this->List(1, true);
@@ -309,6 +330,30 @@
   BOOST_TEST(toBad <= 20); // a tenth of an equal part, and some that look whether it is sound again
 }
 
+// Found on hruska-kity-grown: entries skipped the turn of an idle agent as often as they held
+// something elsewhere, and took its agent for silent.
+BOOST_AUTO_TEST_CASE(an_idle_agent_hears_from_the_entry_in_time)
+{
+  this->List(7, true, 1);
+  std::map<std::string, TimePoint> heardAt;
+  for (int step = 0; step < 60; step++) {
+    this->AgentsAlive();
+    const auto number = static_cast<CallNumber>(step) + 1;
+    this->dispatcher->Submit(this->now, this->Spec(number));
+    const std::string host = "10.0.0." + std::to_string(1 + step % 5);
+    this->dispatcher->OnOffer(this->now, host, number);
+    this->port.sent.clear();
+    this->Advance(milliseconds(100));
+    this->dispatcher->OnAttemptEnd(this->now, number, AttemptEnd::kAnswered);
+    for (const std::string& heard : this->port.HostsOf<HoldState>()) {
+      heardAt[heard] = this->now;
+    }
+    for (const auto& [id, info] : this->all) {
+      BOOST_TEST((step < 10 || this->now - heardAt[info.host] <= milliseconds(700)));
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(the_holds_name_what_waits_and_what_runs)
 {
   this->List(1, true, 1);
--- a/tests/direct/slot_queue_test.cpp
+++ b/tests/direct/slot_queue_test.cpp
@@ -102,6 +102,22 @@
   BOOST_TEST(this->LastOffer() == 2U);
 }
 
+BOOST_AUTO_TEST_CASE(learns_how_fast_the_endpoint_reads)
+{
+  this->queue.SetLimit(this->now, 6);
+  for (CallNumber call = 1; call <= 20; call++) {
+    const std::uint32_t prompt = 500 * static_cast<std::uint32_t>(call);
+    this->queue.Use(this->now, kFirst, UseSlot{ call, prompt });
+    this->now += milliseconds(10) + Duration(25) * prompt; // 25 us a token
+    this->queue.BeginAnswer(this->now, kFirst, call);
+    this->queue.Release(this->now, kFirst, call);
+  }
+  const Duration slope =
+    this->queue.FirstEvents().FirstToken(2000) - this->queue.FirstEvents().FirstToken(1000);
+  BOOST_TEST(slope.count() >= 24000);
+  BOOST_TEST(slope.count() <= 26000);
+}
+
 BOOST_AUTO_TEST_CASE(a_prompt_over_the_limit_goes_alone)
 {
   this->queue.SetLimit(this->now, 6);
