--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -341,7 +341,7 @@
   BOOST_TEST(RunUntil([&] { return this->gateway->IsDone(); }));
 }
 
-// Found by fresh-be22 of brackenlaw-puddle: a stream taken 3.1 s after the signal was cut at the end.
+// Found by fresh-be22 of brackenlaw-puddle: a stream taken 3.1 s after the signal was cut later.
 BOOST_FIXTURE_TEST_CASE(nothing_is_taken_after_the_notice, ShortNotice)
 {
   this->Configure();
