--- a/src/direct/dispatcher.cpp
+++ b/src/direct/dispatcher.cpp
@@ -92,23 +92,9 @@
     target.hasAgent = aHasAgents(info.service);
     target.local->SetLimit(aNow, target.agentLive ? 0 : this->LocalLimit(target));
   }
-  for (auto& [number, call] : this->calls) {
-    if (call.stage != Stage::kQueued) {
-      continue;
-    }
-    std::erase_if(call.reserved, [&](const std::string& aId) {
-      Target& target = this->targets.at(aId);
-      const bool isUsable = this->MayUse(target, call.spec);
-      if (!isUsable) {
-        target.local->Withdraw(aNow, this->self, number);
-        if (target.agentLive) {
-          this->port.SendToAgent(target.info.host, WithdrawSlot{ number });
-        }
-      }
-      return !isUsable;
-    });
-    if (call.reserved.empty()) {
-      this->Place(aNow, call);
+  for (auto& row : this->calls) {
+    if (row.second.stage == Stage::kQueued) {
+      this->DropUnusable(aNow, row.second);
     }
   }
   std::erase_if(this->targets,
@@ -116,6 +102,25 @@
   this->DrainLocalOffers(aNow);
 }
 
+// Takes a queued call back from endpoints that may not get it any more.
+void Dispatcher::DropUnusable(TimePoint aNow, Call& aCall)
+{
+  std::erase_if(aCall.reserved, [&](const std::string& aId) {
+    Target& target = this->targets.at(aId);
+    if (this->MayUse(target, aCall.spec)) {
+      return false;
+    }
+    target.local->Withdraw(aNow, this->self, aCall.spec.number);
+    if (target.agentLive) {
+      this->port.SendToAgent(target.info.host, WithdrawSlot{ aCall.spec.number });
+    }
+    return true;
+  });
+  if (aCall.reserved.empty()) {
+    this->Place(aNow, aCall);
+  }
+}
+
 void Dispatcher::Submit(TimePoint aNow, const CallSpec& aSpec)
 {
   Call& call = this->calls[aSpec.number];
--- a/src/direct/dispatcher.h
+++ b/src/direct/dispatcher.h
@@ -157,6 +157,7 @@
     TimePoint at;
   };
 
+  void DropUnusable(TimePoint aNow, Call& aCall);
   void Place(TimePoint aNow, Call& aCall);
   std::vector<Target*> Candidates(TimePoint aNow, const Call& aCall);
   double CostOf(TimePoint aNow, const Target& aTarget, const Call& aCall);
--- a/src/direct/slot_queue.cpp
+++ b/src/direct/slot_queue.cpp
@@ -41,7 +41,7 @@
                            aNow + milliseconds(aReserve.timeLeftMs) };
   reservation.request.tier = std::min(aReserve.tier, kLowestTier);
   reservation.request.rank = std::min(aReserve.rank, kLowestTier);
-  this->waiting.emplace(key, std::move(reservation));
+  this->waiting.emplace(key, reservation);
   this->Pump(aNow);
 }
 
@@ -219,7 +219,7 @@
       return;
     }
     const Key key = first->first;
-    const Reservation reservation = std::move(first->second);
+    const Reservation reservation = first->second;
     this->waiting.erase(first);
     this->offers.emplace(key,
                          Held{ reservation.holder, reservation.request.promptTokens, 0, aNow });
--- a/src/direct/slot_queue.h
+++ b/src/direct/slot_queue.h
@@ -70,6 +70,7 @@
   {
     NodeId node{};
     CallNumber call = 0;
+    // NOLINTNEXTLINE(modernize-use-nullptr): reported inside the compiler-made operator
     friend auto operator<=>(const Key&, const Key&) = default;
   };
   struct Reservation
--- a/src/runtime/datagram_socket.cpp
+++ b/src/runtime/datagram_socket.cpp
@@ -13,7 +13,7 @@
 
 namespace {
 
-constexpr std::size_t kMaxDatagram = 64 * 1024; // bytes, the limit of UDP
+constexpr std::size_t kMaxDatagram = std::size_t{ 64 } * 1024; // bytes, the limit of UDP
 constexpr int kDatagramsPerTurn = 64;
 constexpr int kReceiveBuffer = 1 << 20; // bytes; a burst of small messages must not be lost
 
--- a/src/runtime/ingress_server.cpp
+++ b/src/runtime/ingress_server.cpp
@@ -157,9 +157,9 @@
   void CheckTimeouts(TimePoint aNow)
   {
     const IngressLimits& limits = this->server.limits;
-    if (this->state == State::kLingering && aNow - this->since > kLingerTime) {
-      this->Drop(false);
-    } else if (this->IsIdle() && aNow - this->since > limits.idleTimeout) {
+    const bool hasLingered = this->state == State::kLingering && aNow - this->since > kLingerTime;
+    const bool isForgotten = this->IsIdle() && aNow - this->since > limits.idleTimeout;
+    if (hasLingered || isForgotten) {
       this->Drop(false);
     } else if (this->state == State::kReading && this->hasBytes &&
                aNow - this->since > limits.headTimeout) {
--- a/src/runtime/log.cpp
+++ b/src/runtime/log.cpp
@@ -57,7 +57,7 @@
     this->pending.erase(0, written);
   }
 
-  static constexpr std::size_t kMaxPending = 256 * 1024; // bytes
+  static constexpr std::size_t kMaxPending = std::size_t{ 256 } * 1024; // bytes
   std::string pending;
 };
 
--- a/src/runtime/tcp_socket.cpp
+++ b/src/runtime/tcp_socket.cpp
@@ -17,9 +17,9 @@
 
 namespace {
 
-constexpr std::size_t kReadBytes = 64 * 1024;
+constexpr std::size_t kReadBytes = std::size_t{ 64 } * 1024;
 // Largest part of the input that is read in one turn, so that one peer can't starve the others.
-constexpr std::size_t kBytesPerTurn = 256 * 1024;
+constexpr std::size_t kBytesPerTurn = std::size_t{ 256 } * 1024;
 // Silence of an acknowledgement after which the kernel gives a connection up.
 constexpr unsigned kUserTimeoutMs = 5000;
 constexpr int kAcceptsPerTurn = 64;
--- a/tests/direct/shared_quota_test.cpp
+++ b/tests/direct/shared_quota_test.cpp
@@ -91,7 +91,7 @@
   SharedQuota quota(this->options, this->now - seconds(20));
   const Peer peer{ NodeId{ 2 }, Incarnation{ 1 } };
   for (int report = 0; report <= 8; report++) {
-    quota.OnPeerUse(this->now, peer, { { kAccount, 600U * static_cast<unsigned>(report) } });
+    quota.OnPeerUse(this->now, peer, { { kAccount, static_cast<std::uint64_t>(report) * 600 } });
     this->now += milliseconds(600);
   }
   // 4,800 reported, and about 600 of the time since; a bound of 9,000.
