Serve keys as long as they cannot have been withdrawn too long

Ruled out: asking the store more often (the age at the start of the silence stays). Change: keys are served until 0.6 s before the bound for withdrawn ones; readiness still ends at 0.6 of it, so that new connections go to entries that reach the store.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -169,7 +169,7 @@
 bool Gateway::IsReady() const
 {
   return !this->leaving && this->config != nullptr && !this->endpoints.empty() &&
-         this->freshness.Age(this->Now()) < this->settings.keyFreshness;
+         this->freshness.Age(this->Now()) < this->settings.readyFreshness;
 }
 
 void Gateway::BeginLeaving()
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -30,7 +30,9 @@
   std::uint16_t agentPort = 0; // of the agents beside engines
   std::string failureDomain;
   // Requests with keys are refused when nobody has confirmed the configuration for this long.
-  Duration keyFreshness = std::chrono::milliseconds(3000);
+  Duration keyFreshness = std::chrono::milliseconds(4400);
+  // Without a confirmation for this long new connections better go to other entries.
+  Duration readyFreshness = std::chrono::milliseconds(3000);
   // Refusals that depend on the newest configuration need a confirmation this young.
   Duration denyFreshness = std::chrono::milliseconds(2500);
   // Of EntryState, among up to stateEntries; every so many rounds among more, so that the messages
