Remove what has no caller yet

Suspicions, filters of versions, move orders and some fields were declared for parts that are not built; EndpointTable::Replace and its test go with them (the feed applies a complete list itself). No functional change.

--- a/src/direct/call.h
+++ b/src/direct/call.h
@@ -37,7 +37,6 @@
   std::uint32_t promptTokens = 0;
   std::uint32_t outputTokens = 0; // estimate
   std::uint64_t subject = 0;      // hash of the longest shared prompt; 0: none
-  std::uint64_t fingerprint = 0;  // hash of account, path and body, for repeated crashes
 
   bool MayRepeat() const
   {
@@ -74,7 +73,6 @@
   kDeadline,   // its time is over
   kRefused,    // endpoints did not run it, and no further attempt is allowed
   kFailed,     // an attempt failed, and no further attempt is allowed
-  kSuspect,    // crashed endpoints before
 };
 
 std::string_view ToString(GiveUpReason aReason);
--- a/src/direct/dispatcher.cpp
+++ b/src/direct/dispatcher.cpp
@@ -60,11 +60,6 @@
 
 Dispatcher::~Dispatcher() = default;
 
-void Dispatcher::SetFilter(std::function<bool(const EndpointInfo&, const CallSpec&)> aFilter)
-{
-  this->filter = std::move(aFilter);
-}
-
 void Dispatcher::SetEntryCount(std::uint32_t aCount)
 {
   this->entryCount = std::max(aCount, 1U);
@@ -299,14 +294,6 @@
   return RetryTime(this->options.patience, ahead, slots, runTime);
 }
 
-bool Dispatcher::HasEndpointFor(const std::string& aService) const
-{
-  return std::any_of(this->targets.begin(), this->targets.end(), [&](const auto& aRow) {
-    return aRow.second.isListed && aRow.second.info.service == aService &&
-           !aRow.second.info.isLeaving;
-  });
-}
-
 const EndpointInfo* Dispatcher::EndpointOf(CallNumber aCall) const
 {
   const auto call = this->calls.find(aCall);
@@ -702,8 +689,7 @@
 bool Dispatcher::MayUse(const Target& aTarget, const CallSpec& aSpec) const
 {
   return aTarget.isListed && aTarget.info.service == aSpec.service && !aTarget.info.isLeaving &&
-         !(aTarget.agentLive && aTarget.agent.isLeaving) &&
-         (!this->filter || this->filter(aTarget.info, aSpec));
+         !(aTarget.agentLive && aTarget.agent.isLeaving);
 }
 
 Dispatcher::Target* Dispatcher::FindByHost(const std::string& aHost)
--- a/src/direct/dispatcher.h
+++ b/src/direct/dispatcher.h
@@ -69,8 +69,6 @@
   // aHasAgents: whether endpoints of a service have agents beside them.
   void SetEndpoints(TimePoint aNow, const std::map<std::string, EndpointInfo>& aAll,
                     const std::function<bool(const std::string&)>& aHasAgents);
-  // Whether an endpoint may get new calls beside what its registration says; for version moves.
-  void SetFilter(std::function<bool(const EndpointInfo&, const CallSpec&)> aFilter);
   void SetEntryCount(std::uint32_t aCount);
 
   void Submit(TimePoint aNow, const CallSpec& aSpec);
@@ -90,7 +88,6 @@
 
   // When a refused caller of this service and rank should come back.
   Duration RetryAfter(const std::string& aService, Tier aRank) const;
-  bool HasEndpointFor(const std::string& aService) const;
   // Endpoint that runs the call; nullptr if none does.
   const EndpointInfo* EndpointOf(CallNumber aCall) const;
   std::size_t CallCount() const { return this->calls.size(); }
@@ -187,7 +184,6 @@
   Random& random;
   RetryBudget& budget;
   DispatchPort& port;
-  std::function<bool(const EndpointInfo&, const CallSpec&)> filter;
   std::uint32_t entryCount = 1;
   std::map<std::string, Target> targets; // by endpoint id
   std::unordered_map<CallNumber, Call> calls;
--- a/src/direct/endpoint_table.cpp
+++ b/src/direct/endpoint_table.cpp
@@ -1,7 +1,5 @@
 #include "direct/endpoint_table.h"
 
-#include <utility>
-
 namespace caraway::direct {
 
 namespace {
@@ -37,16 +35,6 @@
   return this->endpoints.erase(aId) > 0;
 }
 
-void EndpointTable::Replace(const std::map<std::string, EndpointInfo>& aAll)
-{
-  std::map<std::string, EndpointInfo> before = std::exchange(this->endpoints, {});
-  for (const auto& [id, info] : aAll) {
-    const auto known = before.find(id);
-    const bool isOld = known != before.end() && !IsNewer(info, known->second);
-    this->Put(isOld ? known->second : info);
-  }
-}
-
 std::uint64_t HashOf(const std::map<std::string, EndpointInfo>& aAll)
 {
   std::uint64_t hash = 0;
--- a/src/direct/endpoint_table.h
+++ b/src/direct/endpoint_table.h
@@ -5,7 +5,6 @@
 #include "core/types.h"
 
 #include <cstdint>
-#include <functional>
 #include <map>
 #include <string>
 
@@ -33,8 +32,6 @@
   // Adds or replaces an endpoint. False if the registration is older than the one known.
   bool Put(const EndpointInfo& aInfo);
   bool Remove(const std::string& aId);
-  // Replaces everything by a complete list.
-  void Replace(const std::map<std::string, EndpointInfo>& aAll);
 
   const std::map<std::string, EndpointInfo>& All() const { return this->endpoints; }
 
--- a/src/direct/messages.h
+++ b/src/direct/messages.h
@@ -161,13 +161,12 @@
   std::uint32_t endpointsAgeMs = 0; // since the list was read from the store
   bool readsStore = false;          // the store answers the sender
   std::vector<AccountUse> uses;
-  std::vector<Suspicion> suspicions; // calls that were running when endpoints died
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
     aArchive(sentAtUs, echoUs, configOffset, configAgeMs, endpointsHash, endpointsAgeMs, readsStore,
-             uses, suspicions);
+             uses);
   }
 };
 
--- a/src/direct/service_config.h
+++ b/src/direct/service_config.h
@@ -39,8 +39,7 @@
 struct ServiceSpec
 {
   std::string name;
-  std::uint32_t maxConnections = 0; // to one endpoint, from all callers together; 0: not known
-  std::uint32_t engineSlots = 0;    // requests that an engine runs at once; 0: a plain service
+  std::uint32_t engineSlots = 0; // requests that an engine runs at once; 0: a plain service
 };
 
 struct AccountSpec
--- a/src/gateway/dialect.h
+++ b/src/gateway/dialect.h
@@ -71,8 +71,6 @@
 struct EndpointReport
 {
   std::int64_t bornMs = 0; // start of its process, Unix time; 0: not said
-  std::uint32_t running = 0;
-  std::uint32_t waiting = 0;
   bool isLeaving = false;
 };
 
--- a/tests/direct/small_test.cpp
+++ b/tests/direct/small_test.cpp
@@ -120,16 +120,6 @@
   BOOST_TEST(HashOf(table.All()) != before);
 }
 
-BOOST_AUTO_TEST_CASE(a_complete_list_replaces_the_one_before)
-{
-  EndpointTable table;
-  table.Put(MakeEndpoint("a", "10.0.0.1", 100, 9));
-  table.Put(MakeEndpoint("b", "10.0.0.2", 100));
-  table.Replace({ { "a", MakeEndpoint("a", "10.0.0.1", 100, 3) } });
-  BOOST_TEST(table.All().size() == 1U);
-  BOOST_TEST(table.All().at("a").sequence == 9U);
-}
-
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(service_config)
--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -120,7 +120,6 @@
       std::vector<Finding> findings;
       ReadConfig(text, error);
       ReadEndpoint("i", text);
-      ReadMoveOrder(text);
       ReadNodeSettings(text, findings);
       DecodeRead(text, 3);
       PlatformReports("h").ReadReport(200, text);
