--- a/src/core/memory_stream.h
+++ b/src/core/cereal_bytes.h
@@ -1,9 +1,16 @@
-// Stream buffers over memory, for cereal archives.
+// Values as bytes in cereal's portable binary form.
 #pragma once
 
+#include <cereal/archives/portable_binary.hpp>
+
+#include <exception>
+#include <istream>
+#include <optional>
+#include <ostream>
 #include <streambuf>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace caraway {
 
@@ -44,4 +51,31 @@
   std::string& out;
 };
 
+template<class Value>
+std::string ToBytes(const Value& aValue)
+{
+  std::string bytes;
+  StringBuffer buffer(bytes);
+  std::ostream stream(&buffer);
+  cereal::PortableBinaryOutputArchive archive(stream);
+  archive(aValue);
+  return bytes;
+}
+
+// nullopt for anything that is not exactly one value.
+template<class Value>
+std::optional<Value> FromBytes(std::string_view aBytes)
+{
+  MemoryBuffer buffer(aBytes);
+  std::istream stream(&buffer);
+  Value value;
+  try {
+    cereal::PortableBinaryInputArchive archive(stream);
+    archive(value);
+  } catch (const std::exception&) {
+    return std::nullopt;
+  }
+  return buffer.in_avail() > 0 ? std::nullopt : std::optional<Value>(std::move(value));
+}
+
 } // namespace caraway
--- a/src/direct/dispatcher.h
+++ b/src/direct/dispatcher.h
@@ -38,6 +38,7 @@
   // Part of an endpoint's slots that an entry uses without an agent, in multiples of an equal part:
   // traffic is uneven, and an endpoint queues a little itself.
   double ownShare = 1.7;
+  Duration initialRunTime = std::chrono::milliseconds(400); // assumed before a run was seen
   SlotQueueOptions queue;
   PatienceOptions patience;
 };
@@ -154,6 +155,7 @@
     TimePoint at;
   };
 
+  Duration RunTime(const std::string& aService) const;
   void DropUnusable(TimePoint aNow, Call& aCall);
   void Place(TimePoint aNow, Call& aCall);
   std::vector<Target*> Candidates(TimePoint aNow, const Call& aCall);
--- /dev/null
+++ b/src/direct/dispatcher_place.cpp
@@ -0,0 +1,263 @@
+// Placing: at which endpoints a call queues, in which order, and until when.
+#include "direct/dispatcher.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace caraway::direct {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// A queued call looks for further endpoints this often.
+constexpr Duration kReplacePeriod = milliseconds(100);
+// How long an endpoint keeps a prompt that nobody uses, at the least; affinity looks no further
+// back.
+constexpr Duration kWarmTime = seconds(10);
+// Part of a warm prompt that still has to be read.
+constexpr double kWarmShare = 0.1;
+// One way through another failure domain, both ways for the call and its first event.
+constexpr double kFarCost = 0.001;    // seconds
+constexpr double kFailureCost = 1.0;  // seconds, for an endpoint that fails all it gets
+constexpr double kJitterCost = 0.002; // seconds; spreads calls of entries that know the same
+// Way of the first event to the caller and of the request to the endpoint.
+constexpr Duration kStartMargin = milliseconds(20);
+
+double SecondsOf(Duration aTime)
+{
+  return std::chrono::duration<double>(aTime).count();
+}
+
+std::int32_t MillisecondsOf(Duration aTime)
+{
+  const auto count = std::chrono::duration_cast<milliseconds>(aTime).count();
+  return static_cast<std::int32_t>(std::clamp<std::int64_t>(count, -3600000, 3600000));
+}
+
+} // namespace
+
+// Takes a queued call back from endpoints that may not get it any more.
+void Dispatcher::DropUnusable(TimePoint aNow, Call& aCall)
+{
+  std::erase_if(aCall.reserved, [&](const std::string& aId) {
+    Target& target = this->targets.at(aId);
+    if (this->MayUse(target, aCall.spec)) {
+      return false;
+    }
+    target.local->Withdraw(aNow, this->self, aCall.spec.number);
+    if (target.agentLive) {
+      this->port.SendToAgent(target.info.host, WithdrawSlot{ aCall.spec.number });
+    }
+    return true;
+  });
+  if (aCall.reserved.empty()) {
+    this->Place(aNow, aCall);
+  }
+}
+
+Duration Dispatcher::RetryAfter(const std::string& aService, Tier aRank) const
+{
+  double slots = 0;
+  double ahead = 0;
+  for (const auto& [id, target] : this->targets) {
+    if (!target.isListed || target.info.service != aService) {
+      continue;
+    }
+    const std::uint32_t own = this->LocalLimit(target);
+    slots += target.agentLive ? target.agent.limit : own;
+    double waiting = 0;
+    for (Tier rank = 0; rank <= aRank; rank++) {
+      waiting += target.agentLive ? target.agent.waiting.at(rank) : 0;
+    }
+    // A call waits at many endpoints at once, so the longest queue holds about all that wait.
+    ahead = std::max(ahead, waiting);
+  }
+  const Duration runTime = this->RunTime(aService);
+  return RetryTime(this->options.patience, ahead, slots, runTime);
+}
+
+// Usual time of a run at an endpoint of the service.
+Duration Dispatcher::RunTime(const std::string& aService) const
+{
+  const auto usual = this->runTimes.find(aService);
+  return usual == this->runTimes.end() ? this->options.initialRunTime : usual->second;
+}
+
+// Reserves at the best endpoints that the call has no reservation at yet.
+void Dispatcher::Place(TimePoint aNow, Call& aCall)
+{
+  const std::vector<Target*> candidates = this->Candidates(aNow, aCall);
+  const bool isSmallPool = candidates.size() <= this->options.smallPool;
+  const std::size_t wide = isSmallPool ? candidates.size() : this->options.reservations;
+  const std::size_t wanted = aCall.isWide ? wide : this->options.firstReservations;
+  for (std::size_t index = 0; index < candidates.size() && index < wanted; index++) {
+    this->ReserveAt(aNow, *candidates[index], aCall);
+  }
+  if (aCall.reserved.empty() && aCall.attempts == 0) {
+    aCall.reason = GiveUpReason::kNoEndpoint;
+  } else if (aCall.reason == GiveUpReason::kNoEndpoint) {
+    aCall.reason = GiveUpReason::kOverload;
+  }
+  aCall.widenAt = aNow + (aCall.isWide ? kReplacePeriod : this->options.widenAfter);
+}
+
+// Usable endpoints, best first. Those that are to be avoided or were tried before count only when
+// there are no others.
+std::vector<Dispatcher::Target*> Dispatcher::Candidates(TimePoint aNow, const Call& aCall)
+{
+  struct Scored
+  {
+    bool isLastResort;
+    double cost;
+    Target* target;
+  };
+  std::vector<Scored> scored;
+  for (auto& [id, target] : this->targets) {
+    if (!this->MayUse(target, aCall.spec)) {
+      continue;
+    }
+    const bool isDown = target.agentLive && !target.agent.isReachable;
+    const bool isAvoided = target.health.AvoidUntil() > aNow || isDown || aCall.tried.contains(id);
+    scored.push_back({ isAvoided, this->CostOf(aNow, target, aCall), &target });
+  }
+  std::sort(scored.begin(), scored.end(), [](const Scored& aLeft, const Scored& aRight) {
+    return std::tie(aLeft.isLastResort, aLeft.cost) < std::tie(aRight.isLastResort, aRight.cost);
+  });
+  std::vector<Target*> result;
+  for (const Scored& row : scored) {
+    if (row.isLastResort && !result.empty()) {
+      break;
+    }
+    result.push_back(row.target);
+  }
+  return result;
+}
+
+// Expected seconds until the first event, with what speaks against the endpoint.
+double Dispatcher::CostOf(TimePoint aNow, const Target& aTarget, const Call& aCall)
+{
+  const std::uint32_t limit =
+    std::max(aTarget.agentLive ? aTarget.agent.limit : this->LocalLimit(aTarget), 1U);
+  const std::uint32_t taken =
+    std::max(aTarget.agentLive ? aTarget.agent.taken : 0U, aTarget.running);
+  double queued = 0;
+  if (aTarget.agentLive) {
+    for (Tier rank = 0; rank <= aCall.spec.rank; rank++) {
+      queued += aTarget.agent.waiting.at(rank);
+    }
+  } else {
+    queued = static_cast<double>(aTarget.local->WaitingCount());
+  }
+  const double runTime = SecondsOf(this->RunTime(aCall.spec.service));
+  double cost = 0;
+  if (taken >= limit) {
+    cost += runTime * (queued + taken - limit + 1) / limit;
+  } else {
+    cost += runTime * 0.1 * taken / limit;
+  }
+  const std::uint32_t prompt = this->PromptAt(aNow, aTarget, aCall.spec);
+  if (aTarget.hasAgent) {
+    cost += SecondsOf(FirstEventTime(aTarget, PendingAt(aTarget) + prompt));
+  }
+  cost += aTarget.info.failureDomain == this->failureDomain ? 0 : kFarCost;
+  cost += kFailureCost * aTarget.health.FailureRate();
+  return cost + kJitterCost * this->random.Unit();
+}
+
+// Prompt tokens that the endpoint has to read: few where it read the same prompt a short while ago.
+std::uint32_t Dispatcher::PromptAt(TimePoint aNow, const Target& aTarget,
+                                   const CallSpec& aSpec) const
+{
+  const auto found = this->warm.find(aSpec.subject);
+  const bool isWarm = aSpec.subject != 0 && found != this->warm.end() &&
+                      found->second.endpoint == aTarget.info.id &&
+                      aNow - found->second.at < kWarmTime;
+  return isWarm ? static_cast<std::uint32_t>(aSpec.promptTokens * kWarmShare) : aSpec.promptTokens;
+}
+
+// Prompt tokens at the endpoint before their first event, as far as the entry knows.
+std::uint32_t Dispatcher::PendingAt(const Target& aTarget)
+{
+  const std::uint32_t known =
+    aTarget.agentLive ? aTarget.agent.pendingPrefill : aTarget.local->PendingPrefill();
+  return known + (aTarget.agentLive ? aTarget.sentPrefill : 0);
+}
+
+void Dispatcher::ReserveAt(TimePoint aNow, Target& aTarget, Call& aCall)
+{
+  const std::string& id = aTarget.info.id;
+  if (std::find(aCall.reserved.begin(), aCall.reserved.end(), id) != aCall.reserved.end()) {
+    return;
+  }
+  aCall.reserved.push_back(id);
+  const ReserveSlot reservation = this->ReservationOf(aNow, aTarget, aCall);
+  if (aTarget.agentLive) {
+    this->port.SendToAgent(aTarget.info.host, reservation);
+  } else {
+    aTarget.local->Reserve(aNow, this->self, reservation);
+  }
+}
+
+ReserveSlot Dispatcher::ReservationOf(TimePoint aNow, const Target& aTarget,
+                                      const Call& aCall) const
+{
+  const CallSpec& spec = aCall.spec;
+  ReserveSlot reservation;
+  reservation.call = spec.number;
+  reservation.tier = spec.tier;
+  reservation.rank = spec.rank;
+  reservation.startLeftMs = MillisecondsOf(this->StartBy(aNow, aTarget, spec) - aNow);
+  reservation.timeLeftMs = MillisecondsOf(std::min(aCall.giveUpAt, spec.deadline) - aNow);
+  reservation.promptTokens = this->PromptAt(aNow, aTarget, spec);
+  reservation.outputTokens = spec.outputTokens;
+  return reservation;
+}
+
+// Expected time to a first event with aTokens to be read until then. The agent has seen all
+// entries' calls; the own measurements count where it says nothing.
+Duration Dispatcher::FirstEventTime(const Target& aTarget, std::uint32_t aTokens)
+{
+  const AgentState& agent = aTarget.agent;
+  if (!aTarget.agentLive || agent.firstEventPer1000Us == 0) {
+    return aTarget.health.FirstEventTime(aTokens);
+  }
+  return Duration(agent.firstEventBaseUs +
+                  std::uint64_t{ agent.firstEventPer1000Us } * aTokens / 1000);
+}
+
+// When the call must be sent to the endpoint to meet its objective. A prompt that takes longer to
+// read than its objective allows gets the time that it needs.
+TimePoint Dispatcher::StartBy(TimePoint aNow, const Target& aTarget, const CallSpec& aSpec) const
+{
+  if (!aTarget.hasAgent) {
+    return aSpec.arrived + aSpec.objective / 2;
+  }
+  const Duration reading = FirstEventTime(aTarget, this->PromptAt(aNow, aTarget, aSpec));
+  const Duration objective = std::max(aSpec.objective, reading * 3 / 2);
+  return aSpec.arrived + objective - reading - kStartMargin;
+}
+
+void Dispatcher::WithdrawAll(TimePoint aNow, Call& aCall, const std::string& aExcept)
+{
+  for (const std::string& id : aCall.reserved) {
+    const auto found = this->targets.find(id);
+    if (id == aExcept || found == this->targets.end()) {
+      continue;
+    }
+    found->second.local->Withdraw(aNow, this->self, aCall.spec.number);
+    if (found->second.agentLive) {
+      this->port.SendToAgent(found->second.info.host, WithdrawSlot{ aCall.spec.number });
+    }
+  }
+  aCall.reserved.clear();
+}
+
+bool Dispatcher::MayUse(const Target& aTarget, const CallSpec& aSpec) const
+{
+  return aTarget.isListed && aTarget.info.service == aSpec.service && !aTarget.info.isLeaving &&
+         !(aTarget.agentLive && aTarget.agent.isLeaving);
+}
+
+} // namespace caraway::direct
--- a/src/direct/shared_quota.cpp
+++ b/src/direct/shared_quota.cpp
@@ -1,12 +1,8 @@
 #include "direct/shared_quota.h"
 
-#include "core/memory_stream.h"
-
-#include <cereal/archives/portable_binary.hpp>
+#include "core/cereal_bytes.h"
 
 #include <algorithm>
-#include <istream>
-#include <ostream>
 
 namespace caraway::direct {
 
@@ -268,26 +264,12 @@
 
 std::string EncodeSavedUse(const std::vector<SavedUse>& aUse)
 {
-  std::string bytes;
-  StringBuffer buffer(bytes);
-  std::ostream stream(&buffer);
-  cereal::PortableBinaryOutputArchive archive(stream);
-  archive(aUse);
-  return bytes;
+  return ToBytes(aUse);
 }
 
 std::optional<std::vector<SavedUse>> DecodeSavedUse(std::string_view aBytes)
 {
-  MemoryBuffer buffer(aBytes);
-  std::istream stream(&buffer);
-  std::vector<SavedUse> use;
-  try {
-    cereal::PortableBinaryInputArchive archive(stream);
-    archive(use);
-  } catch (const std::exception&) {
-    return std::nullopt;
-  }
-  return use;
+  return FromBytes<std::vector<SavedUse>>(aBytes);
 }
 
 } // namespace caraway::direct
--- a/src/runtime/frame.cpp
+++ b/src/runtime/frame.cpp
@@ -1,15 +1,11 @@
 #include "runtime/frame.h"
 
-#include "core/memory_stream.h"
-
-#include <cereal/archives/portable_binary.hpp>
+#include "core/cereal_bytes.h"
 
 #include <glib.h>
 #include <sys/random.h>
 
 #include <cstring>
-#include <istream>
-#include <sstream>
 #include <system_error>
 
 namespace caraway {
@@ -97,29 +93,12 @@
 
 std::string EncodeEnvelope(const Envelope& aEnvelope)
 {
-  std::string bytes;
-  StringBuffer buffer(bytes);
-  std::ostream stream(&buffer);
-  cereal::PortableBinaryOutputArchive archive(stream);
-  archive(aEnvelope);
-  return bytes;
+  return ToBytes(aEnvelope);
 }
 
 std::optional<Envelope> DecodeEnvelope(std::string_view aBytes)
 {
-  MemoryBuffer buffer(aBytes);
-  std::istream stream(&buffer);
-  Envelope envelope;
-  try {
-    cereal::PortableBinaryInputArchive archive(stream);
-    archive(envelope);
-  } catch (const std::exception&) {
-    return std::nullopt;
-  }
-  if (buffer.in_avail() > 0) {
-    return std::nullopt;
-  }
-  return envelope;
+  return FromBytes<Envelope>(aBytes);
 }
 
 void AppendFrame(std::string& aBuffer, const SessionKey& aKey, Direction aDirection,
