--- a/src/core/agent_admission.cpp
+++ b/src/core/agent_admission.cpp
@@ -38,6 +38,7 @@
     this->SendRefuse(aNow, reservation, *reason);
     return;
   }
+  this->drain.OnQueued(aNow.steady, this->queue.Size());
   const bool isPlaced = !this->IsHopeless(aNow, reservation) &&
                         this->MakeQueueRoom(aNow, reservation) && this->queue.Push(reservation);
   if (!isPlaced) {
--- a/src/core/drain_rate.cpp
+++ b/src/core/drain_rate.cpp
@@ -37,6 +37,13 @@
   this->servedCount++;
 }
 
+void DrainRate::OnQueued(TimePoint aNow, std::size_t aAhead)
+{
+  if (aAhead == 0) {
+    this->backlogSince = aNow;
+  }
+}
+
 double DrainRate::ServedPerSecond(TimePoint aNow) const
 {
   const double age = SecondsOf(aNow - this->updated);
@@ -45,7 +52,8 @@
 
 Duration DrainRate::WaitFor(TimePoint aNow, std::size_t aAhead) const
 {
-  if (this->servedCount < kFewestServed) {
+  const bool isBacklogLasting = this->backlogSince <= aNow && aNow - this->backlogSince >= kMemory;
+  if (this->servedCount < kFewestServed || !isBacklogLasting) {
     return Duration::zero();
   }
   const double rate = std::max(this->ServedPerSecond(aNow), kLeastRate);
--- a/src/core/drain_rate.h
+++ b/src/core/drain_rate.h
@@ -15,9 +15,13 @@
   // not count: they are no service.
   void OnServed(TimePoint aNow);
 
+  // A reservation joins the queue, which holds aAhead others.
+  void OnQueued(TimePoint aNow, std::size_t aAhead);
+
   // Reservations served each second, exponentially decayed.
   double ServedPerSecond(TimePoint aNow) const;
-  // Time to serve aAhead reservations. Zero while too little is known.
+  // Time to serve aAhead reservations. Zero while too little is known: without a lasting backlog
+  // the rate is that of the arrivals, not what the endpoint can drain.
   Duration WaitFor(TimePoint aNow, std::size_t aAhead) const;
   // When to come back: the time to drain aBacklog reservations, between bounds, with jitter so that
   // refused callers do not return together.
@@ -26,6 +30,7 @@
 private:
   double perSecond = 0;
   TimePoint updated{};
+  TimePoint backlogSince = kNever; // the queue was never empty since
   std::uint64_t servedCount = 0;
 };
 
