Send the engines' reading speeds with the agents' states

Cause: AgentState::serialize left out firstEventBaseUs and firstEventPer1000Us, so no entry ever knew how fast an engine reads; placing fell back to counts. The test of the datagrams compared three fields. Change: the fields are sent. The test now gives every field of every message a value that differs from its default and compares whole messages (message 7 failed first).

--- a/src/direct/messages.h
+++ b/src/direct/messages.h
@@ -34,6 +34,8 @@
   {
     aArchive(call, tier, rank, startLeftMs, timeLeftMs, promptTokens, outputTokens);
   }
+
+  friend bool operator==(const ReserveSlot&, const ReserveSlot&) = default;
 };
 
 // Entry to agent: neither the reservation nor an offer for it is wanted any more.
@@ -46,6 +48,8 @@
   {
     aArchive(call);
   }
+
+  friend bool operator==(const WithdrawSlot&, const WithdrawSlot&) = default;
 };
 
 // Agent to entry: a slot is held for the call for a short time.
@@ -58,6 +62,8 @@
   {
     aArchive(call);
   }
+
+  friend bool operator==(const OfferSlot&, const OfferSlot&) = default;
 };
 
 // Entry to agent: the call was sent to the endpoint.
@@ -71,6 +77,8 @@
   {
     aArchive(call, promptTokens);
   }
+
+  friend bool operator==(const UseSlot&, const UseSlot&) = default;
 };
 
 // Entry to agent: the first event of the call's answer arrived.
@@ -83,6 +91,8 @@
   {
     aArchive(call);
   }
+
+  friend bool operator==(const BeginAnswer&, const BeginAnswer&) = default;
 };
 
 // Entry to agent: the call has left the endpoint.
@@ -95,6 +105,8 @@
   {
     aArchive(call);
   }
+
+  friend bool operator==(const ReleaseSlot&, const ReleaseSlot&) = default;
 };
 
 // Entry to agent: all that the entry holds there. What is missing in it is released.
@@ -110,6 +122,8 @@
   {
     aArchive(slots, waiting, running, otherEntries);
   }
+
+  friend bool operator==(const HoldState&, const HoldState&) = default;
 };
 
 // Agent to entry: the endpoint as the agent beside it sees it.
@@ -132,8 +146,10 @@
   void serialize(Archive& aArchive)
   {
     aArchive(endpointBornMs, isReachable, isLeaving, limit, taken, pendingPrefill, waiting,
-             entries);
+             firstEventBaseUs, firstEventPer1000Us, entries);
   }
+
+  friend bool operator==(const AgentState&, const AgentState&) = default;
 };
 
 // Use of one account's quota at one entry since its start.
@@ -147,6 +163,8 @@
   {
     aArchive(account, tokens);
   }
+
+  friend bool operator==(const AccountUse&, const AccountUse&) = default;
 };
 
 // Entry to entry: what the bounds over all entries need.
@@ -168,6 +186,8 @@
     aArchive(sentAtUs, echoUs, configOffset, configAgeMs, endpointsHash, endpointsAgeMs, readsStore,
              uses);
   }
+
+  friend bool operator==(const EntryState&, const EntryState&) = default;
 };
 
 using DirectMessage = std::variant<ReserveSlot, WithdrawSlot, OfferSlot, UseSlot, BeginAnswer,
@@ -183,6 +203,8 @@
   {
     aArchive(from, messages);
   }
+
+  friend bool operator==(const Datagram&, const Datagram&) = default;
 };
 
 std::string EncodeDatagram(const Datagram& aDatagram);
--- a/tests/direct/small_test.cpp
+++ b/tests/direct/small_test.cpp
@@ -148,18 +148,24 @@
 
 BOOST_AUTO_TEST_SUITE(direct_messages)
 
+// Every field has a value that differs from its default, so that none can be left out unseen.
 BOOST_AUTO_TEST_CASE(a_datagram_reads_back_as_it_was_written)
 {
-  HoldState hold;
-  hold.slots = 6;
-  hold.running.push_back({ 4, 100 });
+  const ReserveSlot reserve{ 3, 1, 2, -5, 900, 100, 10 };
+  const UseSlot use{ 4, 100 };
+  const AgentState agent{ 1764816512000, true,           true,  6,     5,
+                          4000,          { 1, 2, 3, 4 }, 10000, 15000, { "127.0.0.2" } };
+  const EntryState entry{ 11, 12, 13, 14, 15, 16, true, { AccountUse{ 17, 18 } } };
   const Datagram sent{ Peer{ NodeId{ 1 }, Incarnation{ 2 } },
-                       { ReserveSlot{ 3, 1, 2, -5, 900, 100, 10 }, hold, OfferSlot{ 8 } } };
+                       { reserve, WithdrawSlot{ 5 }, OfferSlot{ 8 }, use, BeginAnswer{ 6 },
+                         ReleaseSlot{ 7 }, HoldState{ 6, { reserve }, { use }, { "127.0.0.3" } },
+                         agent, entry } };
   const std::optional<Datagram> read = DecodeDatagram(EncodeDatagram(sent));
   BOOST_REQUIRE(read.has_value());
-  BOOST_TEST(read->messages.size() == 3U);
-  BOOST_TEST(std::get<ReserveSlot>(read->messages[0]).startLeftMs == -5);
-  BOOST_TEST(std::get<HoldState>(read->messages[1]).running[0].promptTokens == 100U);
+  BOOST_REQUIRE(read->messages.size() == sent.messages.size());
+  for (std::size_t i = 0; i < sent.messages.size(); ++i) {
+    BOOST_TEST((read->messages[i] == sent.messages[i]), "message " << i);
+  }
 }
 
 // Datagrams come from the network: no bytes may crash a process.
