Add a soak of the real programs as processes

Entries and agents run as processes on the loopback; a proxy, signals and a store stand-in inject faults from a seed; what callers and endpoints see is checked while it runs. No functional change.

--- /dev/null
+++ b/tests/soak/endpoints.py
@@ -0,0 +1,188 @@
+"""Stand-ins for the endpoints: model engines that stream events, and plain services.
+
+An endpoint listens on an address of its own; entries know it by the address of its proxy.
+"""
+
+import asyncio
+import json
+import time
+
+import http1
+import proxy
+
+HEARTBEAT = 1.2  # seconds between writes of its registration
+LAPSE = 3 * HEARTBEAT  # of silence until the store drops the registration
+PREFILL_PER_MS = 40.0  # prompt tokens
+EVENT_PAUSE = 0.012  # seconds
+MOST_WAITING = 4  # requests beyond the slots
+
+
+class Endpoint:
+    def __init__(self, name, service, is_engine, slots, address, seen_at, world):
+        self.name = name
+        self.service = service
+        self.is_engine = is_engine
+        self.slots = slots
+        self.address = address
+        self.seen_at = seen_at
+        self.world = world
+        self.link = proxy.Link(address)
+        self.incarnation = 0
+        self.state = "down"
+        self.server = None
+        self.heart = None
+        self.writers = set()
+        self.running = 0
+        self.waiting = asyncio.Queue()
+        self.places = None
+        self.numbers = 0
+        self.failure_share = 0.0
+        self.slowness = 1.0
+
+    @property
+    def id(self):
+        return f"i-{self.name}-{self.incarnation}"
+
+    async def start(self):
+        self.incarnation += 1
+        self.born = int(time.time() * 1000)
+        self.state = "ready"
+        self.running = 0
+        self.places = asyncio.Semaphore(self.slots)
+        self.writers = set()
+        self.server = await http1.serve(*self.address, self.on_call, self.writers.add)
+        if self.link.server is None:
+            await self.link.start(*self.seen_at)
+        self.heart = asyncio.create_task(self.beat())
+
+    async def beat(self):
+        while True:
+            await self.register()
+            await asyncio.sleep(HEARTBEAT)
+
+    async def register(self):
+        if self.world.store.mode is not None:
+            return
+        self.numbers += 1
+        record = {
+            "service": self.service,
+            "address": "%s:%d" % self.seen_at,
+            "zone": "east",
+            "version": "v1",
+            "slots": self.slots,
+            "state": self.state,
+            "seq": self.numbers,
+            "born": self.born,
+        }
+        await self.world.store.put("keyed.servers", self.id, json.dumps(record))
+
+    def stop_listening(self):
+        self.heart.cancel()
+        self.server.close()
+
+    async def crash(self):
+        """Ends without a word; the store drops its registration later."""
+        self.stop_listening()
+        self.state = "down"
+        for writer in list(self.writers):
+            http1.set_reset(writer)
+        lost = self.id
+        self.world.background(self.lapse(lost))
+
+    async def lapse(self, lost):
+        await asyncio.sleep(LAPSE)
+        await self.world.store.put("keyed.servers", lost, None)
+
+    async def leave(self, tells):
+        """Leaves in order: says so or is just gone from the list, serves on for a while, ends."""
+        self.state = "draining"
+        self.heart.cancel()
+        if tells:
+            await self.register()
+        else:
+            await self.world.store.put("keyed.servers", self.id, None)
+        self.world.ledger.left[self.id] = time.monotonic()
+        await asyncio.sleep(self.world.leave_time)
+        while self.running:
+            await asyncio.sleep(0.05)
+        await self.world.store.put("keyed.servers", self.id, None)
+        await self.crash()
+
+    async def on_call(self, call):
+        if call.target in ("/health", "/v1/report"):
+            return await self.on_question(call)
+        running = self.running
+        expected = call.head.get("expect-instance", self.id)
+        is_full = self.places.locked() and running >= self.slots + MOST_WAITING
+        refusal = 421 if expected != self.id else 503 if is_full else 0
+        self.numbers += 1
+        stamp = f"{self.id}.{self.numbers}"
+        if refusal == 0:
+            self.running += 1
+            try:
+                async with self.places:
+                    if call.is_abandoned():
+                        return call.reset()
+                    return await self.run(call, stamp)
+            finally:
+                self.running -= 1
+        self.note(call, False, stamp)
+        return await call.answer(refusal, {"Not-Executed": "1", "Response-Stamp": stamp}, b"full")
+
+    def note(self, call, is_run, stamp):
+        return self.world.ledger.on_arrival(
+            self.id, self.service, call.head, call.method, call.target, call.body, is_run, stamp
+        )
+
+    async def on_question(self, call):
+        if call.target == "/health":
+            status = 200 if self.state == "ready" else 503
+            return await call.answer(status, {"Instance-Id": self.id}, b"")
+        report = {"stage": "both", "born": self.born, "running": self.running, "queued": 0, "state": self.state}
+        return await call.answer(200, {"Content-Type": "application/json"}, json.dumps(report).encode())
+
+    async def run(self, call, stamp):
+        run = self.note(call, True, stamp)
+        if run is None:
+            return await call.answer(400, {"Not-Executed": "1"}, b"")
+        head = {"Request-Id": call.head["request-id"], "Response-Stamp": stamp}
+        run.broken = True
+        try:
+            if self.world.random.random() < self.failure_share:
+                run.status = 500
+                await asyncio.sleep(0.01)
+                await call.answer(500, head, b"failed")
+            elif self.is_engine:
+                await self.stream(call, head, run)
+            else:
+                await self.reply(call, head, run)
+            run.broken = False
+        finally:
+            run.ended = time.monotonic()
+
+    async def pause(self, call, seconds):
+        until = time.monotonic() + seconds * self.slowness
+        while time.monotonic() < until:
+            if call.is_abandoned():
+                call.reset()
+            await asyncio.sleep(min(0.05, max(until - time.monotonic(), 0)))
+
+    async def reply(self, call, head, run):
+        run.status = 200
+        await self.pause(call, 0.02)
+        run.body = f"{self.id} {call.target} {call.head['request-id']} ".encode() * 12
+        run.complete = True
+        await call.answer(200, head, run.body)
+
+    async def stream(self, call, head, run):
+        prompt, output = (int(part) for part in call.head["token-counts"].split(","))
+        await self.pause(call, prompt / PREFILL_PER_MS / 1000)
+        run.status = 200
+        await call.begin(200, {**head, "Content-Type": "text/event-stream", "Transfer-Encoding": "chunked"})
+        for number in range(1, output + 1):
+            event = f"id: {number}\ndata: {call.head['request-id']} {number}\n\n".encode()
+            run.body += event
+            await call.data(event)
+            await self.pause(call, EVENT_PAUSE)
+        run.complete = True
+        await call.end()
--- /dev/null
+++ b/tests/soak/faults.py
@@ -0,0 +1,272 @@
+"""Faults drawn from a seed: several series run side by side, so that faults overlap."""
+
+import asyncio
+import random
+import signal
+import time
+
+import ledger
+
+
+PLANNED_ONLY = 3  # each so many seeds play planned work alone, which excuses no lost answer
+SHARE_OF_KINDS = 0.5  # of all kinds that one run plays
+
+
+class Faults:
+    """The kinds that a run plays are drawn too: few of them meet more often than all do."""
+
+    def __init__(self, seed, series):
+        self.random = random.Random(f"faults {seed}")
+        self.series = series
+        self.until = 0.0
+        planned = {self.terminate: 3, self.hang_up: 1, self.kill_agent: 2, self.leave: 2, self.change_config: 3}
+        if seed % PLANNED_ONLY == 0:
+            self.kinds = planned
+        else:
+            kinds = self.all_kinds()
+            drawn = [kind for kind in kinds if self.random.random() < SHARE_OF_KINDS]
+            self.kinds = {kind: kinds[kind] for kind in drawn or kinds}
+
+    def all_kinds(self):
+        return {
+            self.kill: 3,
+            self.terminate: 3,
+            self.pause: 2,
+            self.hang_up: 1,
+            self.kill_agent: 2,
+            self.pause_agent: 1,
+            self.cut_store: 3,
+            self.store_mode: 2,
+            self.store_forgets: 1,
+            self.cut_endpoint: 3,
+            self.reset_endpoint: 2,
+            self.silence: 2,
+            self.crash_endpoint: 2,
+            self.leave: 2,
+            self.fail_answers: 1,
+            self.slow_endpoint: 1,
+            self.change_config: 3,
+            self.withdraw_key: 1,
+            self.kill_many: 1,
+        }
+
+    async def play(self, world, seconds):
+        self.until = time.monotonic() + seconds
+        await asyncio.gather(*(self.play_series(world) for _ in range(self.series)))
+
+    async def play_series(self, world):
+        while time.monotonic() < self.until:
+            await asyncio.sleep(self.random.uniform(0.1, 1.5))
+            kind = self.random.choices(list(self.kinds), list(self.kinds.values()))[0]
+            await kind(world)
+
+    def length(self):
+        return self.random.choice((0.3, 1.0, 2.5, 5.0))
+
+    async def wait(self):
+        left = max(self.until - time.monotonic(), 0.2)
+        await asyncio.sleep(min(self.length(), left))
+
+    def pick(self, nodes):
+        free = [node for node in nodes if not node.is_busy]
+        return self.random.choice(free) if free else None
+
+    # Processes.
+
+    async def with_node(self, world, nodes, kind, play):
+        node = self.pick(nodes)
+        if node is None:
+            return
+        node.is_busy = True
+        record = world.ledger.begin(node.name, kind)
+        try:
+            await play(node)
+        finally:
+            node.is_busy = False
+            world.ledger.end(record)
+
+    async def kill(self, world, nodes=None, kind="SIGKILL"):
+        async def play(node):
+            node.kill()
+            await asyncio.sleep(self.random.choice((0.05, 0.5, 2.0)))
+            node.start()
+
+        await self.with_node(world, nodes or world.entries, kind, play)
+
+    async def kill_agent(self, world):
+        await self.kill(world, world.agents)
+
+    async def kill_many(self, world):
+        """All processes at once, right after a configuration was acknowledged."""
+        await world.put_config(lambda config: None)
+        nodes = [node for node in world.entries + world.agents if not node.is_busy]
+        await asyncio.gather(*(self.kill(world, [node]) for node in nodes))
+
+    async def terminate(self, world):
+        async def play(node):
+            took = await node.terminate()
+            calm = world.ledger.is_calm((node.name, "store", "all"), time.monotonic() - 5, time.monotonic(), ("SIGTERM",))
+            if took is None and calm:
+                world.ledger.find("SHUTDOWN", f"{node.name} had to be killed {ledger.SHUTDOWN} s after SIGTERM")
+            await asyncio.sleep(0.2)
+            node.start()
+
+        await self.with_node(world, world.entries, "SIGTERM", play)
+
+    async def pause(self, world, nodes=None):
+        async def play(node):
+            node.signal(signal.SIGSTOP)
+            await self.wait()
+            node.signal(signal.SIGCONT)
+
+        await self.with_node(world, nodes or world.entries, "SIGSTOP", play)
+
+    async def pause_agent(self, world):
+        await self.pause(world, world.agents)
+
+    async def hang_up(self, world):
+        async def play(node):
+            node.signal(signal.SIGHUP)
+
+        await self.with_node(world, world.entries + world.agents, "SIGHUP", play)
+
+    # The way to the store, and the store.
+
+    async def cut_store(self, world):
+        entry = self.random.choice(world.entries)
+        await self.cut(world, entry.link, entry.name)
+
+    async def cut(self, world, link, name):
+        mode = self.random.choice(("hold", "up", "down", "refuse", "delay", "reset"))
+        record = world.ledger.begin(name, f"link {mode}")
+        if mode in ("refuse", "reset"):
+            link.reset_all()
+        if mode != "reset":
+            link.set_mode(mode, self.random.choice((0.02, 0.2, 0.8)))
+            await self.wait()
+            link.set_mode("pass")
+        world.ledger.end(record)
+
+    async def store_mode(self, world):
+        if world.store.mode is not None:
+            return
+        mode = self.random.choice(("silent", "busy", "limited", "reset", "slow", "lost"))
+        record = world.ledger.begin("store", mode)
+        world.store.slow_by = self.random.choice((0.05, 0.4, 1.5))
+        world.store.mode = mode
+        await self.wait()
+        world.store.mode = None
+        world.ledger.end(record)
+
+    async def store_forgets(self, world):
+        record = world.ledger.begin("store", "history dropped")
+        await world.store.drop_history()
+        world.ledger.end(record)
+
+    # Endpoints and the ways to them.
+
+    async def with_endpoint(self, world, kind, play):
+        ready = [endpoint for endpoint in world.endpoints if endpoint.state == "ready"]
+        if not ready:
+            return
+        endpoint = self.random.choice(ready)
+        world.log(f"fault {kind} on {endpoint.id}")
+        await play(endpoint)
+
+    def break_runs(self, world, endpoint):
+        """Answers on the way are the fault's, not the entry's."""
+        for request in world.ledger.requests.values():
+            for run in request.runs:
+                if run.endpoint == endpoint.id and not request.answered:
+                    run.broken = True
+
+    async def cut_endpoint(self, world):
+        async def play(endpoint):
+            await self.cut(world, endpoint.link, "all")
+            self.break_runs(world, endpoint)
+
+        await self.with_endpoint(world, "cut", play)
+
+    async def reset_endpoint(self, world):
+        async def play(endpoint):
+            record = world.ledger.begin("all", "reset")
+            endpoint.link.reset_all()
+            world.ledger.end(record)
+
+        await self.with_endpoint(world, "reset", play)
+
+    async def silence(self, world):
+        """Open connections go silent for good; new ones work."""
+
+        async def play(endpoint):
+            record = world.ledger.begin("all", "silence")
+            endpoint.link.silence_all()
+            self.random.choice(world.entries).link.silence_all()
+            world.ledger.end(record)
+
+        await self.with_endpoint(world, "silence", play)
+
+    async def crash_endpoint(self, world):
+        async def play(endpoint):
+            record = world.ledger.begin("all", "crash")
+            await endpoint.crash()
+            world.ledger.end(record)
+            await self.wait()
+            await endpoint.start()
+
+        await self.with_endpoint(world, "crash", play)
+
+    async def leave(self, world):
+        async def play(endpoint):
+            await endpoint.leave(self.random.random() < 0.7)
+            await asyncio.sleep(0.5)
+            await endpoint.start()
+
+        await self.with_endpoint(world, "leaving", play)
+
+    async def fail_answers(self, world):
+        async def play(endpoint):
+            endpoint.failure_share = 0.4
+            await self.wait()
+            endpoint.failure_share = 0.0
+
+        await self.with_endpoint(world, "failures", play)
+
+    async def slow_endpoint(self, world):
+        async def play(endpoint):
+            endpoint.slowness = 4.0
+            await self.wait()
+            endpoint.slowness = 1.0
+
+        await self.with_endpoint(world, "slowness", play)
+
+    # The operator.
+
+    async def change_config(self, world):
+        def move(config):
+            row = next(row for row in config["routes"] if row["name"] == "safe-moved")
+            row["service"] = "app-a" if row["service"] == "app-b" else "app-b"
+
+        def add_or_remove(config):
+            names = [row["name"] for row in config["routes"]]
+            if "safe-new" in names:
+                config["routes"] = [row for row in config["routes"] if row["name"] != "safe-new"]
+            else:
+                like = next(row for row in config["routes"] if row["name"] == "safe-status")
+                config["routes"].append({**like, "name": "safe-new", "path-prefix": "/safe-new/"})
+
+        await self.configure(world, self.random.choice((move, add_or_remove)))
+
+    async def withdraw_key(self, world):
+        def withdraw(config):
+            keys = config["tenants"][1]["api-keys"]
+            if len(keys) > 2:
+                keys.remove(self.random.choice(keys))
+
+        await self.configure(world, withdraw)
+
+    async def configure(self, world, change):
+        record = world.ledger.begin("all", "config")
+        await world.put_config(change)
+        await asyncio.sleep(ledger.CONFIG_APPLY + 1)
+        world.ledger.end(record)
--- /dev/null
+++ b/tests/soak/ledger.py
@@ -0,0 +1,291 @@
+"""What callers and endpoints saw, and the promises checked against it as it happens.
+
+Times are seconds of time.monotonic(). A finding is one broken promise; the run goes on after it.
+"""
+
+import collections
+import dataclasses
+import hashlib
+import itertools
+import time
+
+STABLE = 3.0  # seconds without faults after which an entry is held to bounds in time
+CONFIG_APPLY = 2.0  # seconds until a configuration is in force
+WITHDRAW_KEY = 5.0  # seconds after which a withdrawn key serves nothing, on any entry
+LEAVING = 2.0  # seconds until an endpoint that leaves gets nothing new
+SHUTDOWN = 4.0  # seconds from SIGTERM to SIGKILL
+BUDGET_RATIO, BUDGET_EXTRA, BUDGET_WINDOW = 0.2, 56, 10.0
+QUOTA_WINDOW, QUOTA_OVERAGE, QUOTA_SLACK = 8.0, 0.1, 40
+DENIED_SLACK = 0.3  # seconds for a request's way and the timers of a busy machine
+PROMISES = (408, 421, 429, 503)  # statuses that say "not run"
+MOST_FINDINGS = 40
+
+
+def digest(data):
+    return hashlib.sha1(data).hexdigest()[:16]
+
+
+@dataclasses.dataclass
+class Request:
+    """One attempt of a caller."""
+
+    id: str
+    method: str
+    path: str
+    body: bytes
+    route: str
+    key: str
+    entry: str
+    deadline: float
+    sent: float = 0.0  # the last byte was written
+    status: int = 0  # final answer; 0: none
+    answered: float = 0.0
+    gone: float = 0.0  # the caller closed its connection
+    runs: list = dataclasses.field(default_factory=list)
+
+
+@dataclasses.dataclass
+class Run:
+    endpoint: str
+    service: str
+    at: float
+    stamp: str
+    body: bytes = b""  # what the endpoint sent
+    status: int = 0
+    complete: bool = False
+    broken: bool = False  # the endpoint or a fault on its link broke off
+    ended: float = 0.0
+
+
+class Ledger:
+    def __init__(self, log):
+        self.log = log
+        self.requests = {}
+        self.findings = []
+        self.counts = collections.Counter()
+        self.disturbed = collections.defaultdict(list)  # name -> [[from, to or None, kind]]
+        self.configs = []  # (acknowledged at, configuration)
+        self.withdrawn = {}  # key -> acknowledged at
+        self.left = {}  # endpoint id -> its leaving was acknowledged at
+        self.arrivals = collections.defaultdict(list)  # service -> [(time, is a repeat)]
+        self.demand = collections.defaultdict(list)  # service -> [time sent]
+        self.quota_runs = collections.defaultdict(list)  # account -> [time run]
+        self.denied = 0
+        self.stray = 0
+
+    # Faults and what they excuse.
+
+    def begin(self, name, kind):
+        record = [time.monotonic(), None, kind]
+        self.disturbed[name].append(record)
+        self.log(f"fault {kind} on {name}")
+        return record
+
+    def end(self, record):
+        record[1] = time.monotonic()
+
+    def is_calm(self, names, since, until, allowed=()):
+        """No fault on any of the names in the time given, nor STABLE seconds before it."""
+        for name in names:
+            for start, stop, kind in self.disturbed[name]:
+                if kind in allowed:
+                    continue
+                if start <= until and (stop is None or stop >= since - STABLE):
+                    return False
+        return True
+
+    def in_touch(self, entry, since, until):
+        return self.is_calm((entry, "store", "all"), since, until)
+
+    def find(self, promise, text):
+        self.findings.append((promise, text))
+        if len(self.findings) <= MOST_FINDINGS:
+            self.log(f"FINDING {promise}: {text}")
+
+    # The configuration.
+
+    def put_config(self, config):
+        now = time.monotonic()
+        held = {key for _, old in self.configs for tenant in old["tenants"] for key in tenant["api-keys"]}
+        holds = {key for tenant in config["tenants"] for key in tenant["api-keys"]}
+        for key in held:
+            if key not in holds:
+                self.withdrawn.setdefault(key, now)
+            else:
+                self.withdrawn.pop(key, None)
+        self.configs.append((now, config))
+
+    def may_be_in_force(self, since, until):
+        """Configurations that an entry in touch may go by for a request of that time."""
+        found = []
+        for index, (at, config) in enumerate(self.configs):
+            replaced = self.configs[index + 1][0] if index + 1 < len(self.configs) else None
+            is_over = replaced is not None and replaced + CONFIG_APPLY + DENIED_SLACK < since
+            if at <= until and not is_over:
+                found.append(config)
+        return found
+
+    @staticmethod
+    def services_of(config, route):
+        for row in config["routes"]:
+            if row["name"] == route:
+                return {row["service"]}
+        return set()
+
+    @staticmethod
+    def tenant_of(config, key):
+        for tenant in config["tenants"]:
+            if key in tenant["api-keys"]:
+                return tenant["name"]
+        return None
+
+    # What endpoints see.
+
+    def on_arrival(self, endpoint, service, head, method, path, body, is_run, stamp):
+        """A request reached an endpoint; returns its Run if it runs."""
+        now = time.monotonic()
+        request = self.requests.get(head.get("request-id", ""))
+        if request is None:
+            self.find("UNASKED", f"{endpoint} got {method} {path} with id {head.get('request-id')}")
+            return None
+        if (method, path, body) != (request.method, request.path, request.body):
+            self.find("UNASKED", f"{request.id} reached {endpoint} changed: {method} {path} {len(body)} bytes")
+        if "authorization" in head:
+            self.find("UNASKED", f"{request.id} reached {endpoint} with its key")
+        is_long = int(head.get("deadline-ms", "0")) > (request.deadline - now) * 1000 + 500
+        if is_long and self.in_touch(request.entry, request.sent or now, now):
+            self.find("BUDGET", f"{request.id} has {head.get('deadline-ms')} ms at {endpoint}, more than is left")
+        self.arrivals[service].append((now, bool(request.runs) or request.id in self.counts))
+        self.counts[request.id] += 1
+        left = self.left.get(endpoint)
+        if left is not None and request.sent > left and now > left + LEAVING:
+            if self.in_touch(request.entry, left, now) and not request.gone:
+                self.find("DRAIN", f"{request.id} reached {endpoint} {now - left:.2f} s after it said it leaves, from {request.entry}")
+        if not is_run:
+            return None
+        self.check_run(request, endpoint, service, head, now)
+        run = Run(endpoint, service, now, stamp)
+        request.runs.append(run)
+        return run
+
+    def check_run(self, request, endpoint, service, head, now):
+        kind = request.route.split("-")[0]
+        if request.runs and kind != "safe":
+            self.find("TWICE", f"{request.id} on {request.route} ran at {request.runs[-1].endpoint} and at {endpoint}")
+        if request.status in PROMISES:
+            self.find("REFUSED", f"{request.id} was answered {request.status} and runs at {endpoint}")
+        if request.gone and now > request.gone + 0.5:
+            self.counts["gone"] += 1
+        allowed = set().union(*(self.services_of(config, request.route) for _, config in self.configs))
+        if service not in allowed:
+            self.find("ROUTE", f"{request.id} on {request.route} ran at {endpoint} of {service}")
+        in_force = self.may_be_in_force(request.sent or now, now)
+        if self.in_touch(request.entry, request.sent or now, now):
+            if not any(service in self.services_of(config, request.route) for config in in_force):
+                self.find("CONFIG", f"{request.id} on {request.route} ran at {service}, as only an older configuration allows")
+        tenants = {self.tenant_of(config, request.key) for _, config in self.configs} - {None}
+        if head.get("tenant") not in tenants:
+            self.find("UNASKED", f"{request.id} runs for {head.get('tenant')}, its key belongs to {tenants}")
+        withdrawn = self.withdrawn.get(request.key)
+        if withdrawn is not None and request.sent > withdrawn + WITHDRAW_KEY:
+            self.find("CONFIG", f"{request.id} runs {request.sent - withdrawn:.2f} s after its key was withdrawn, from {request.entry}")
+        self.quota_runs[head.get("tenant")].append((now, request.sent or now))
+        self.counts["runs"] += 1
+
+    # What callers see.
+
+    def on_sent(self, request):
+        request.sent = time.monotonic()
+        for config in self.may_be_in_force(request.sent, request.sent):
+            for service in self.services_of(config, request.route):
+                self.demand[service].append(request.sent)
+
+    def on_answer(self, request, status, head, body, is_whole):
+        request.status = status
+        request.answered = time.monotonic()
+        self.counts[status] += 1
+        echo = head.get("request-id")
+        if echo is not None and echo != request.id:
+            self.find("MIXED", f"{request.id} got the answer of {echo}")
+            return
+        stamp = head.get("response-stamp")
+        run = next((run for run in request.runs if run.stamp == stamp), None)
+        if 200 <= status < 300:
+            if run is None:
+                self.find("MIXED", f"{request.id} succeeded without the proof of a run")
+            elif is_whole and body != run.body:
+                self.find("MIXED", f"{request.id} got {len(body)} bytes {digest(body)} of {len(run.body)} {digest(run.body)}")
+            elif is_whole and not run.complete:
+                self.find("MIXED", f"{request.id} looks whole, its endpoint broke off")
+            elif not is_whole and not run.body.startswith(body):
+                self.find("ORDER", f"{request.id} got events that its endpoint did not send in that order")
+            self.counts["good" if is_whole else "cut"] += 1
+            return
+        if stamp is not None and (run is None or run.status != status):
+            self.find("MIXED", f"{request.id} failed with {status} and a proof of another answer")
+        if stamp is None and status in PROMISES and request.runs:
+            self.find("REFUSED", f"{request.id} on {request.route} was answered {status} and ran at {request.runs[-1].endpoint}")
+        if status in (401, 403, 404):
+            self.check_denied(request, status)
+        elif stamp is None and 300 <= status < 500 and status not in PROMISES:
+            self.find("DENIED", f"{request.id} was answered {status}")
+
+    def check_denied(self, request, status):
+        for config in self.may_be_in_force(request.sent - 1, request.answered):
+            if not self.services_of(config, request.route) or self.tenant_of(config, request.key) is None:
+                return
+        if self.in_touch(request.entry, request.sent, request.answered):
+            self.find("DENIED", f"{request.id} on {request.route} was answered {status} by {request.entry}")
+        else:
+            self.denied += 1
+
+    def on_lost(self, request, was_read_from):
+        """The connection ended without a whole answer."""
+        now = time.monotonic()
+        self.counts["lost"] += 1
+        planned = ("SIGTERM", "SIGHUP", "config")
+        if not self.is_calm((request.entry, "store", "all"), request.sent, now, planned):
+            return
+        if any(run.broken or not run.complete for run in request.runs if run.ended) or now >= request.deadline - 0.2:
+            return
+        if request.runs or now > request.sent + 0.2 or was_read_from:
+            runs = ", ".join(f"{run.endpoint} at {run.at - request.sent:.3f}" for run in request.runs)
+            self.find("LOST", f"{request.id} on {request.route} lost by {request.entry} after {now - request.sent:.3f} s; runs: {runs or 'none'}")
+
+    # At the end of a run.
+
+    def finish(self):
+        if self.counts["gone"] > 10:
+            self.find("GONE", f"{self.counts['gone']} requests ran over half a second after their caller had left")
+        if self.denied > 10:
+            self.find("DENIED", f"{self.denied} requests were denied by entries out of touch")
+        for service, rows in self.arrivals.items():
+            self.check_budget(service, [at for at, is_repeat in rows if is_repeat])
+        for _, config in self.configs[-1:]:
+            for tenant in config["tenants"]:
+                if tenant.get("rate-per-s"):
+                    self.check_quota(tenant)
+
+    def check_budget(self, service, repeats):
+        demand = self.demand[service]
+        for index, start in enumerate(repeats):
+            count = sum(1 for at in repeats[index:] if at <= start + BUDGET_WINDOW)
+            asked = max(
+                sum(1 for at in demand if start - back <= at <= start - back + BUDGET_WINDOW)
+                for back in (0, BUDGET_WINDOW / 2, BUDGET_WINDOW)
+            )
+            if count > BUDGET_RATIO * asked + BUDGET_EXTRA:
+                self.find("BUDGET", f"{count} repeats at {service} within {BUDGET_WINDOW} s for {asked} requests")
+                return
+
+    def check_quota(self, tenant):
+        runs = self.quota_runs[tenant["name"]]
+        bound = (tenant["rate-per-s"] * QUOTA_WINDOW + tenant["burst"]) * (1 + QUOTA_OVERAGE) + QUOTA_SLACK
+        worst = 0
+        for index, (until, _) in enumerate(runs):
+            since = until - QUOTA_WINDOW
+            window = itertools.takewhile(lambda run: run[0] >= since, reversed(runs[: index + 1]))
+            worst = max(worst, sum(1 for _, sent in window if sent >= since))
+        self.counts["quota-worst"] = worst
+        if worst > bound:
+            self.find("QUOTA", f"{worst} requests of {tenant['name']} ran within {QUOTA_WINDOW} s; {bound:.0f} may")
--- /dev/null
+++ b/tests/soak/main.py
@@ -0,0 +1,110 @@
+#!/usr/bin/python3
+"""Fault soak of the real programs: processes on the loopback, faults from outside, promises checked.
+
+Each seed is one run; its logs stay where a finding shows. Exit status 1 if any run has findings.
+"""
+
+import argparse
+import asyncio
+import os
+import shutil
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+
+import faults
+import world
+
+
+def read_arguments():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--program", default="build/caraway-node")
+    parser.add_argument("--seed", type=int, default=1, help="seed of the first run")
+    parser.add_argument("--seeds", help="seeds, separated by commas; instead of --seed and --runs")
+    parser.add_argument("--runs", type=int, default=1)
+    parser.add_argument("--jobs", type=int, default=1, help="runs at the same time")
+    parser.add_argument("--seconds", type=float, default=15, help="of faults in each run")
+    parser.add_argument("--entries", type=int, default=5)
+    parser.add_argument("--engines", type=int, default=5, help="model engines, each with an agent")
+    parser.add_argument("--services", type=int, default=2, help="endpoints of each of the two services")
+    parser.add_argument("--callers", type=int, default=40)
+    parser.add_argument("--series", type=int, default=3, help="of faults side by side")
+    parser.add_argument("--logs", help="folder for the logs of runs with findings")
+    parser.add_argument("--one", action="store_true", help=argparse.SUPPRESS)
+    return parser.parse_args()
+
+
+def run_one(options):
+    folder = options.logs
+    os.makedirs(folder, exist_ok=True)
+    sizes = {name: getattr(options, name) for name in ("entries", "engines", "services", "callers")}
+
+    async def play():
+        played = world.World(options.seed, sizes, os.path.abspath(options.program), folder)
+        try:
+            await played.play(faults.Faults(options.seed, options.series), options.seconds)
+        finally:
+            played.kill_all()
+        return played
+
+    played = asyncio.run(play())
+    counts = {str(key): value for key, value in played.ledger.counts.items() if not str(key).startswith("c")}
+    asked = len(played.ledger.requests)
+    print(f"seed {options.seed}: {asked} requests, {counts}, store calls {played.store.calls}")
+    for promise, text in played.ledger.findings[:10]:
+        print(f"  {promise}: {text}")
+    if len(played.ledger.findings) > 10:
+        print(f"  and {len(played.ledger.findings) - 10} more")
+    return 1 if played.ledger.findings else 0
+
+
+def play_all(options, seeds, logs):
+    """Runs the seeds, some at a time, each in a process of its own; returns those with findings."""
+    running, bad = {}, []
+    passed = ["program", "seconds", "entries", "engines", "services", "callers", "series"]
+    try:
+        while seeds or running:
+            while seeds and len(running) < options.jobs:
+                seed = seeds.pop(0)
+                folder = os.path.join(logs, str(seed))
+                command = [sys.executable, __file__, "--one", "--seed", str(seed), "--logs", folder]
+                for name in passed:
+                    command += [f"--{name}", str(getattr(options, name))]
+                running[seed] = (subprocess.Popen(command), folder)
+            for seed, (process, folder) in list(running.items()):
+                if process.poll() is None:
+                    continue
+                del running[seed]
+                if process.returncode == 0:
+                    shutil.rmtree(folder, ignore_errors=True)
+                else:
+                    bad.append(seed)
+            time.sleep(0.1)
+    finally:
+        for process, _ in running.values():
+            process.terminate()
+            process.wait()
+    return bad
+
+
+def main():
+    options = read_arguments()
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
+    if options.one:
+        return run_one(options)
+    if options.seeds:
+        seeds = [int(seed) for seed in options.seeds.split(",")]
+    else:
+        seeds = list(range(options.seed, options.seed + options.runs))
+    logs = options.logs or tempfile.mkdtemp(prefix="caraway-soak-")
+    begun = time.monotonic()
+    bad = play_all(options, seeds, logs)
+    took = time.monotonic() - begun
+    print(f"{took:.0f} s; seeds with findings: {bad or 'none'}" + (f"; logs in {logs}" if bad else ""))
+    return 1 if bad else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/system/soak_processes.sh
@@ -0,0 +1,8 @@
+#!/usr/bin/env bash
+# A short seeded run of the soak of processes, and the seeds that failed once.
+set -eu
+build=$(cd "$1" && pwd)
+cd "$(dirname "${BASH_SOURCE[0]}")/../.."
+export BUILD=$build
+scripts/soak-processes --seed 1 --runs 3 --seconds 6 --jobs 3
+scripts/soak-processes --regressions --jobs 3
