Tell all entries of quotas' use in every round, also in large fleets

Change: the entry that reads the store hears all in every round and is heard by all; it now tells what all have used in the window. Entries carry that on by its fastest growth of the last seconds and add their own use since. Messages stay linear in the number of entries. Ruled out: states of all to all in every round (square); equal shares of the room (an account whose callers sit at few entries would get little of it).

--- a/src/direct/messages.h
+++ b/src/direct/messages.h
@@ -179,12 +179,14 @@
   std::uint32_t endpointsAgeMs = 0; // since the list was read from the store
   bool readsStore = false;          // the store answers the sender
   std::vector<AccountUse> uses;
+  // From the entry that hears all others in every round: use of all entries in the last window.
+  std::vector<AccountUse> windowUses;
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
     aArchive(sentAtUs, echoUs, configOffset, configAgeMs, endpointsHash, endpointsAgeMs, readsStore,
-             uses);
+             uses, windowUses);
   }
 
   friend bool operator==(const EntryState&, const EntryState&) = default;
--- a/src/direct/shared_quota.cpp
+++ b/src/direct/shared_quota.cpp
@@ -3,6 +3,8 @@
 #include "core/cereal_bytes.h"
 
 #include <algorithm>
+#include <cmath>
+#include <utility>
 
 namespace caraway::direct {
 
@@ -21,6 +23,15 @@
 // The same for use in bursts, in multiples of the largest use in two parts of the window, half a
 // second: the last burst may have been the largest one.
 constexpr double kUnsavedPeaks = 1;
+// Accounts that used less than this part of their bound are not told of: no burst of one round
+// comes near the bound from there.
+constexpr double kToldShare = 0.1;
+// Age of what an entry tells of all: it hears the others, and is heard, every 200 ms.
+constexpr Duration kToldDelay = std::chrono::milliseconds(300);
+// Half-life of the largest growth: where all entries have just refused an account, its calls come
+// back as fast as before when there is room.
+constexpr Duration kGrowthMemory = std::chrono::seconds(2);
+constexpr double kLeastGap = 0.05;  // seconds between two tellings; datagrams may come together
 constexpr double kRateMemory = 0.5; // weight of the newest report in a peer's rate
 
 double SecondsOf(Duration aTime)
@@ -77,14 +88,14 @@
   this->Advance(window, aNow);
   const double bound = this->BoundOf(aLimit);
   window.bound = bound;
-  double used = window.total + this->UnheardUse(aNow, aAccount);
-  for (std::size_t age = 0; age < kBuckets; age++) {
-    used += this->BeforeAt(aAccount, bound, age, aNow);
-  }
-  const double over = used + aUnits - bound;
+  const double heard = this->UsedIn(window, aAccount, aNow) + this->UnheardUse(aNow, aAccount);
+  const double over = std::max(heard, this->ToldUse(aNow, aAccount)) + aUnits - bound;
   if (over <= 0) {
     this->Add(aNow, aAccount, aUnits);
     this->own[aAccount] += aUnits;
+    if (const auto row = this->told.find(aAccount); row != this->told.end()) {
+      row->second.ownSince += aUnits;
+    }
     return Duration::zero();
   }
   // Time until the oldest buckets that hold the excess have left the window.
@@ -100,6 +111,57 @@
   return this->options.window;
 }
 
+double SharedQuota::UsedIn(const Window& aWindow, std::uint64_t aAccount, TimePoint aNow) const
+{
+  double used = aWindow.total;
+  for (std::size_t age = 0; age < kBuckets; age++) {
+    used += this->BeforeAt(aAccount, aWindow.bound, age, aNow);
+  }
+  return used;
+}
+
+std::vector<AccountUse> SharedQuota::WindowUse(TimePoint aNow)
+{
+  std::vector<AccountUse> uses;
+  for (auto& [account, window] : this->windows) {
+    this->Advance(window, aNow);
+    const double used = this->UsedIn(window, account, aNow);
+    if (used > window.bound * kToldShare) {
+      uses.push_back({ account, static_cast<std::uint64_t>(used) });
+    }
+  }
+  return uses;
+}
+
+void SharedQuota::OnWindowUse(TimePoint aNow, const std::vector<AccountUse>& aUses)
+{
+  for (const AccountUse& use : aUses) {
+    Told& row = this->told[use.account];
+    const auto units = static_cast<double>(use.tokens);
+    const double since = SecondsOf(aNow - row.at);
+    const bool isRecent = row.at != TimePoint{} && aNow - row.at <= this->options.silence;
+    // An account of which nothing was told lately has come to this within about one delay.
+    const double newest =
+      isRecent ? (units - row.units) / std::max(since, kLeastGap) : units / SecondsOf(kToldDelay);
+    row.growth = std::max(newest, row.growth * std::exp2(-since / SecondsOf(kGrowthMemory)));
+    row.units = units;
+    row.at = aNow;
+    row.ownBefore = std::exchange(row.ownSince, 0);
+  }
+}
+
+// The last word on the use of all entries, carried on to now.
+double SharedQuota::ToldUse(TimePoint aNow, std::uint64_t aAccount) const
+{
+  const auto found = this->told.find(aAccount);
+  if (found == this->told.end() || aNow - found->second.at > this->options.silence) {
+    return 0;
+  }
+  const Told& row = found->second;
+  const double age = SecondsOf(aNow - row.at + kToldDelay);
+  return row.units + row.growth * age + row.ownSince + row.ownBefore;
+}
+
 // Use before the start that stands aAge buckets behind the newest one now.
 double SharedQuota::BeforeAt(std::uint64_t aAccount, double aBound, std::size_t aAge,
                              TimePoint aNow) const
--- a/src/direct/shared_quota.h
+++ b/src/direct/shared_quota.h
@@ -73,6 +73,11 @@
   std::vector<AccountUse> OwnUse() const;
   // Another entry's use since its start.
   void OnPeerUse(TimePoint aNow, const Peer& aPeer, const std::vector<AccountUse>& aUses);
+  // Use of all entries in the last window, as far as it is known here; only accounts that used a
+  // part of their bound that matters.
+  std::vector<AccountUse> WindowUse(TimePoint aNow);
+  // WindowUse of an entry that hears all others more often than they hear each other.
+  void OnWindowUse(TimePoint aNow, const std::vector<AccountUse>& aUses);
   // Entries that are heard, with this one.
   std::uint32_t EntryCount(TimePoint aNow) const;
 
@@ -104,12 +109,24 @@
     std::unordered_map<std::uint64_t, double> rates; // units a second, as of the last reports
   };
 
+  // Use of all entries in the last window as another entry told it.
+  struct Told
+  {
+    double units = 0;
+    double growth = 0; // a second, the largest of the last seconds
+    TimePoint at{};
+    double ownSince = 0;  // taken here since then
+    double ownBefore = 0; // taken here between the last two tellings: may not be in it yet
+  };
+
   std::int64_t BucketOf(TimePoint aNow) const;
   double BoundOf(const QuotaLimit& aLimit) const;
   double BeforeAt(std::uint64_t aAccount, double aBound, std::size_t aAge, TimePoint aNow) const;
   void Advance(Window& aWindow, TimePoint aNow) const;
   void Add(TimePoint aNow, std::uint64_t aAccount, double aUnits);
   double UnheardUse(TimePoint aNow, std::uint64_t aAccount) const;
+  double ToldUse(TimePoint aNow, std::uint64_t aAccount) const;
+  double UsedIn(const Window& aWindow, std::uint64_t aAccount, TimePoint aNow) const;
   void AssumeSilent(TimePoint aNow, std::uint64_t aAccount, const QuotaLimit& aLimit);
 
   SharedQuotaOptions options;
@@ -119,6 +136,7 @@
   std::unordered_map<std::uint64_t, Window> windows;
   std::unordered_map<std::uint64_t, double> own; // since the start
   std::map<NodeId, PeerRow> peers;
+  std::unordered_map<std::uint64_t, Told> told;
 };
 
 } // namespace caraway::direct
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -397,6 +397,7 @@
   const TimePoint now = this->Now();
   this->peerEntries[aFrom.host] = PeerEntry{ aFrom, now, aState.sentAtUs, aState.readsStore };
   this->quota.OnPeerUse(now, aPeer, aState.uses);
+  this->quota.OnWindowUse(now, aState.windowUses);
   const TimePoint notBefore{ Duration(aState.echoUs) };
   if (this->config != nullptr && aState.configOffset == this->freshness.Offset()) {
     this->freshness.OnConfirmed(aState.configOffset, notBefore - milliseconds(aState.configAgeMs));
@@ -522,6 +523,9 @@
     std::clamp<std::int64_t>(this->EndpointsAge() / milliseconds(1), 0, 3600000));
   state.readsStore = this->readsStore;
   state.uses = this->quota.OwnUse();
+  if (this->IsReader()) {
+    state.windowUses = this->quota.WindowUse(now);
+  }
   if (this->config != nullptr) {
     state.sentAtUs = now.time_since_epoch().count();
     const bool isReader = this->IsReader();
--- a/tests/direct/shared_quota_test.cpp
+++ b/tests/direct/shared_quota_test.cpp
@@ -1,3 +1,4 @@
+#include "core/random.h"
 #include "direct/shared_quota.h"
 
 #include <boost/test/unit_test.hpp>
@@ -76,6 +77,56 @@
   BOOST_TEST(this->TakeAll(quota) == 0);
 }
 
+// Load: a burst of one account over sixty entries, nine times its rate. Each entry tells the first
+// one of its use in every round of 200 ms and the others in every eighth; the first one tells all.
+// Found by the soak of processes, seed 500 with 60 entries: 342 of 306.
+BOOST_AUTO_TEST_CASE(bounds_a_burst_over_many_entries)
+{
+  constexpr std::size_t kEntries = 60;
+  constexpr std::size_t kRounds = 8;
+  const QuotaLimit limit{ 29, 10 };
+  this->options.overage = 0.05;
+  this->options.slackUnits = 20;
+  constexpr double kTolerated = (29 * 8 + 10) * 1.1 + 40;
+  std::vector<SharedQuota> entries;
+  for (std::size_t i = 0; i < kEntries; i++) {
+    entries.emplace_back(this->options, this->now - seconds(20));
+  }
+  const auto peerOf = [](std::size_t aIndex) {
+    return Peer{ NodeId{ aIndex + 1 }, Incarnation{ 1 } };
+  };
+  Random random(1);
+  std::vector<TimePoint> taken;
+  for (int step = 0; step < 2000; step++) {
+    this->now += milliseconds(10);
+    for (std::size_t from = 0; from < kEntries && step % 20 == 0; from++) {
+      const bool isFirst = from == 0;
+      const auto told = isFirst ? entries[0].WindowUse(this->now) : std::vector<AccountUse>{};
+      for (std::size_t to = 0; to < kEntries; to++) {
+        const bool isTurn = (from + to + static_cast<std::size_t>(step) / 20) % kRounds == 0;
+        if (to != from && (isFirst || to == 0 || isTurn)) {
+          entries[to].OnPeerUse(this->now, peerOf(from), entries[from].OwnUse());
+          entries[to].OnWindowUse(this->now, told);
+        }
+      }
+    }
+    for (int call = 0; call < (step % 3 == 0 ? 2 : 3); call++) {
+      SharedQuota& entry = entries[random.Below(kEntries)];
+      if (entry.Take(this->now, kAccount, limit, 1) == Duration::zero()) {
+        taken.push_back(this->now);
+      }
+    }
+  }
+  std::size_t worst = 0;
+  for (std::size_t first = 0, last = 0; last < taken.size(); last++) {
+    first += taken[first] <= taken[last] - this->options.window ? 1U : 0U;
+    worst = std::max(worst, last - first + 1);
+  }
+  BOOST_TEST(static_cast<double>(worst) <= kTolerated);
+  // Most of what the account may use in 20 s is served.
+  BOOST_TEST(taken.size() >= 29U * 20U * 8 / 10);
+}
+
 BOOST_AUTO_TEST_CASE(counts_what_other_entries_use)
 {
   SharedQuota quota(this->options, this->now - seconds(20));
