Move services to other versions on the operator's order

Cause: op/rollout orders were read by nobody: a new version got its full part of the calls from its first registration on, and no status was written (EXPOSURE, and the duty to complete or roll back). Change: direct::VersionMove decides for one service (a share of 5 in 100 and twenty calls while it is probed; bad by failures or by time, over all routes and by each, from the evidence of all entries; all new calls in the last part of the time; completed when no entry has calls at the old version), the move table holds all of them, entries tell each other stage and evidence, each entry stops a bad version by itself, and the one that follows the store decides the rest and writes keyed.status under a condition. An entry that starts asks for the outcome first; until then the version gets nothing. A probe that finds no slot at once goes to the old version. Tests: decision library (good, failing, slow, bad on one route, bad later, trouble of all versions, no evidence, restarts), gateway over sockets, documents. The soak orders moves to good, failing and slow versions and checks EXPOSURE, the end of calls before the old version stops, and that no bad version takes over in calm. A version of which fewer than twenty runs were seen in time is rolled back.

--- a/src/direct/call.h
+++ b/src/direct/call.h
@@ -30,6 +30,10 @@
   Tier tier = kLowestTier;  // of the client account, or of the route where the account has none
   Tier rank = kLowestTier;  // of the route, among calls of one tier
   std::string service;
+  // Versions of endpoints while the service moves to another one (see VersionMove); empty: any.
+  std::string onlyVersion;
+  std::string neverVersion;
+  bool isProbe = false;        // where onlyVersion has no slot at once, any other version takes it
   std::uint32_t maxRuns = 1;   // endpoints that may run it
   Duration objective{};        // until the first event, or the answer
   TimePoint arrived{};         // when it was read
--- a/src/direct/dispatcher.cpp
+++ b/src/direct/dispatcher.cpp
@@ -65,6 +65,39 @@
   this->DrainLocalOffers(aNow);
 }
 
+void Dispatcher::SetBannedVersions(TimePoint aNow,
+                                   const std::map<std::string, std::string>& aByService)
+{
+  this->bannedVersions = aByService;
+  for (auto& row : this->calls) {
+    if (row.second.stage == Stage::kQueued) {
+      this->LiftProbe(row.second);
+      this->DropUnusable(aNow, row.second);
+    }
+  }
+  this->DrainLocalOffers(aNow);
+}
+
+std::uint32_t Dispatcher::RunningElsewhere(const std::string& aService,
+                                           const std::string& aVersion) const
+{
+  std::uint32_t count = 0;
+  for (const auto& [id, target] : this->targets) {
+    const bool isOther = target.info.service == aService && target.info.version != aVersion;
+    count += isOther ? target.running : 0;
+  }
+  return count;
+}
+
+// A call that was to try a new version does not wait for it: the old one takes it as well.
+void Dispatcher::LiftProbe(Call& aCall)
+{
+  if (aCall.spec.isProbe) {
+    aCall.spec.isProbe = false;
+    aCall.spec.neverVersion = std::exchange(aCall.spec.onlyVersion, "");
+  }
+}
+
 void Dispatcher::Submit(TimePoint aNow, const CallSpec& aSpec)
 {
   Call& call = this->calls[aSpec.number];
@@ -146,6 +179,7 @@
     std::max(GiveUpTime(this->options.patience, call.spec), aNow + call.spec.objective / 2);
   call.giveUpAt = std::min(call.giveUpAt, call.spec.deadline);
   call.isWide = true;
+  this->LiftProbe(call);
   this->Place(aNow, call);
   this->Schedule(call);
   this->DrainLocalOffers(aNow);
@@ -188,6 +222,7 @@
       this->GiveUp(aNow, number, call.reason);
     } else if (call.stage == Stage::kQueued && call.widenAt <= aNow) {
       call.isWide = true;
+      this->LiftProbe(call);
       this->Place(aNow, call);
       this->Schedule(call);
     }
--- a/src/direct/dispatcher.h
+++ b/src/direct/dispatcher.h
@@ -71,6 +71,10 @@
   void SetEndpoints(TimePoint aNow, const std::map<std::string, EndpointInfo>& aAll,
                     const std::function<bool(const std::string&)>& aHasAgents);
   void SetEntryCount(std::uint32_t aCount);
+  // Versions of services that get nothing any more, also none of the calls that wait for them.
+  void SetBannedVersions(TimePoint aNow, const std::map<std::string, std::string>& aByService);
+  // Own calls at the service's endpoints of other versions than aVersion.
+  std::uint32_t RunningElsewhere(const std::string& aService, const std::string& aVersion) const;
 
   void Submit(TimePoint aNow, const CallSpec& aSpec);
   // Ends a call at once, whatever it does; the host closes its attempt.
@@ -177,6 +181,7 @@
   std::uint32_t LocalLimit(const Target& aTarget) const;
   void SendHolds(TimePoint aNow);
   void Schedule(Call& aCall);
+  void LiftProbe(Call& aCall);
   bool MayUse(const Target& aTarget, const CallSpec& aSpec) const;
   Target* FindByHost(const std::string& aHost);
 
@@ -193,6 +198,7 @@
   std::priority_queue<Due, std::vector<Due>, std::greater<>> due;
   TimePoint nextHold{};
   std::uint32_t holdRound = 0;
+  std::map<std::string, std::string> bannedVersions;     // by service
   std::map<std::string, Duration, std::less<>> runTimes; // usual time of a run by service
   std::vector<std::pair<std::string, CallNumber>> localOffers;
 };
--- a/src/direct/dispatcher_place.cpp
+++ b/src/direct/dispatcher_place.cpp
@@ -256,8 +256,15 @@
 
 bool Dispatcher::MayUse(const Target& aTarget, const CallSpec& aSpec) const
 {
-  return aTarget.isListed && aTarget.info.service == aSpec.service && !aTarget.info.isLeaving &&
-         !(aTarget.agentLive && aTarget.agent.isLeaving);
+  const EndpointInfo& info = aTarget.info;
+  if (!aTarget.isListed || info.service != aSpec.service || info.isLeaving ||
+      (aTarget.agentLive && aTarget.agent.isLeaving)) {
+    return false;
+  }
+  const auto banned = this->bannedVersions.find(info.service);
+  return (aSpec.onlyVersion.empty() || info.version == aSpec.onlyVersion) &&
+         (aSpec.neverVersion.empty() || info.version != aSpec.neverVersion) &&
+         (banned == this->bannedVersions.end() || info.version != banned->second);
 }
 
 } // namespace caraway::direct
--- a/src/direct/messages.h
+++ b/src/direct/messages.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "direct/call.h"
+#include "direct/version_move.h"
 
 #include <cereal/types/array.hpp>
 #include <cereal/types/string.hpp>
@@ -181,12 +182,13 @@
   std::vector<AccountUse> uses;
   // From the entry that hears all others in every round: use of all entries in the last window.
   std::vector<AccountUse> windowUses;
+  std::vector<MoveState> moves; // of versions, that are under way or have just ended
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
     aArchive(sentAtUs, echoUs, configOffset, configAgeMs, endpointsHash, endpointsAgeMs, readsStore,
-             uses, windowUses);
+             uses, windowUses, moves);
   }
 
   friend bool operator==(const EntryState&, const EntryState&) = default;
--- a/src/gateway/flow.cpp
+++ b/src/gateway/flow.cpp
@@ -47,6 +47,8 @@
   this->body.clear();
   this->events = EventSplitter();
   this->attemptOpen = true;
+  this->attemptVersion = aEndpoint.version;
+  this->attemptAt = this->gateway.Now();
   this->attempt = this->gateway.pool.Send(std::move(request), *this);
 }
 
@@ -56,9 +58,16 @@
     this->attemptOpen = false;
     this->mayHaveRun = true;
     this->gateway.pool.Cancel(this->attempt);
+    this->NoteRunEnd(true);
   }
 }
 
+void Gateway::Flow::NoteRunEnd(bool aIsBad)
+{
+  this->gateway.OnRunEnd(*this, this->attemptVersion, aIsBad,
+                         this->gateway.Now() - this->attemptAt);
+}
+
 void Gateway::Flow::EndWithout(GiveUpReason aReason, Duration aRetryAfter)
 {
   this->StopAttempt();
@@ -160,6 +169,11 @@
                { "status", std::to_string(this->hasHead ? this->head.status : 0) },
                { "delivered", std::to_string(this->deliveredId.value_or(0)) } });
   }
+  if (!HasNotRun(aEnd)) {
+    // A refusal of the request itself, 4xx, is no fault of the version.
+    const bool isRefusal = aEnd == AttemptEnd::kFailed && this->head.status < 500;
+    this->NoteRunEnd(aEnd != AttemptEnd::kAnswered && !isRefusal);
+  }
   const bool goesOn =
     this->gateway.dispatcher.OnAttemptEnd(this->gateway.Now(), this->number, aEnd);
   if (goesOn) {
--- a/src/gateway/flow.h
+++ b/src/gateway/flow.h
@@ -47,7 +47,11 @@
   void PassAnswer();
   direct::AttemptEnd EndOf(ExchangeEnd aEnd) const;
 
+  void NoteRunEnd(bool aIsBad);
+
   std::weak_ptr<EndpointExchange> attempt;
+  std::string attemptVersion; // of the endpoint's software
+  TimePoint attemptAt{};
   bool attemptOpen = false;
   ResponseHead head; // of the attempt under way
   bool hasHead = false;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -137,6 +137,7 @@
       this->config == nullptr ? nullptr : this->config->FindService(aService);
     return service != nullptr && service->engineSlots > 0;
   };
+  this->moves.SetEndpoints(this->endpoints);
   this->dispatcher.SetEndpoints(this->Now(), this->endpoints, hasAgents);
   if (isOther) {
     this->SendStates();
@@ -307,6 +308,7 @@
       break;
     }
   }
+  this->moves.Choose(this->Now(), spec);
   this->dispatcher.Submit(this->Now(), spec);
 }
 
@@ -398,6 +400,13 @@
   this->peerEntries[aFrom.host] = PeerEntry{ aFrom, now, aState.sentAtUs, aState.readsStore };
   this->quota.OnPeerUse(now, aPeer, aState.uses);
   this->quota.OnWindowUse(now, aState.windowUses);
+  const auto bannedBefore = this->moves.Banned();
+  if (this->moves.OnPeer(now, aPeer, aState.moves) && this->onNewerConfig) {
+    this->onNewerConfig();
+  }
+  if (this->moves.Banned() != bannedBefore) {
+    this->dispatcher.SetBannedVersions(now, this->moves.Banned());
+  }
   const TimePoint notBefore{ Duration(aState.echoUs) };
   if (this->config != nullptr && aState.configOffset == this->freshness.Offset()) {
     this->freshness.OnConfirmed(aState.configOffset, notBefore - milliseconds(aState.configAgeMs));
@@ -498,6 +507,43 @@
   }
 }
 
+void Gateway::SetMoveOrder(const direct::MoveOrder& aOrder, bool aIsFresh)
+{
+  const direct::VersionMove* known = this->moves.Find(aOrder.service);
+  if (known != nullptr && known->Order().offset >= aOrder.offset) {
+    return;
+  }
+  LogEvent(LogLevel::kInfo, "move_ordered",
+           { { "service", aOrder.service },
+             { "version", aOrder.version },
+             { "offset", std::to_string(aOrder.offset) },
+             { "duration_ms", MillisecondsText(aOrder.duration) },
+             { "fresh", aIsFresh ? "true" : "false" } });
+  this->moves.SetOrder(this->Now(), aOrder, aIsFresh);
+  this->dispatcher.SetBannedVersions(this->Now(), this->moves.Banned());
+  this->SendStates();
+}
+
+void Gateway::OnRunEnd(const Flow& aFlow, const std::string& aVersion, bool aIsBad, Duration aTime)
+{
+  const std::uint64_t route = HashOf(aFlow.route->name);
+  if (this->moves.OnRunEnd(aFlow.spec.service, route, aVersion, aIsBad, aTime)) {
+    this->StepMoves();
+  }
+}
+
+// Any entry stops a version that is bad; the one that follows the store decides the rest and writes
+// it down.
+void Gateway::StepMoves()
+{
+  const auto running = [this](const auto& aService, const auto& aVersion) {
+    return this->dispatcher.RunningElsewhere(aService, aVersion);
+  };
+  if (this->moves.Step(this->Now(), this->IsReader(), running)) {
+    this->dispatcher.SetBannedVersions(this->Now(), this->moves.Banned());
+  }
+}
+
 std::string Gateway::MetricsText()
 {
   this->metrics.SetConfig(this->config == nullptr ? 0 : this->config->version, this->ConfigAge());
@@ -522,6 +568,9 @@
   state.endpointsAgeMs = static_cast<std::uint32_t>(
     std::clamp<std::int64_t>(this->EndpointsAge() / milliseconds(1), 0, 3600000));
   state.readsStore = this->readsStore;
+  state.moves = this->moves.States(now, [this](const auto& aService, const auto& aVersion) {
+    return this->dispatcher.RunningElsewhere(aService, aVersion);
+  });
   state.uses = this->quota.OwnUse();
   if (this->IsReader()) {
     state.windowUses = this->quota.WindowUse(now);
@@ -543,7 +592,10 @@
       }
     }
   }
-  this->dispatcher.SetEntryCount(this->quota.EntryCount(now));
+  this->StepMoves();
+  const std::uint32_t entryCount = this->quota.EntryCount(now);
+  this->dispatcher.SetEntryCount(entryCount);
+  this->moves.SetEntryCount(entryCount);
   this->net.Flush();
   this->stateTimer.ArmAfter(this->settings.statePeriod);
 }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "direct/dispatcher.h"
+#include "direct/move_table.h"
 #include "direct/service_config.h"
 #include "direct/shared_quota.h"
 #include "gateway/config_freshness.h"
@@ -82,7 +83,7 @@
   // The list of endpoints was read at aAskedAt and is complete.
   void ConfirmEndpoints(TimePoint aAskedAt);
   void SetStoreReachable(bool aIsReachable) { this->readsStore = aIsReachable; }
-  // Called when another entry has a newer configuration, or another list of endpoints.
+  // Called when another entry has a newer configuration or order, or another list of endpoints.
   void SetHooks(std::function<void()> aOnNewerConfig, std::function<void()> aOnOtherEndpoints);
 
   // This entry follows the store for all that hear it: the first one by address that can.
@@ -95,6 +96,10 @@
   void SetUseBefore(const std::string& aBytes);
   void SetQuotaStore(QuotaStore& aStore) { this->quotaStore = &aStore; }
 
+  // An order to move a service to another version (see direct::MoveTable::SetOrder).
+  void SetMoveOrder(const direct::MoveOrder& aOrder, bool aIsFresh);
+  void SetMoveLog(direct::MoveLog& aLog) { this->moves.SetLog(aLog); }
+
   // New requests can be served.
   bool IsReady() const;
   void BeginLeaving();
@@ -146,6 +151,9 @@
   std::size_t StateRounds() const;
   void TakeEntryState(const Address& aFrom, const Peer& aPeer, const direct::EntryState& aState);
   void SaveHotUse();
+  // A run at an endpoint of aVersion ended.
+  void OnRunEnd(const Flow& aFlow, const std::string& aVersion, bool aIsBad, Duration aTime);
+  void StepMoves();
   void AfterInput();
   TimePoint Now() const { return this->clock.Read().steady; }
 
@@ -157,6 +165,7 @@
   direct::RetryBudget budget;
   direct::SharedQuota quota;
   direct::Dispatcher dispatcher;
+  direct::MoveTable moves;
   EndpointPool pool;
   PeerNet net;
   IngressServer server;
--- /dev/null
+++ b/tests/direct/version_move_test.cpp
@@ -0,0 +1,200 @@
+#include "direct/version_move.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace caraway::direct {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::uint64_t kRoute = 5;
+constexpr Duration kRunTime = milliseconds(100);
+constexpr std::uint32_t kCallsPerStep = 30; // in each 100 ms
+
+// Entries that take a service's calls and tell each other of the move every 200 ms.
+struct Fixture
+{
+  explicit Fixture(std::size_t aEntries = 4)
+  {
+    for (std::size_t i = 0; i < aEntries; i++) {
+      this->entries.emplace_back(VersionMoveOptions{}, MoveOrder{ "pool", "v2", seconds(12), 1 },
+                                 this->now);
+    }
+  }
+
+  // Share of bad runs and factor of their time, of the new version.
+  struct Quality
+  {
+    double bad = 0;
+    double slowness = 1;
+    std::uint64_t badRoute = 0; // 0: on all routes
+  };
+
+  bool IsBadRun(const Quality& aQuality, std::uint64_t aRoute, double aDraw) const
+  {
+    return (aQuality.badRoute == 0 || aQuality.badRoute == aRoute) && aDraw < aQuality.bad;
+  }
+
+  void Play(Duration aTime, const Quality& aQuality)
+  {
+    for (const TimePoint end = this->now + aTime; this->now < end; this->now += milliseconds(100)) {
+      for (std::uint32_t call = 0; call < kCallsPerStep; call++) {
+        VersionMove& entry = this->entries[call % this->entries.size()];
+        const bool isNew = entry.Choose(true, true, 4).only == "v2";
+        const std::uint64_t route = kRoute + call % 3;
+        this->all++;
+        this->exposed += isNew ? 1 : 0;
+        this->draw = this->draw * 1103515245 + 12345;
+        const double draw = static_cast<double>((this->draw >> 16) % 1000) / 1000;
+        const bool isBad = isNew && this->IsBadRun(aQuality, route, draw);
+        this->bad += isBad ? 1 : 0;
+        this->afterBad += isNew && this->bad > 50 ? 1 : 0;
+        entry.OnRunEnd(route, isNew, isBad,
+                       isNew ? std::chrono::duration_cast<Duration>(kRunTime * aQuality.slowness)
+                             : kRunTime);
+      }
+      this->Tell();
+    }
+  }
+
+  void Tell()
+  {
+    for (std::size_t to = 0; to < this->entries.size(); to++) {
+      for (std::size_t from = 0; from < this->entries.size(); from++) {
+        if (from != to) {
+          const MoveState state = this->entries[from].State(0);
+          this->entries[to].OnPeer(this->now, { NodeId{ from }, Incarnation{ 1 } }, state);
+          this->entries[to].Adopt(state.stage);
+        }
+      }
+      this->entries[to].Step(this->now, to == 0, 0);
+    }
+  }
+
+  void CheckAll(MoveStage aStage)
+  {
+    for (const VersionMove& entry : this->entries) {
+      BOOST_TEST((entry.Stage() == aStage), ToString(entry.Stage()));
+    }
+  }
+
+  TimePoint now{ seconds(1000) };
+  std::vector<VersionMove> entries;
+  std::uint32_t draw = 1;
+  int all = 0;
+  int exposed = 0;
+  int bad = 0;
+  int afterBad = 0;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(version_move, Fixture)
+
+BOOST_AUTO_TEST_CASE(a_good_version_takes_over_in_time)
+{
+  this->Play(seconds(6), {});
+  this->CheckAll(MoveStage::kProbe);
+  BOOST_TEST(this->exposed <= this->all * 0.05 + 20);
+  this->Play(seconds(5), {});
+  this->CheckAll(MoveStage::kCompleted);
+}
+
+BOOST_AUTO_TEST_CASE(a_failing_version_gets_little_and_then_nothing)
+{
+  this->Play(seconds(12), { 0.4, 1, 0 });
+  this->CheckAll(MoveStage::kRolledBack);
+  BOOST_TEST(this->exposed <= this->all * 0.1 + 50);
+  BOOST_TEST(this->afterBad == 0);
+}
+
+BOOST_AUTO_TEST_CASE(a_version_that_fails_on_one_route_is_found)
+{
+  this->Play(seconds(12), { 0.6, 1, kRoute });
+  this->CheckAll(MoveStage::kRolledBack);
+  BOOST_TEST(this->exposed <= this->all * 0.1 + 50);
+  BOOST_TEST(this->afterBad == 0);
+}
+
+BOOST_AUTO_TEST_CASE(a_slow_version_is_found)
+{
+  this->Play(seconds(12), { 0, 4, 0 });
+  this->CheckAll(MoveStage::kRolledBack);
+  BOOST_TEST(this->exposed <= this->all * 0.1 + 50);
+}
+
+BOOST_AUTO_TEST_CASE(a_version_that_turns_bad_later_is_found)
+{
+  this->Play(seconds(5), {});
+  this->Play(seconds(7), { 0.4, 1, 0 });
+  this->CheckAll(MoveStage::kRolledBack);
+  BOOST_TEST(this->afterBad == 0);
+}
+
+// What hits both versions alike, as an endpoint that hangs, does not condemn the new one.
+BOOST_AUTO_TEST_CASE(trouble_of_all_versions_rolls_nothing_back)
+{
+  for (VersionMove& entry : this->entries) {
+    for (int i = 0; i < 200; i++) {
+      entry.OnRunEnd(kRoute, false, i % 5 == 0, kRunTime);
+    }
+    for (int i = 0; i < 20; i++) {
+      entry.OnRunEnd(kRoute, true, i % 5 == 0, kRunTime);
+    }
+  }
+  this->Tell();
+  this->CheckAll(MoveStage::kProbe);
+}
+
+BOOST_AUTO_TEST_CASE(the_old_version_finishes_what_it_has_before_it_may_stop)
+{
+  this->Play(milliseconds(7300), {});
+  VersionMove& decides = this->entries[0];
+  BOOST_TEST((decides.Stage() == MoveStage::kShift));
+  for (std::size_t i = 2; i < this->entries.size(); i++) {
+    this->entries[i].Adopt(MoveStage::kShift);
+    decides.OnPeer(this->now, { NodeId{ i }, Incarnation{ 1 } }, this->entries[i].State(0));
+  }
+  this->entries[1].Adopt(MoveStage::kShift);
+  MoveState busy = this->entries[1].State(3);
+  decides.OnPeer(this->now, { NodeId{ 1 }, Incarnation{ 1 } }, busy);
+  BOOST_TEST(!decides.Step(this->now, true, 0));
+  BOOST_TEST((decides.Choose(true, true, 4).only == "v2"));
+  busy.oldRunning = 0;
+  decides.OnPeer(this->now, { NodeId{ 1 }, Incarnation{ 1 } }, busy);
+  BOOST_TEST(!decides.Step(this->now, true, 1));
+  BOOST_TEST(decides.Step(this->now, true, 0));
+  BOOST_TEST((decides.Stage() == MoveStage::kCompleted));
+}
+
+BOOST_AUTO_TEST_CASE(a_version_that_nobody_saw_does_not_take_over)
+{
+  VersionMove& decides = this->entries[0];
+  BOOST_TEST((decides.Choose(false, true, 4).never == "v2"));
+  BOOST_TEST(!decides.Step(this->now + seconds(11), true, 0));
+  BOOST_TEST(decides.Step(this->now + seconds(12), true, 0));
+  BOOST_TEST((decides.Stage() == MoveStage::kRolledBack));
+}
+
+// A restarted entry counts from zero; what it saw before stays known to the others.
+BOOST_AUTO_TEST_CASE(evidence_of_an_entry_outlives_its_restart)
+{
+  VersionMove& other = this->entries[1];
+  for (int i = 0; i < 5; i++) {
+    other.OnRunEnd(kRoute, true, true, kRunTime);
+  }
+  VersionMove& decides = this->entries[0];
+  decides.OnPeer(this->now, { NodeId{ 1 }, Incarnation{ 1 } }, other.State(0));
+  BOOST_TEST(!decides.Step(this->now, false, 0));
+  VersionMove again(VersionMoveOptions{}, other.Order(), this->now);
+  again.OnRunEnd(kRoute, true, true, kRunTime);
+  decides.OnPeer(this->now, { NodeId{ 1 }, Incarnation{ 2 } }, again.State(0));
+  BOOST_TEST(decides.Step(this->now, false, 0));
+  BOOST_TEST((decides.Stage() == MoveStage::kRolledBack));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace caraway::direct
--- a/tests/gateway/fixture.h
+++ b/tests/gateway/fixture.h
@@ -206,7 +206,7 @@
     this->gateway->SetUseBefore("");
   }
 
-  ScriptedEndpoint& AddEndpoint(ScriptedEndpoint::Script aScript)
+  ScriptedEndpoint& AddEndpoint(ScriptedEndpoint::Script aScript, const std::string& aVersion = "")
   {
     this->endpoints.push_back(std::make_unique<ScriptedEndpoint>(this->poller, std::move(aScript)));
     direct::EndpointInfo info;
@@ -215,6 +215,7 @@
     info.host = "127.0.0.1";
     info.port = this->endpoints.back()->listener.Port();
     info.slots = 8;
+    info.version = aVersion;
     this->listed[info.id] = info;
     this->gateway->SetEndpoints(this->listed);
     return *this->endpoints.back();
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -352,6 +352,62 @@
   BOOST_TEST(Has(answer, "Retry-After: "));
 }
 
+// An order moves the service to a version that fails: it gets a small part, and nothing soon.
+BOOST_AUTO_TEST_CASE(a_bad_version_gets_little_and_then_nothing)
+{
+  this->Configure();
+  ScriptedEndpoint& oldOne = this->AddEndpoint(
+    [](Connection& aTo, const RequestHead& aHead) { aTo.Write(Whole(aHead, "fine")); }, "v1");
+  ScriptedEndpoint& newOne = this->AddEndpoint(
+    [](Connection& aTo, const RequestHead& aHead) { aTo.Write(Whole(aHead, "bad", 500)); }, "v2");
+  this->gateway->SetMoveOrder({ "pool", "v2", seconds(12), 7 }, true);
+  for (int i = 0; i < 300; i++) {
+    this->Ask(Request("/once/x", "r" + std::to_string(i)), "\r\n\r\n");
+  }
+  BOOST_TEST(newOne.requests.size() >= 5U);
+  BOOST_TEST(newOne.requests.size() <= 35U); // one in twenty, and twenty
+  BOOST_TEST(oldOne.requests.size() + newOne.requests.size() == 300U);
+  const std::size_t seen = newOne.requests.size();
+  for (int i = 0; i < 60; i++) {
+    this->Ask(Request("/once/x", "s" + std::to_string(i)), "\r\n\r\n");
+  }
+  BOOST_TEST(newOne.requests.size() == seen);
+}
+
+// An order that stood in the log before the start: until its outcome is read the version gets
+// nothing.
+BOOST_AUTO_TEST_CASE(an_order_from_before_the_start_waits_for_its_outcome)
+{
+  struct Log final : direct::MoveLog
+  {
+    void ReadStage(const direct::MoveOrder&,
+                   const std::function<void(std::optional<direct::MoveStage>)>& aDone) override
+    {
+      this->answer = aDone;
+    }
+    void WriteStage(const direct::MoveOrder&, direct::MoveStage) override {}
+    std::function<void(std::optional<direct::MoveStage>)> answer;
+  };
+  Log log;
+  this->gateway->SetMoveLog(log);
+  this->Configure();
+  const auto script = [](Connection& aTo, const RequestHead& aHead) {
+    aTo.Write(Whole(aHead, "fine"));
+  };
+  this->AddEndpoint(script, "v1");
+  ScriptedEndpoint& newOne = this->AddEndpoint(script, "v2");
+  this->gateway->SetMoveOrder({ "pool", "v2", seconds(12), 7 }, false);
+  for (int i = 0; i < 30; i++) {
+    this->Ask(Request("/once/x", "r" + std::to_string(i)), "fine");
+  }
+  BOOST_TEST(newOne.requests.empty());
+  log.answer(direct::MoveStage::kRolledBack);
+  for (int i = 0; i < 30; i++) {
+    this->Ask(Request("/once/x", "s" + std::to_string(i)), "fine");
+  }
+  BOOST_TEST(newOne.requests.empty());
+}
+
 BOOST_AUTO_TEST_CASE(a_shutdown_cuts_nothing)
 {
   this->Configure();
--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -51,6 +51,32 @@
 
 BOOST_AUTO_TEST_SUITE(documents)
 
+BOOST_AUTO_TEST_CASE(an_order_to_move_versions_is_read)
+{
+  const auto order = ReadMoveOrder(9, R"({"service":"pool","target":"v2","duration-s":12})");
+  BOOST_REQUIRE(order.has_value());
+  BOOST_TEST(order->service == "pool");
+  BOOST_TEST(order->version == "v2");
+  BOOST_TEST((order->duration == std::chrono::seconds(12)));
+  BOOST_TEST(order->offset == 9U);
+  BOOST_TEST(!ReadMoveOrder(9, R"({"service":"pool","duration-s":12})").has_value());
+  BOOST_TEST(!ReadMoveOrder(9, R"({"service":"pool","target":"v2"})").has_value());
+}
+
+BOOST_AUTO_TEST_CASE(a_moves_status_reads_back_as_it_was_written)
+{
+  const direct::MoveOrder order{ "pool", "v2", std::chrono::seconds(12), 9 };
+  for (const auto stage : { direct::MoveStage::kProbe, direct::MoveStage::kCompleted,
+                            direct::MoveStage::kRolledBack }) {
+    const std::string text = WriteMoveStatus(order, stage);
+    BOOST_TEST((ReadMoveStatus(text, "v2") == stage), text);
+    BOOST_TEST(!ReadMoveStatus(text, "v3").has_value());
+  }
+  const std::string shift = WriteMoveStatus(order, direct::MoveStage::kShift);
+  BOOST_TEST((ReadMoveStatus(shift, "v2") == direct::MoveStage::kProbe));
+  BOOST_TEST(!ReadMoveStatus("{", "v2").has_value());
+}
+
 BOOST_AUTO_TEST_CASE(a_configuration_is_read_whole)
 {
   std::string error;
--- a/tests/soak/endpoints.py
+++ b/tests/soak/endpoints.py
@@ -36,8 +36,12 @@
         self.waiting = asyncio.Queue()
         self.places = None
         self.numbers = 0
+        self.version = "v1"
         self.failure_share = 0.0
         self.slowness = 1.0
+        self.agent = None  # process beside an engine
+        self.is_moving = False  # started for a move of versions that is under way
+        self.retired = False  # its version was moved away from: it does not come back
 
     @property
     def id(self):
@@ -55,6 +59,10 @@
             await self.link.start(*self.seen_at)
         self.heart = asyncio.create_task(self.beat())
 
+    async def come_back(self):
+        if not self.retired:
+            await self.start()
+
     async def beat(self):
         while True:
             await self.register()
@@ -68,7 +76,7 @@
             "service": self.service,
             "address": "%s:%d" % self.seen_at,
             "zone": "east",
-            "version": "v1",
+            "version": self.version,
             "slots": self.slots,
             "state": self.state,
             "seq": self.numbers,
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -6,6 +6,7 @@
 import time
 
 import ledger
+import moves
 
 
 PLANNED_ONLY = 3  # each so many seeds play planned work alone, which excuses no lost answer
@@ -19,7 +20,8 @@
         self.random = random.Random(f"faults {seed}")
         self.series = series
         self.until = 0.0
-        planned = {self.terminate: 3, self.hang_up: 1, self.kill_agent: 2, self.leave: 2, self.change_config: 3}
+        planned = {self.terminate: 3, self.hang_up: 1, self.kill_agent: 2, self.leave: 2, self.change_config: 3,
+                   self.move_version: 2}
         if seed % PLANNED_ONLY == 0:
             self.kinds = planned
         else:
@@ -47,6 +49,7 @@
             self.slow_endpoint: 1,
             self.change_config: 3,
             self.withdraw_key: 1,
+            self.move_version: 2,
             self.kill_many: 1,
         }
 
@@ -166,7 +169,7 @@
     # Endpoints and the ways to them.
 
     async def with_endpoint(self, world, kind, play):
-        ready = [endpoint for endpoint in world.endpoints if endpoint.state == "ready"]
+        ready = [endpoint for endpoint in world.endpoints if endpoint.state == "ready" and not endpoint.is_moving]
         if not ready:
             return
         endpoint = self.random.choice(ready)
@@ -212,7 +215,7 @@
             await endpoint.crash()
             world.ledger.end(record)
             await self.wait()
-            await endpoint.start()
+            await endpoint.come_back()
 
         await self.with_endpoint(world, "crash", play)
 
@@ -220,7 +223,7 @@
         async def play(endpoint):
             await endpoint.leave(self.random.random() < 0.7)
             await asyncio.sleep(0.5)
-            await endpoint.start()
+            await endpoint.come_back()
 
         await self.with_endpoint(world, "leaving", play)
 
@@ -257,6 +260,26 @@
 
         await self.configure(world, self.random.choice((move, add_or_remove)))
 
+    async def move_version(self, world):
+        """Endpoints of a new version start beside the old ones, and the operator orders the move."""
+        service = self.random.choice(("pool", "app-a", "app-b"))
+        old = [row for row in world.endpoints if row.service == service and not row.retired]
+        if service in world.moving or any(row.state == "down" for row in old):
+            return
+        world.moving.add(service)
+        quality = self.random.choice(("good", "good", "fails", "slow"))
+        new = [world.add_endpoint(service) for _ in old]
+        for endpoint in new:
+            endpoint.version = f"v{world.next_version}"
+            endpoint.is_moving = True
+            endpoint.failure_share = 0.4 if quality == "fails" else 0.0
+            endpoint.slowness = 6.0 if quality == "slow" else 1.0
+            if endpoint.agent is not None:
+                await endpoint.agent.prepare(world.store_address[1])
+                endpoint.agent.start()
+            await endpoint.start()
+        await moves.play(world, service, old, new, quality)
+
     async def withdraw_key(self, world):
         def withdraw(config):
             keys = config["tenants"][1]["api-keys"]
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -53,6 +53,8 @@
         self.net, self.guard = claim_network()
         self.store_address = (f"127.{self.net}.0.1", STORE_PORT)
         self.endpoints = []
+        self.moving = set()  # services
+        self.next_version = 2
         self.entries = []
         self.agents = []
         self.build(sizes, program)
@@ -62,20 +64,10 @@
         ]
 
     def build(self, sizes, program):
+        self.program = program
         for number in range(sizes["engines"] + 2 * sizes["services"]):
             is_engine = number < sizes["engines"]
-            service = "pool" if is_engine else ("app-a", "app-b")[number % 2]
-            own = f"127.{self.net}.{20 + number // 200}.{1 + number % 200}"
-            seen = f"127.{self.net}.{40 + number // 200}.{1 + number % 200}"
-            endpoint = endpoints.Endpoint(
-                f"e{number}", service, is_engine, 6, (own, APP_PORT), (seen, APP_PORT), self
-            )
-            self.endpoints.append(endpoint)
-            if is_engine:
-                agent = nodes.Node(
-                    f"agent{number}", "agent", seen, self.folder, program, self.store_address, (own, APP_PORT)
-                )
-                self.agents.append(agent)
+            self.add_endpoint("pool" if is_engine else ("app-a", "app-b")[number % 2])
         for number in range(sizes["entries"]):
             ip = f"127.{self.net}.{60 + number // 200}.{1 + number % 200}"
             self.entries.append(
@@ -84,6 +76,20 @@
         self.keys = [f"key-{number}" for number in range(6)]
         self.config = self.first_config(sizes)
 
+    def add_endpoint(self, service):
+        """A new endpoint, and the agent beside it where it is an engine; neither is started."""
+        number = len(self.endpoints)
+        own = (f"127.{self.net}.{20 + number // 200}.{1 + number % 200}", APP_PORT)
+        seen = (f"127.{self.net}.{40 + number // 200}.{1 + number % 200}", APP_PORT)
+        endpoint = endpoints.Endpoint(f"e{number}", service, service == "pool", 6, own, seen, self)
+        self.endpoints.append(endpoint)
+        if endpoint.is_engine:
+            endpoint.agent = nodes.Node(
+                f"agent{number}", "agent", seen[0], self.folder, self.program, self.store_address, own
+            )
+            self.agents.append(endpoint.agent)
+        return endpoint
+
     def first_config(self, sizes):
         def route(name, kind, service, timeout, objective, priority):
             return {
