--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -157,16 +157,6 @@
   this->onOtherEndpoints = std::move(aOnOtherEndpoints);
 }
 
-bool Gateway::IsReader() const
-{
-  if (!this->readsStore) {
-    return false;
-  }
-  return std::none_of(this->peerEntries.begin(), this->peerEntries.end(), [this](const auto& aRow) {
-    return aRow.second.readsStore && aRow.first < this->settings.peerListen.host;
-  });
-}
-
 bool Gateway::IsReady() const
 {
   return !this->leaving && this->config != nullptr && !this->endpoints.empty() &&
@@ -374,58 +364,6 @@
              { "silent_ms", aIsLive ? "" : MillisecondsText(aSilence) } });
 }
 
-void Gateway::OnPeerMessage(const Address& aFrom, const Peer& aPeer, const DirectMessage& aMessage)
-{
-  const TimePoint now = this->Now();
-  if (const auto* offer = std::get_if<direct::OfferSlot>(&aMessage)) {
-    this->dispatcher.OnOffer(now, aFrom.host, offer->call);
-  } else if (const auto* agent = std::get_if<direct::AgentState>(&aMessage)) {
-    this->dispatcher.OnAgentState(now, aFrom.host, *agent);
-    for (const std::string& host : agent->entries) {
-      if (host != this->settings.peerListen.host) {
-        this->peerEntries.try_emplace(
-          host, PeerEntry{ Address{ host, this->settings.peerListen.port }, now });
-      }
-    }
-  } else if (const auto* state = std::get_if<direct::EntryState>(&aMessage)) {
-    this->TakeEntryState(aFrom, aPeer, *state);
-  }
-}
-
-// A datagram may have waited long; what it echoes of this entry's clock tells its greatest age.
-void Gateway::TakeEntryState(const Address& aFrom, const Peer& aPeer,
-                             const direct::EntryState& aState)
-{
-  const TimePoint now = this->Now();
-  this->peerEntries[aFrom.host] = PeerEntry{ aFrom, now, aState.sentAtUs, aState.readsStore };
-  this->quota.OnPeerUse(now, aPeer, aState.uses);
-  this->quota.OnWindowUse(now, aState.windowUses);
-  const auto bannedBefore = this->moves.Banned();
-  if (this->moves.OnPeer(now, aPeer, aState.moves) && this->onNewerConfig) {
-    this->onNewerConfig();
-  }
-  if (this->moves.Banned() != bannedBefore) {
-    this->dispatcher.SetBannedVersions(now, this->moves.Banned());
-  }
-  const TimePoint notBefore{ Duration(aState.echoUs) };
-  if (this->config != nullptr && aState.configOffset == this->freshness.Offset()) {
-    this->freshness.OnConfirmed(aState.configOffset, notBefore - milliseconds(aState.configAgeMs));
-  } else if (aState.configOffset > this->freshness.Offset() && this->onNewerConfig) {
-    this->onNewerConfig();
-  }
-  const TimePoint readAt = notBefore - milliseconds(aState.endpointsAgeMs);
-  if (aState.endpointsHash == this->endpointsHash) {
-    this->endpointsReadAt = std::max(this->endpointsReadAt, readAt);
-  } else if (readAt > this->endpointsReadAt && this->onOtherEndpoints) {
-    this->onOtherEndpoints();
-  }
-}
-
-void Gateway::OnPeerMessagesDone()
-{
-  this->AfterInput();
-}
-
 // Answers a request with a status of the gateway's own.
 void Gateway::Refuse(Flow& aFlow, std::uint16_t aStatus, std::string_view aCause,
                      Duration aRetryAfter)
@@ -478,72 +416,6 @@
   }
 }
 
-void Gateway::SetUseBefore(const std::string& aBytes)
-{
-  std::vector<direct::SavedUse> saved;
-  if (!aBytes.empty()) {
-    std::optional<std::vector<direct::SavedUse>> read = direct::DecodeSavedUse(aBytes);
-    if (!read) {
-      LogEvent(LogLevel::kError, "saved_use_unreadable", {});
-      return;
-    }
-    saved = std::move(*read);
-    this->hasSavedUse = !saved.empty();
-  }
-  this->quota.SetUseBefore(std::move(saved));
-}
-
-// One entry saves for all.
-void Gateway::SaveHotUse()
-{
-  this->saveTimer.ArmAfter(this->settings.savePeriod);
-  if (this->quotaStore == nullptr || !this->IsReader()) {
-    return;
-  }
-  const std::vector<direct::SavedUse> hot = this->quota.HotUse(this->Now());
-  if (!hot.empty() || this->hasSavedUse) {
-    this->hasSavedUse = !hot.empty();
-    this->quotaStore->SaveUse(hot.empty() ? std::string() : direct::EncodeSavedUse(hot));
-  }
-}
-
-void Gateway::SetMoveOrder(const direct::MoveOrder& aOrder, bool aIsFresh)
-{
-  const direct::VersionMove* known = this->moves.Find(aOrder.service);
-  if (known != nullptr && known->Order().offset >= aOrder.offset) {
-    return;
-  }
-  LogEvent(LogLevel::kInfo, "move_ordered",
-           { { "service", aOrder.service },
-             { "version", aOrder.version },
-             { "offset", std::to_string(aOrder.offset) },
-             { "duration_ms", MillisecondsText(aOrder.duration) },
-             { "fresh", aIsFresh ? "true" : "false" } });
-  this->moves.SetOrder(this->Now(), aOrder, aIsFresh);
-  this->dispatcher.SetBannedVersions(this->Now(), this->moves.Banned());
-  this->SendStates();
-}
-
-void Gateway::OnRunEnd(const Flow& aFlow, const std::string& aVersion, bool aIsBad, Duration aTime)
-{
-  const std::uint64_t route = HashOf(aFlow.route->name);
-  if (this->moves.OnRunEnd(aFlow.spec.service, route, aVersion, aIsBad, aTime)) {
-    this->StepMoves();
-  }
-}
-
-// Any entry stops a version that is bad; the one that follows the store decides the rest and writes
-// it down.
-void Gateway::StepMoves()
-{
-  const auto running = [this](const auto& aService, const auto& aVersion) {
-    return this->dispatcher.RunningElsewhere(aService, aVersion);
-  };
-  if (this->moves.Step(this->Now(), this->IsReader(), running)) {
-    this->dispatcher.SetBannedVersions(this->Now(), this->moves.Banned());
-  }
-}
-
 std::string Gateway::MetricsText()
 {
   this->metrics.SetConfig(this->config == nullptr ? 0 : this->config->version, this->ConfigAge());
@@ -553,59 +425,6 @@
   return this->metrics.Text();
 }
 
-// Tells the other entries what the bounds over all entries need.
-void Gateway::SendStates()
-{
-  const TimePoint now = this->Now();
-  std::erase_if(this->peerEntries, [&](const auto& aRow) {
-    return now - aRow.second.heardAt > this->settings.entrySilence;
-  });
-  direct::EntryState state;
-  state.configOffset = this->freshness.Offset();
-  state.configAgeMs = static_cast<std::uint32_t>(
-    std::clamp<std::int64_t>(this->freshness.Age(now) / milliseconds(1), 0, 3600000));
-  state.endpointsHash = this->endpointsHash;
-  state.endpointsAgeMs = static_cast<std::uint32_t>(
-    std::clamp<std::int64_t>(this->EndpointsAge() / milliseconds(1), 0, 3600000));
-  state.readsStore = this->readsStore;
-  state.moves = this->moves.States(now, [this](const auto& aService, const auto& aVersion) {
-    return this->dispatcher.RunningElsewhere(aService, aVersion);
-  });
-  state.uses = this->quota.OwnUse();
-  if (this->IsReader()) {
-    state.windowUses = this->quota.WindowUse(now);
-  }
-  if (this->config != nullptr) {
-    state.sentAtUs = now.time_since_epoch().count();
-    const bool isReader = this->IsReader();
-    const auto reader = std::find_if(this->peerEntries.begin(), this->peerEntries.end(),
-                                     [](const auto& aRow) { return aRow.second.readsStore; });
-    std::size_t index = ++this->stateRound;
-    for (const auto& [host, peer] : this->peerEntries) {
-      // The reader and the others hear each other in every round: its word keeps theirs fresh.
-      const bool isItsTurn = index++ % this->StateRounds() == 0;
-      const bool isToReader = reader != this->peerEntries.end() && host == reader->first;
-      const bool isDue = isReader || isToReader || isItsTurn;
-      if (isDue) {
-        state.echoUs = peer.sentAtUs;
-        this->net.Send(peer.address, state);
-      }
-    }
-  }
-  this->StepMoves();
-  const std::uint32_t entryCount = this->quota.EntryCount(now);
-  this->dispatcher.SetEntryCount(entryCount);
-  this->moves.SetEntryCount(entryCount);
-  this->net.Flush();
-  this->stateTimer.ArmAfter(this->settings.statePeriod);
-}
-
-std::size_t Gateway::StateRounds() const
-{
-  const std::size_t entries = this->peerEntries.size() + 1;
-  return (entries + this->settings.stateEntries - 1) / this->settings.stateEntries;
-}
-
 // Follows every input: sends what was collected, arms the timer, frees what has ended.
 void Gateway::AfterInput()
 {
