Count the time since the last save of quotas' use at a start

Change: the record says when it was saved; a start counts the usual rate over the time since then. Time in which no entry ran counts too: the account gets less than its quota for one window after such an end. The soak gives each run a folder of its own (four runs of one seed had shared theirs and failed).

--- a/src/direct/shared_quota.cpp
+++ b/src/direct/shared_quota.cpp
@@ -17,7 +17,7 @@
 // Accounts that used more than this part of their bound are saved; others may be taken to have used
 // that much.
 constexpr double kHotShare = 0.6;
-// Part of a window's use that may have been missed by the last save: entries hear of each other's
+// Part of a window's use that the last save misses at the least: entries hear of each other's
 // use within some 200 ms and one of them saves every 250 ms, of a window of eight seconds.
 constexpr double kUnsavedShare = 0.08;
 // The same for use in bursts, in multiples of the largest use in two parts of the window, half a
@@ -183,8 +183,11 @@
   return aBound / kParts * (this->isBeforeKnown ? kHotShare : 1);
 }
 
-void SharedQuota::SetUseBefore(std::vector<SavedUse> aSaved)
+void SharedQuota::SetUseBefore(std::vector<SavedUse> aSaved, Duration aGap)
 {
+  // Entries may have gone on for all of the gap, at the usual rate.
+  const double gapShare =
+    std::clamp(SecondsOf(aGap) / SecondsOf(this->options.window), kUnsavedShare, 1.0);
   this->isBeforeKnown = true;
   for (SavedUse& saved : aSaved) {
     Before& row = this->before[saved.account];
@@ -196,7 +199,7 @@
       peak = std::max(peak, last + units);
       last = units;
     }
-    row.unsaved = std::max(row.total * kUnsavedShare, peak * kUnsavedPeaks);
+    row.unsaved = std::max(row.total * gapShare, peak * kUnsavedPeaks);
   }
 }
 
@@ -344,14 +347,14 @@
   }
 }
 
-std::string EncodeSavedUse(const std::vector<SavedUse>& aUse)
+std::string EncodeSavedUses(const SavedUses& aUses)
 {
-  return ToBytes(aUse);
+  return ToBytes(aUses);
 }
 
-std::optional<std::vector<SavedUse>> DecodeSavedUse(std::string_view aBytes)
+std::optional<SavedUses> DecodeSavedUses(std::string_view aBytes)
 {
-  return FromBytes<std::vector<SavedUse>>(aBytes);
+  return FromBytes<SavedUses>(aBytes);
 }
 
 } // namespace caraway::direct
--- a/src/direct/shared_quota.h
+++ b/src/direct/shared_quota.h
@@ -47,8 +47,21 @@
   }
 };
 
-std::string EncodeSavedUse(const std::vector<SavedUse>& aUse);
-std::optional<std::vector<SavedUse>> DecodeSavedUse(std::string_view aBytes);
+// What is saved of all accounts at a time.
+struct SavedUses
+{
+  std::int64_t savedAtMs = 0; // Unix time
+  std::vector<SavedUse> accounts;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(savedAtMs, accounts);
+  }
+};
+
+std::string EncodeSavedUses(const SavedUses& aUses);
+std::optional<SavedUses> DecodeSavedUses(std::string_view aBytes);
 
 class SharedQuota
 {
@@ -57,8 +70,8 @@
   // before it, that counts as the whole bound: a restart of all entries must open no second window.
   SharedQuota(const SharedQuotaOptions& aOptions, TimePoint aStart);
 
-  // What was saved by SavedUse before the start; accounts that are not in it used little.
-  void SetUseBefore(std::vector<SavedUse> aSaved);
+  // What was saved before the start, aGap before it; accounts that are not in it used little.
+  void SetUseBefore(std::vector<SavedUse> aSaved, Duration aGap);
   // Use of the accounts that are near their bound, or whose bound nobody asked for here, to outlive
   // a restart of all entries.
   std::vector<SavedUse> HotUse(TimePoint aNow);
--- a/src/gateway/gateway_peers.cpp
+++ b/src/gateway/gateway_peers.cpp
@@ -80,17 +80,20 @@
 
 void Gateway::SetUseBefore(const std::string& aBytes)
 {
-  std::vector<direct::SavedUse> saved;
+  direct::SavedUses saved;
+  Duration gap{};
   if (!aBytes.empty()) {
-    std::optional<std::vector<direct::SavedUse>> read = direct::DecodeSavedUse(aBytes);
+    std::optional<direct::SavedUses> read = direct::DecodeSavedUses(aBytes);
     if (!read) {
       LogEvent(LogLevel::kError, "saved_use_unreadable", {});
       return;
     }
     saved = std::move(*read);
-    this->hasSavedUse = !saved.empty();
+    // Clocks of VMs differ; the least share of what a save misses covers small differences.
+    gap = milliseconds(this->clock.Read().wall.time_since_epoch().count() - saved.savedAtMs);
+    this->hasSavedUse = !saved.accounts.empty();
   }
-  this->quota.SetUseBefore(std::move(saved));
+  this->quota.SetUseBefore(std::move(saved.accounts), gap);
 }
 
 // One entry saves for all.
@@ -100,10 +103,12 @@
   if (this->quotaStore == nullptr || !this->IsReader()) {
     return;
   }
-  const std::vector<direct::SavedUse> hot = this->quota.HotUse(this->Now());
-  if (!hot.empty() || this->hasSavedUse) {
-    this->hasSavedUse = !hot.empty();
-    this->quotaStore->SaveUse(hot.empty() ? std::string() : direct::EncodeSavedUse(hot));
+  const caraway::Now now = this->clock.Read();
+  const direct::SavedUses hot{ now.wall.time_since_epoch().count(),
+                               this->quota.HotUse(now.steady) };
+  if (!hot.accounts.empty() || this->hasSavedUse) {
+    this->hasSavedUse = !hot.accounts.empty();
+    this->quotaStore->SaveUse(hot.accounts.empty() ? std::string() : direct::EncodeSavedUses(hot));
   }
 }
 
--- a/tests/direct/shared_quota_test.cpp
+++ b/tests/direct/shared_quota_test.cpp
@@ -183,7 +183,7 @@
   BOOST_TEST(saved.size() == 1U);
   this->now += seconds(1);
   SharedQuota after(this->options, this->now);
-  after.SetUseBefore(*DecodeSavedUse(EncodeSavedUse(saved)));
+  after.SetUseBefore(DecodeSavedUses(EncodeSavedUses({ 5, saved }))->accounts, milliseconds(0));
   BOOST_TEST(this->TakeAll(after) == 0);
   this->now += seconds(9);
   BOOST_TEST(this->TakeAll(after) == 9000);
@@ -195,10 +195,10 @@
   SharedQuota first(this->options, this->now - seconds(20));
   const double taken = this->TakeAll(first);
   SharedQuota second(this->options, this->now);
-  second.SetUseBefore(first.HotUse(this->now));
+  second.SetUseBefore(first.HotUse(this->now), milliseconds(0));
   this->now += milliseconds(500);
   SharedQuota third(this->options, this->now);
-  third.SetUseBefore(second.HotUse(this->now));
+  third.SetUseBefore(second.HotUse(this->now), milliseconds(0));
   BOOST_TEST(this->TakeAll(third) <= 9000 - taken);
 }
 
@@ -212,7 +212,7 @@
   this->now += milliseconds(200);
   saver.OnPeerUse(this->now, peer, used.OwnUse());
   SharedQuota next(this->options, this->now);
-  next.SetUseBefore(saver.HotUse(this->now));
+  next.SetUseBefore(saver.HotUse(this->now), milliseconds(0));
   BOOST_TEST(this->TakeAll(next) <= 9000 - taken);
 }
 
@@ -232,10 +232,29 @@
   const std::vector<SavedUse> saved = first.HotUse(this->now);
   burst();
   SharedQuota next(this->options, this->now);
-  next.SetUseBefore(saved);
+  next.SetUseBefore(saved, milliseconds(0));
   BOOST_TEST(this->TakeAll(next) <= 1000);
 }
 
+// Found by the soak of processes, seed 140: the entry that saves for all had lost the store before
+// all entries were killed.
+BOOST_AUTO_TEST_CASE(use_since_an_old_save_is_counted)
+{
+  SharedQuota first(this->options, this->now - seconds(20));
+  double late = 0;
+  std::vector<SavedUse> saved;
+  for (int step = 0; step < 80; step++) {
+    first.Take(this->now, kAccount, kLimit, 100);
+    late += step >= 60 ? 100 : 0;
+    saved = step == 59 ? first.HotUse(this->now) : saved;
+    this->now += milliseconds(100);
+  }
+  BOOST_REQUIRE(saved.size() == 1U);
+  SharedQuota next(this->options, this->now);
+  next.SetUseBefore(saved, seconds(2));
+  BOOST_TEST(this->TakeAll(next) <= 9000 - 6000 - late * 3 / 4);
+}
+
 BOOST_AUTO_TEST_CASE(a_start_without_what_was_saved_counts_the_whole_bound)
 {
   SharedQuota quota(this->options, this->now);
@@ -254,7 +273,7 @@
 
 BOOST_AUTO_TEST_CASE(unreadable_saved_use_is_refused)
 {
-  BOOST_TEST(!DecodeSavedUse("\x05garbage").has_value());
+  BOOST_TEST(!DecodeSavedUses("\x05garbage").has_value());
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/soak/main.py
+++ b/tests/soak/main.py
@@ -62,21 +62,22 @@
 
 def play_all(options, seeds, logs):
     """Runs the seeds, some at a time, each in a process of its own; returns those with findings."""
-    running, bad = {}, []
+    running, bad, started = {}, [], 0
     passed = ["program", "seconds", "entries", "engines", "services", "callers", "series"]
     try:
         while seeds or running:
             while seeds and len(running) < options.jobs:
                 seed = seeds.pop(0)
-                folder = os.path.join(logs, str(seed))
+                started += 1
+                folder = os.path.join(logs, f"{seed}-{started}")
                 command = [sys.executable, __file__, "--one", "--seed", str(seed), "--logs", folder]
                 for name in passed:
                     command += [f"--{name}", str(getattr(options, name))]
-                running[seed] = (subprocess.Popen(command), folder)
-            for seed, (process, folder) in list(running.items()):
+                running[folder] = (subprocess.Popen(command), seed)
+            for folder, (process, seed) in list(running.items()):
                 if process.poll() is None:
                     continue
-                del running[seed]
+                del running[folder]
                 if process.returncode == 0:
                     shutil.rmtree(folder, ignore_errors=True)
                 else:
