--- a/src/gateway/gateway_peers.cpp
+++ b/src/gateway/gateway_peers.cpp
@@ -168,7 +168,8 @@
     return this->dispatcher.RunningElsewhere(aService, aVersion);
   });
   state.uses = this->quota.OwnUse();
-  if (this->IsReader()) {
+  // Where all hear each other in every round, that is as new and needs no estimate.
+  if (this->IsReader() && this->StateRounds() > 1) {
     state.windowUses = this->quota.WindowUse(now);
   }
   if (this->config != nullptr) {
