Take no confirmation from the echo of an earlier life

Another entry still echoed the time of before, three hours ahead, and the new life took its list of endpoints for fresh (endpoints_age_ms=- in its log) and told all others so with an age of zero. They stopped reading the list of endpoints, and one that left got requests. The age of the configuration, on which withdrawn keys rest, came from the same echo. Change: an echo ahead of the own clock shows nothing. Test (failed first, 2 checks): an_echo_of_an_earlier_life_confirms_nothing. Ruled out: a store call that never ends (ages of the healthy entries stayed at 0.1 s, so they did not ask).

--- a/src/gateway/gateway_peers.cpp
+++ b/src/gateway/gateway_peers.cpp
@@ -14,6 +14,8 @@
 
 using std::chrono::milliseconds;
 
+constexpr Duration kUnknownAge = std::chrono::hours(1); // longer than anything is served on
+
 } // namespace
 
 bool Gateway::IsReader() const
@@ -59,7 +61,11 @@
   if (this->moves.Banned() != bannedBefore) {
     this->dispatcher.SetBannedVersions(now, this->moves.Banned());
   }
-  const TimePoint notBefore{ Duration(aState.echoUs) };
+  TimePoint notBefore{ Duration(aState.echoUs) };
+  if (notBefore > now) {
+    // The echo of an earlier life: a VM that lost power counts its time anew. It shows nothing.
+    notBefore = now - kUnknownAge;
+  }
   if (this->config != nullptr && aState.configOffset == this->freshness.Offset()) {
     this->freshness.OnConfirmed(aState.configOffset, notBefore - milliseconds(aState.configAgeMs));
   } else if (aState.configOffset > this->freshness.Offset() && this->onNewerConfig) {
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -427,6 +427,25 @@
   BOOST_TEST(RunUntil([&] { return this->gateway->IsDone(); }));
 }
 
+// Found by hunt 646af00a of brackenlaw-puddle: a VM that lost power counts its time anew, and
+// another entry still echoes the time of before.
+BOOST_FIXTURE_TEST_CASE(an_echo_of_an_earlier_life_confirms_nothing, SecondEntry)
+{
+  this->Configure();
+  this->AddEndpoint(
+    [](Connection& aTo, const RequestHead& aHead) { aTo.Write(Whole(aHead, "hello")); });
+  direct::EntryState state;
+  state.configOffset = 1;
+  state.echoUs = (this->clock.Read().steady + std::chrono::hours(3)).time_since_epoch().count();
+  this->first.Send({ "127.0.0.2", this->gateway->PeerPort() }, state);
+  this->first.Flush();
+  BOOST_REQUIRE(RunUntil([&] { return this->isHeard; }));
+  BOOST_TEST((this->gateway->ConfigAge() >= Duration::zero()));
+  this->clock.Advance(seconds(10));
+  const std::string answer = this->Ask(Request("/once/x", "r1"), "\r\n\r\n");
+  BOOST_TEST(Has(answer, "HTTP/1.1 503 "));
+}
+
 // Found while the seeds 31 and 43 of the soak of processes were traced.
 BOOST_FIXTURE_TEST_CASE(the_first_entry_that_reaches_the_store_saves_for_all, SecondEntry)
 {
