One copy of SecondsOf; changes of bans and orders judged where they are kept

Read as a newcomer: SecondsOf stood in six files; the gateway compared bans and offsets of orders that the dispatcher and the move table hold, and a ban that an asynchronous answer of the status topic brought came to the dispatcher only with a next stage; two tests set up the same stream; the soak counted arrivals of requests among its totals and hid counts that begin with a c. The finding on quotas says when. Ruled out: a common base of the two feeds (their overrides differ; two one-line functions are alike) and of the daemons' command lines (one has a role, the other a settings file). No change of decisions.

--- a/src/core/drain_rate.cpp
+++ b/src/core/drain_rate.cpp
@@ -17,11 +17,6 @@
 constexpr double kJitter = 0.5; // of the wait, added at random
 constexpr double kLeastRate = 0.05;
 
-double SecondsOf(Duration aTime)
-{
-  return std::chrono::duration<double>(aTime).count();
-}
-
 Duration DurationOf(double aSeconds)
 {
   const double bounded = std::min(aSeconds, SecondsOf(std::chrono::hours(1)));
--- a/src/core/health.cpp
+++ b/src/core/health.cpp
@@ -15,11 +15,6 @@
 constexpr int kLongestDelay = 16;      // in multiples of the first delay
 constexpr std::uint32_t kStartedAllowance = 64;
 
-double SecondsOf(Duration aTime)
-{
-  return std::chrono::duration<double>(aTime).count();
-}
-
 Duration DurationOf(double aSeconds)
 {
   return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(aSeconds));
--- a/src/core/limit.cpp
+++ b/src/core/limit.cpp
@@ -27,11 +27,6 @@
 constexpr std::uint64_t kNoTokenLimit = std::numeric_limits<std::uint64_t>::max() / 4;
 constexpr double kLeastTokens = 1024;
 
-double SecondsOf(Duration aTime)
-{
-  return std::chrono::duration<double>(aTime).count();
-}
-
 } // namespace
 
 void RatioHistogram::Add(double aRatio)
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -24,7 +24,13 @@
 
 using TimePoint = RuntimeClock::time_point;
 
-// Wall time, used only for the age of idempotency keys and the deadlines of version moves.
+inline double SecondsOf(Duration aTime)
+{
+  return std::chrono::duration<double>(aTime).count();
+}
+
+// Wall time, used only for the age of idempotency keys, the deadlines of version moves and the age
+// of what a process of before has saved.
 using WallTime = std::chrono::time_point<std::chrono::system_clock, std::chrono::milliseconds>;
 
 constexpr TimePoint kNever = TimePoint::max();
--- a/src/direct/dispatcher.cpp
+++ b/src/direct/dispatcher.cpp
@@ -68,6 +68,9 @@
 void Dispatcher::SetBannedVersions(TimePoint aNow,
                                    const std::map<std::string, std::string>& aByService)
 {
+  if (aByService == this->bannedVersions) {
+    return;
+  }
   this->bannedVersions = aByService;
   for (auto& row : this->calls) {
     if (row.second.stage == Stage::kQueued) {
--- a/src/direct/dispatcher_place.cpp
+++ b/src/direct/dispatcher_place.cpp
@@ -25,11 +25,6 @@
 // Way of the first event to the caller and of the request to the endpoint.
 constexpr Duration kStartMargin = milliseconds(20);
 
-double SecondsOf(Duration aTime)
-{
-  return std::chrono::duration<double>(aTime).count();
-}
-
 std::int32_t MillisecondsOf(Duration aTime)
 {
   const auto count = std::chrono::duration_cast<milliseconds>(aTime).count();
--- a/src/direct/move_table.cpp
+++ b/src/direct/move_table.cpp
@@ -13,11 +13,11 @@
 
 } // namespace
 
-void MoveTable::SetOrder(TimePoint aNow, const MoveOrder& aOrder, bool aIsFresh)
+bool MoveTable::SetOrder(TimePoint aNow, const MoveOrder& aOrder, bool aIsFresh)
 {
   const auto known = this->rows.find(aOrder.service);
   if (known != this->rows.end() && known->second.move.Order().offset >= aOrder.offset) {
-    return;
+    return false;
   }
   Row row{ VersionMove(this->options, aOrder, aNow) };
   row.isHeld = !aIsFresh && this->log != nullptr;
@@ -25,7 +25,7 @@
   const bool isHeld = row.isHeld;
   this->rows.insert_or_assign(aOrder.service, std::move(row));
   if (!isHeld) {
-    return;
+    return true;
   }
   this->log->ReadStage(aOrder, [this, aNow, aOrder](std::optional<MoveStage> aStage) {
     const auto found = this->rows.find(aOrder.service);
@@ -38,13 +38,11 @@
       this->OnStage(aNow, found->second);
     }
   });
+  return true;
 }
 
 void MoveTable::SetEndpoints(const std::map<std::string, EndpointInfo>& aAll)
 {
-  if (this->rows.empty() && this->endpoints.empty() && aAll.empty()) {
-    return;
-  }
   this->endpoints = aAll;
   for (auto& [service, row] : this->rows) {
     this->FindVersions(service, row);
@@ -132,9 +130,8 @@
   return states;
 }
 
-bool MoveTable::Step(TimePoint aNow, bool aDecides, const RunningElsewhere& aRunning)
+void MoveTable::Step(TimePoint aNow, bool aDecides, const RunningElsewhere& aRunning)
 {
-  bool hasChanged = false;
   for (auto& [service, row] : this->rows) {
     if (row.isHeld) {
       continue;
@@ -142,14 +139,12 @@
     const std::uint32_t running = aRunning(service, row.move.Order().version);
     if (row.move.Step(aNow, aDecides, running)) {
       this->OnStage(aNow, row);
-      hasChanged = true;
     }
     if (aDecides && this->log != nullptr && row.written != row.move.Stage()) {
       row.written = row.move.Stage();
       this->log->WriteStage(row.move.Order(), row.move.Stage());
     }
   }
-  return hasChanged;
 }
 
 void MoveTable::OnStage(TimePoint aNow, Row& aRow)
@@ -170,10 +165,4 @@
   return banned;
 }
 
-const VersionMove* MoveTable::Find(const std::string& aService) const
-{
-  const auto found = this->rows.find(aService);
-  return found == this->rows.end() ? nullptr : &found->second.move;
-}
-
 } // namespace caraway::direct
--- a/src/direct/move_table.h
+++ b/src/direct/move_table.h
@@ -35,8 +35,9 @@
   void SetLog(MoveLog& aLog) { this->log = &aLog; }
 
   // An order of the operator. aIsFresh: it was written while this process followed the log; how far
-  // another one is must be asked, and until then its version gets nothing.
-  void SetOrder(TimePoint aNow, const MoveOrder& aOrder, bool aIsFresh);
+  // another one is must be asked, and until then its version gets nothing while others are listed.
+  // False: a later order of the service is known, or this one is.
+  bool SetOrder(TimePoint aNow, const MoveOrder& aOrder, bool aIsFresh);
   void SetEndpoints(const std::map<std::string, EndpointInfo>& aAll);
   void SetEntryCount(std::uint32_t aCount) { this->entryCount = aCount; }
 
@@ -48,13 +49,11 @@
   // What another entry said; true if it knows of an order that is not known here.
   bool OnPeer(TimePoint aNow, const Peer& aPeer, const std::vector<MoveState>& aStates);
   std::vector<MoveState> States(TimePoint aNow, const RunningElsewhere& aRunning) const;
-  // Takes the steps that are due; aDecides: this entry decides and writes for all. True: a stage
-  // has changed.
-  bool Step(TimePoint aNow, bool aDecides, const RunningElsewhere& aRunning);
+  // Takes the steps that are due; aDecides: this entry decides and writes for all.
+  void Step(TimePoint aNow, bool aDecides, const RunningElsewhere& aRunning);
 
   // By service: versions that get nothing any more.
   std::map<std::string, std::string> Banned() const;
-  const VersionMove* Find(const std::string& aService) const;
 
 private:
   struct Row
--- a/src/direct/shared_quota.cpp
+++ b/src/direct/shared_quota.cpp
@@ -34,11 +34,6 @@
 constexpr double kLeastGap = 0.05;  // seconds between two tellings; datagrams may come together
 constexpr double kRateMemory = 0.5; // weight of the newest report in a peer's rate
 
-double SecondsOf(Duration aTime)
-{
-  return std::chrono::duration<double>(aTime).count();
-}
-
 } // namespace
 
 SharedQuota::SharedQuota(const SharedQuotaOptions& aOptions, TimePoint aStart)
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -32,11 +32,6 @@
   }
 }
 
-double SecondsOf(Duration aTime)
-{
-  return std::chrono::duration<double>(aTime).count();
-}
-
 } // namespace
 
 GatewayMetrics::GatewayMetrics()
--- a/src/gateway/gateway_peers.cpp
+++ b/src/gateway/gateway_peers.cpp
@@ -54,13 +54,10 @@
   this->peerEntries[aFrom.host] = PeerEntry{ aFrom, now, aState.sentAtUs, aState.readsStore };
   this->quota.OnPeerUse(now, aPeer, aState.uses);
   this->quota.OnWindowUse(now, aState.windowUses);
-  const auto bannedBefore = this->moves.Banned();
   if (this->moves.OnPeer(now, aPeer, aState.moves) && this->onNewerConfig) {
     this->onNewerConfig();
   }
-  if (this->moves.Banned() != bannedBefore) {
-    this->dispatcher.SetBannedVersions(now, this->moves.Banned());
-  }
+  this->dispatcher.SetBannedVersions(now, this->moves.Banned());
   TimePoint notBefore{ Duration(aState.echoUs) };
   if (notBefore > now) {
     // The echo of an earlier life: a VM that lost power counts its time anew. It shows nothing.
@@ -120,8 +117,7 @@
 
 void Gateway::SetMoveOrder(const direct::MoveOrder& aOrder, bool aIsFresh)
 {
-  const direct::VersionMove* known = this->moves.Find(aOrder.service);
-  if (known != nullptr && known->Order().offset >= aOrder.offset) {
+  if (!this->moves.SetOrder(this->Now(), aOrder, aIsFresh)) {
     return;
   }
   LogEvent(LogLevel::kInfo, "move_ordered",
@@ -130,7 +126,6 @@
              { "offset", std::to_string(aOrder.offset) },
              { "duration_ms", std::to_string(aOrder.duration / milliseconds(1)) },
              { "fresh", aIsFresh ? "true" : "false" } });
-  this->moves.SetOrder(this->Now(), aOrder, aIsFresh);
   this->dispatcher.SetBannedVersions(this->Now(), this->moves.Banned());
   this->SendStates();
 }
@@ -150,9 +145,8 @@
   const auto running = [this](const auto& aService, const auto& aVersion) {
     return this->dispatcher.RunningElsewhere(aService, aVersion);
   };
-  if (this->moves.Step(this->Now(), this->IsReader(), running)) {
-    this->dispatcher.SetBannedVersions(this->Now(), this->moves.Banned());
-  }
+  this->moves.Step(this->Now(), this->IsReader(), running);
+  this->dispatcher.SetBannedVersions(this->Now(), this->moves.Banned());
 }
 
 // Tells the other entries what the bounds over all entries need.
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -25,6 +25,29 @@
   return count;
 }
 
+// A caller whose stream has begun at an endpoint of its own and goes on as the test says.
+struct OpenStream
+{
+  explicit OpenStream(GatewayFixture& aFixture)
+    : client(aFixture.gateway->Port())
+  {
+    aFixture.AddEndpoint([this](Connection& aTo, const RequestHead& aHead) {
+      this->endpoint = &aTo;
+      aTo.Write(StreamHead(aHead) + Chunk("id: 1\ndata: a\n\n"));
+    });
+    this->client.Send(GatewayFixture::Request("/stream/x", "r1"));
+    BOOST_REQUIRE(RunUntil([this] { return Has(this->client.Received(), "data: a\n\n"); }));
+  }
+  void Finish() { this->endpoint->Write(Chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n"); }
+  bool HasWhole()
+  {
+    return RunUntil([this] { return Has(this->client.Received(), "\r\n0\r\n\r\n"); });
+  }
+
+  BareClient client;
+  Connection* endpoint = nullptr;
+};
+
 // A gateway that hears an entry with a lower address.
 struct SecondEntry
   : GatewayFixture
@@ -210,18 +233,11 @@
 BOOST_AUTO_TEST_CASE(events_are_passed_on_as_they_come)
 {
   this->Configure();
-  Connection* stream = nullptr;
-  this->AddEndpoint([&](Connection& aTo, const RequestHead& aHead) {
-    stream = &aTo;
-    aTo.Write(StreamHead(aHead) + Chunk("id: 1\ndata: a\n\n"));
-  });
-  BareClient client(this->gateway->Port());
-  client.Send(Request("/stream/x", "r1"));
-  BOOST_REQUIRE(RunUntil([&] { return Has(client.Received(), "data: a\n\n"); }));
-  BOOST_TEST(!Has(client.Received(), "\r\n0\r\n"));
-  stream->Write(Chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n");
-  BOOST_TEST(RunUntil([&] { return Has(client.Received(), "\r\n0\r\n\r\n"); }));
-  BOOST_TEST(Count(client.Received(), "data: ") == 2U);
+  OpenStream stream(*this);
+  BOOST_TEST(!Has(stream.client.Received(), "\r\n0\r\n"));
+  stream.Finish();
+  BOOST_TEST(stream.HasWhole());
+  BOOST_TEST(Count(stream.client.Received(), "data: ") == 2U);
 }
 
 BOOST_AUTO_TEST_CASE(a_stream_that_breaks_off_does_not_look_complete)
@@ -411,19 +427,12 @@
 BOOST_AUTO_TEST_CASE(a_shutdown_cuts_nothing)
 {
   this->Configure();
-  Connection* stream = nullptr;
-  this->AddEndpoint([&](Connection& aTo, const RequestHead& aHead) {
-    stream = &aTo;
-    aTo.Write(StreamHead(aHead) + Chunk("id: 1\ndata: a\n\n"));
-  });
-  BareClient client(this->gateway->Port());
-  client.Send(Request("/stream/x", "r1"));
-  BOOST_REQUIRE(RunUntil([&] { return Has(client.Received(), "data: a"); }));
+  OpenStream stream(*this);
   this->gateway->BeginLeaving();
   BOOST_TEST(!this->gateway->IsReady());
   BOOST_TEST(!this->gateway->IsDone());
-  stream->Write(Chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n");
-  BOOST_TEST(RunUntil([&] { return Has(client.Received(), "\r\n0\r\n\r\n"); }));
+  stream.Finish();
+  BOOST_TEST(stream.HasWhole());
   BOOST_TEST(RunUntil([&] { return this->gateway->IsDone(); }));
 }
 
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -41,6 +41,7 @@
     status: int = 0  # final answer; 0: none
     answered: float = 0.0
     gone: float = 0.0  # the caller closed its connection
+    arrivals: int = 0  # at endpoints, with those that they refused
     runs: list = dataclasses.field(default_factory=list)
 
 
@@ -58,8 +59,9 @@
 
 
 class Ledger:
-    def __init__(self, log):
+    def __init__(self, log, begun):
         self.log = log
+        self.begun = begun
         self.requests = {}
         self.findings = []
         self.counts = collections.Counter()
@@ -71,7 +73,6 @@
         self.demand = collections.defaultdict(list)  # service -> [time sent]
         self.quota_runs = collections.defaultdict(list)  # account -> [time run]
         self.denied = 0
-        self.stray = 0
 
     # Faults and what they excuse.
 
@@ -155,8 +156,8 @@
         is_long = int(head.get("deadline-ms", "0")) > (request.deadline - now) * 1000 + 500
         if is_long and self.in_touch(request.entry, request.sent or now, now):
             self.find("BUDGET", f"{request.id} has {head.get('deadline-ms')} ms at {endpoint}, more than is left")
-        self.arrivals[service].append((now, bool(request.runs) or request.id in self.counts))
-        self.counts[request.id] += 1
+        self.arrivals[service].append((now, request.arrivals > 0))
+        request.arrivals += 1
         left = self.left.get(endpoint)
         if left is not None and request.sent > left and now > left + LEAVING:
             if self.in_touch(request.entry, left, now) and not request.gone:
@@ -281,11 +282,16 @@
     def check_quota(self, tenant):
         runs = self.quota_runs[tenant["name"]]
         bound = (tenant["rate-per-s"] * QUOTA_WINDOW + tenant["burst"]) * (1 + QUOTA_OVERAGE) + QUOTA_SLACK
-        worst = 0
+        worst, worst_since = 0, 0.0
         for index, (until, _) in enumerate(runs):
             since = until - QUOTA_WINDOW
             window = itertools.takewhile(lambda run: run[0] >= since, reversed(runs[: index + 1]))
-            worst = max(worst, sum(1 for _, sent in window if sent >= since))
+            count = sum(1 for _, sent in window if sent >= since)
+            if count > worst:
+                worst, worst_since = count, since
         self.counts["quota-worst"] = worst
         if worst > bound:
-            self.find("QUOTA", f"{worst} requests of {tenant['name']} ran within {QUOTA_WINDOW} s; {bound:.0f} may")
+            at = worst_since - self.begun
+            self.find("QUOTA", f"{worst} requests of {tenant['name']} ran within {QUOTA_WINDOW} s from {at:.2f}; {bound:.0f} may")
+            steps = collections.Counter(int((run - worst_since) * 4) for run, _ in runs if run >= worst_since)
+            self.log("runs in each quarter of a second from there: " + " ".join(str(steps[step]) for step in range(32)))
--- a/tests/soak/main.py
+++ b/tests/soak/main.py
@@ -31,6 +31,7 @@
     parser.add_argument("--services", type=int, default=2, help="endpoints of each of the two services")
     parser.add_argument("--callers", type=int, default=40)
     parser.add_argument("--series", type=int, default=3, help="of faults side by side")
+    parser.add_argument("--generation", type=int, default=faults.GENERATION, help="of the kinds of fault; see faults.py")
     parser.add_argument("--logs", help="folder for the logs of runs with findings")
     parser.add_argument("--one", action="store_true", help=argparse.SUPPRESS)
     return parser.parse_args()
@@ -44,13 +45,13 @@
     async def play():
         played = world.World(options.seed, sizes, os.path.abspath(options.program), folder)
         try:
-            await played.play(faults.Faults(options.seed, options.series), options.seconds)
+            await played.play(faults.Faults(options.seed, options.series, options.generation), options.seconds)
         finally:
             played.kill_all()
         return played
 
     played = asyncio.run(play())
-    counts = {str(key): value for key, value in played.ledger.counts.items() if not str(key).startswith("c")}
+    counts = {str(key): value for key, value in played.ledger.counts.items()}
     asked = len(played.ledger.requests)
     print(f"seed {options.seed}: {asked} requests, {counts}, store calls {played.store.calls}")
     for promise, text in played.ledger.findings[:10]:
@@ -63,7 +64,7 @@
 def play_all(options, seeds, logs):
     """Runs the seeds, some at a time, each in a process of its own; returns those with findings."""
     running, bad, started = {}, [], 0
-    passed = ["program", "seconds", "entries", "engines", "services", "callers", "series"]
+    passed = ["program", "seconds", "entries", "engines", "services", "callers", "series", "generation"]
     try:
         while seeds or running:
             while seeds and len(running) < options.jobs:
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -45,7 +45,7 @@
         self.folder = folder
         self.begun = time.monotonic()
         self.log_file = open(os.path.join(folder, "soak.log"), "w", encoding="utf8")
-        self.ledger = ledger.Ledger(self.log)
+        self.ledger = ledger.Ledger(self.log, self.begun)
         self.store = store.Store()
         self.is_over = False
         self.tasks = set()
