--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -10,22 +10,28 @@
 
 
 PLANNED_ONLY = 3  # each so many seeds play planned work alone, which excuses no lost answer
+# A new kind changes what all seeds play. The regressions name the generation that they failed with:
+# 1 has no moves of versions.
+GENERATION = 2
 SHARE_OF_KINDS = 0.5  # of all kinds that one run plays
 
 
 class Faults:
     """The kinds that a run plays are drawn too: few of them meet more often than all do."""
 
-    def __init__(self, seed, series):
+    def __init__(self, seed, series, generation):
         self.random = random.Random(f"faults {seed}")
         self.series = series
         self.until = 0.0
-        planned = {self.terminate: 3, self.hang_up: 1, self.kill_agent: 2, self.leave: 2, self.change_config: 3,
-                   self.move_version: 2}
+        planned = {self.terminate: 3, self.hang_up: 1, self.kill_agent: 2, self.leave: 2, self.change_config: 3}
+        kinds = self.all_kinds()
+        if generation < 2:
+            del kinds[self.move_version]
+        else:
+            planned[self.move_version] = 2
         if seed % PLANNED_ONLY == 0:
             self.kinds = planned
         else:
-            kinds = self.all_kinds()
             drawn = [kind for kind in kinds if self.random.random() < SHARE_OF_KINDS]
             self.kinds = {kind: kinds[kind] for kind in drawn or kinds}
 
