Obey an endpoint's word that it leaves or wants a rest; cut answers without end

Cause: the users' pages now say that a worker names its leaving in every answer and may ask for a rest with 503 and Retry-After; both were passed over. An answer without end (interim answers, answers to other requests, chunk extensions, bodies, events) was read for as long as it came. Ruled out: bounding memory per connection only (hundreds of connections on 88 MB). Conclusion: leaving holds for one life of the endpoint and is told to the other entries; a rest binds this process only, reports of the agent too.

--- a/src/direct/dispatcher.cpp
+++ b/src/direct/dispatcher.cpp
@@ -49,19 +49,68 @@
       target.local = std::make_unique<SlotQueue>(this->options.queue, *target.localPort);
     } else if (target.info.bornMs != info.bornMs || target.info.sequence < info.sequence) {
       target.health.OnRecovered();
+      target.restsUntil = target.info.bornMs != info.bornMs ? TimePoint{} : target.restsUntil;
     }
     target.info = info;
+    target.saysLeaving = this->leaving.Contains(LifeOf(id, info.bornMs));
     target.isListed = true;
     target.hasAgent = aHasAgents(info.service);
     target.local->SetLimit(aNow, target.agentLive ? 0 : this->LocalLimit(target));
   }
+  this->DropUnusableCalls(aNow);
+  std::erase_if(this->targets,
+                [](const auto& aRow) { return !aRow.second.isListed && aRow.second.running == 0; });
+  this->DrainLocalOffers(aNow);
+}
+
+void Dispatcher::DropUnusableCalls(TimePoint aNow)
+{
   for (auto& row : this->calls) {
     if (row.second.stage == Stage::kQueued) {
       this->DropUnusable(aNow, row.second);
     }
   }
-  std::erase_if(this->targets,
-                [](const auto& aRow) { return !aRow.second.isListed && aRow.second.running == 0; });
+}
+
+bool Dispatcher::OnNotice(TimePoint aNow, const std::string& aEndpoint,
+                          const EndpointNotice& aNotice)
+{
+  const auto found = this->targets.find(aEndpoint);
+  if (found == this->targets.end()) {
+    return false;
+  }
+  Target& target = found->second;
+  const bool isNews =
+    (aNotice.isLeaving && !target.saysLeaving) ||
+    (aNotice.rest > Duration::zero() && aNow + aNotice.rest > target.restsUntil);
+  if (!isNews) {
+    return false;
+  }
+  if (aNotice.rest > Duration::zero()) {
+    target.restsUntil = std::max(target.restsUntil, aNow + aNotice.rest);
+  }
+  if (aNotice.isLeaving) {
+    this->leaving.Add(aNow, LifeOf(aEndpoint, target.info.bornMs));
+    target.saysLeaving = true;
+  }
+  this->DropUnusableCalls(aNow);
+  this->DrainLocalOffers(aNow);
+  return true;
+}
+
+void Dispatcher::OnLeaving(TimePoint aNow, const std::vector<EndpointLife>& aLives)
+{
+  bool isNews = false;
+  for (const EndpointLife& life : aLives) {
+    isNews = this->leaving.Add(aNow, life) || isNews;
+  }
+  if (!isNews) {
+    return;
+  }
+  for (auto& [id, target] : this->targets) {
+    target.saysLeaving = this->leaving.Contains(LifeOf(id, target.info.bornMs));
+  }
+  this->DropUnusableCalls(aNow);
   this->DrainLocalOffers(aNow);
 }
 
@@ -254,7 +303,7 @@
 {
   const auto found = this->calls.find(aCall);
   const bool isWanted = found != this->calls.end() && found->second.stage == Stage::kQueued;
-  const bool isUsable = isWanted && this->MayUse(aTarget, found->second.spec) &&
+  const bool isUsable = isWanted && this->MayUse(aNow, aTarget, found->second.spec) &&
                         (aTarget.agentLive || aTarget.health.AvoidUntil() <= aNow ||
                          found->second.reserved.size() == 1);
   if (isUsable) {
@@ -317,7 +366,7 @@
 {
   const auto found = this->calls.find(aCall);
   Call& call = found->second;
-  const Duration retryAfter = this->RetryAfter(call.spec.service, call.spec.rank);
+  const Duration retryAfter = this->RetryAfter(aNow, call.spec.service, call.spec.rank);
   this->WithdrawAll(aNow, call, "");
   this->LeaveEndpoint(aNow, call);
   this->calls.erase(found);
--- a/src/direct/dispatcher.h
+++ b/src/direct/dispatcher.h
@@ -7,6 +7,7 @@
 #include "core/random.h"
 #include "direct/endpoint_health.h"
 #include "direct/endpoint_table.h"
+#include "direct/leaving_table.h"
 #include "direct/patience.h"
 #include "direct/retry_budget.h"
 #include "direct/slot_queue.h"
@@ -85,6 +86,16 @@
   // the host answers with what it has.
   bool OnAttemptEnd(TimePoint aNow, CallNumber aCall, AttemptEnd aEnd);
 
+  // An answer of the endpoint came with a notice. True if it says something new.
+  bool OnNotice(TimePoint aNow, const std::string& aEndpoint, const EndpointNotice& aNotice);
+  // Another entry was told that these endpoints leave.
+  void OnLeaving(TimePoint aNow, const std::vector<EndpointLife>& aLives);
+  // What endpoints said of their leaving, for the other entries.
+  std::vector<EndpointLife> RecentlyLeaving(TimePoint aNow) const
+  {
+    return this->leaving.Recent(aNow);
+  }
+
   void OnAgentState(TimePoint aNow, const std::string& aHost, const AgentState& aState);
   void OnOffer(TimePoint aNow, const std::string& aHost, CallNumber aCall);
 
@@ -92,7 +103,7 @@
   TimePoint NextTimer() const;
 
   // When a refused caller of this service and rank should come back.
-  Duration RetryAfter(const std::string& aService, Tier aRank) const;
+  Duration RetryAfter(TimePoint aNow, const std::string& aService, Tier aRank) const;
   // Endpoint that runs the call; nullptr if none does.
   const EndpointInfo* EndpointOf(CallNumber aCall) const;
   std::size_t CallCount() const { return this->calls.size(); }
@@ -115,6 +126,8 @@
     EndpointInfo info;
     bool hasAgent = false;
     bool isListed = true; // false: only finishes what it runs
+    bool saysLeaving = false; // in an answer, to this entry or to another one
+    TimePoint restsUntil{};   // it asked this process for a rest
     bool agentLive = false;
     TimePoint agentHeardAt{};
     TimePoint busySince = kNever; // something is held there since
@@ -182,7 +195,8 @@
   void SendHolds(TimePoint aNow);
   void Schedule(Call& aCall);
   void LiftProbe(Call& aCall);
-  bool MayUse(const Target& aTarget, const CallSpec& aSpec) const;
+  bool MayUse(TimePoint aNow, const Target& aTarget, const CallSpec& aSpec) const;
+  void DropUnusableCalls(TimePoint aNow);
   Target* FindByHost(const std::string& aHost);
 
   DispatchOptions options;
@@ -199,6 +213,7 @@
   TimePoint nextHold{};
   std::uint32_t holdRound = 0;
   std::map<std::string, std::string> bannedVersions;     // by service
+  LeavingTable leaving;
   std::map<std::string, Duration, std::less<>> runTimes; // usual time of a run by service
   std::vector<std::pair<std::string, CallNumber>> localOffers;
 };
--- a/src/direct/dispatcher_place.cpp
+++ b/src/direct/dispatcher_place.cpp
@@ -38,7 +38,7 @@
 {
   std::erase_if(aCall.reserved, [&](const std::string& aId) {
     Target& target = this->targets.at(aId);
-    if (this->MayUse(target, aCall.spec)) {
+    if (this->MayUse(aNow, target, aCall.spec)) {
       return false;
     }
     target.local->Withdraw(aNow, this->self, aCall.spec.number);
@@ -52,14 +52,16 @@
   }
 }
 
-Duration Dispatcher::RetryAfter(const std::string& aService, Tier aRank) const
+Duration Dispatcher::RetryAfter(TimePoint aNow, const std::string& aService, Tier aRank) const
 {
   double slots = 0;
   double ahead = 0;
+  TimePoint firstRested = kNever;
   for (const auto& [id, target] : this->targets) {
     if (!target.isListed || target.info.service != aService) {
       continue;
     }
+    firstRested = std::min(firstRested, target.restsUntil);
     const std::uint32_t own = this->LocalLimit(target);
     slots += target.agentLive ? target.agent.limit : own;
     double waiting = 0;
@@ -69,8 +71,9 @@
     // A call waits at many endpoints at once, so the longest queue holds about all that wait.
     ahead = std::max(ahead, waiting);
   }
-  const Duration runTime = this->RunTime(aService);
-  return RetryTime(this->options.patience, ahead, slots, runTime);
+  const Duration drain =
+    RetryTime(this->options.patience, ahead, slots, this->RunTime(aService));
+  return firstRested == kNever ? drain : std::max(drain, firstRested - aNow);
 }
 
 // Usual time of a run at an endpoint of the service.
@@ -110,7 +113,7 @@
   };
   std::vector<Scored> scored;
   for (auto& [id, target] : this->targets) {
-    if (!this->MayUse(target, aCall.spec)) {
+    if (!this->MayUse(aNow, target, aCall.spec)) {
       continue;
     }
     const bool isDown = target.agentLive && !target.agent.isReachable;
@@ -249,10 +252,11 @@
   aCall.reserved.clear();
 }
 
-bool Dispatcher::MayUse(const Target& aTarget, const CallSpec& aSpec) const
+bool Dispatcher::MayUse(TimePoint aNow, const Target& aTarget, const CallSpec& aSpec) const
 {
   const EndpointInfo& info = aTarget.info;
   if (!aTarget.isListed || info.service != aSpec.service || info.isLeaving ||
+      aTarget.saysLeaving || aNow < aTarget.restsUntil ||
       (aTarget.agentLive && aTarget.agent.isLeaving)) {
     return false;
   }
--- a/src/direct/endpoint_table.h
+++ b/src/direct/endpoint_table.h
@@ -26,6 +26,13 @@
   friend bool operator==(const EndpointInfo&, const EndpointInfo&) = default;
 };
 
+// What an answer says about its endpoint, whatever request it belongs to.
+struct EndpointNotice
+{
+  bool isLeaving = false; // it stops soon: nothing new may be sent to it
+  Duration rest{};        // it wants no request from this process for so long; zero: any
+};
+
 class EndpointTable
 {
 public:
--- a/src/direct/messages.h
+++ b/src/direct/messages.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "direct/call.h"
+#include "direct/leaving_table.h"
 #include "direct/version_move.h"
 
 #include <cereal/types/array.hpp>
@@ -183,12 +184,13 @@
   // From the entry that hears all others in every round: use of all entries in the last window.
   std::vector<AccountUse> windowUses;
   std::vector<MoveState> moves; // of versions, that are under way or have just ended
+  std::vector<EndpointLife> leaving; // that said so to the sender a short while ago
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
     aArchive(sentAtUs, echoUs, configOffset, configAgeMs, endpointsHash, endpointsAgeMs, readsStore,
-             uses, windowUses, moves);
+             uses, windowUses, moves, leaving);
   }
 
   friend bool operator==(const EntryState&, const EntryState&) = default;
--- a/src/gateway/dialect.h
+++ b/src/gateway/dialect.h
@@ -61,6 +61,7 @@
   // Name of the field that an endpoint repeats from the request.
   virtual std::string CorrelationField() const = 0;
   virtual AnswerKind KindOf(const ResponseHead& aHead) const = 0;
+  virtual direct::EndpointNotice NoticeOf(const ResponseHead& aHead) const = 0;
   // Fields of an endpoint's answer that go to the caller.
   virtual HeaderFields AnswerFields(const ResponseHead& aHead) const = 0;
   // Fields of an answer of the gateway's own. aRequest: nullptr if it could not be read.
@@ -80,8 +81,9 @@
   virtual ~ReportReader() = default;
   // The request for a report as it goes on the wire.
   virtual std::string WriteReportRequest() const = 0;
-  virtual std::optional<EndpointReport> ReadReport(std::uint16_t aStatus,
+  virtual std::optional<EndpointReport> ReadReport(const ResponseHead& aHead,
                                                    std::string_view aBody) const = 0;
+  virtual direct::EndpointNotice NoticeOf(const ResponseHead& aHead) const = 0;
 };
 
 } // namespace caraway::gateway
--- a/src/gateway/endpoint_agent.cpp
+++ b/src/gateway/endpoint_agent.cpp
@@ -16,6 +16,8 @@
 
 // A report takes well under a millisecond on the same machine.
 constexpr Duration kReportTimeout = milliseconds(400);
+// A report names each run; some hundred bytes for each of a few hundred runs.
+constexpr std::uint64_t kMaxReportBytes = 256 << 10;
 
 } // namespace
 
@@ -127,13 +129,18 @@
 void EndpointAgent::AskReport()
 {
   const TimePoint now = this->Now();
+  if (now < this->restsUntil) {
+    this->reportTimer.ArmAfter(this->restsUntil - now);
+    return;
+  }
   if (this->asking.expired()) {
     EndpointRequest request;
     request.address = this->settings.endpoint;
     request.bytes = this->reports.WriteReportRequest();
     request.connectTimeout = kReportTimeout;
+    request.maxBodyBytes = kMaxReportBytes;
     this->askedAt = now;
-    this->reportStatus = 0;
+    this->reportHead = {};
     this->reportBody.clear();
     this->asking = this->pool.Send(std::move(request), *this);
   } else if (now - this->askedAt > kReportTimeout) {
@@ -152,7 +159,16 @@
 
 void EndpointAgent::OnHead(const ResponseHead& aHead)
 {
-  this->reportStatus = aHead.status;
+  this->reportHead = aHead;
+  const direct::EndpointNotice notice = this->reports.NoticeOf(aHead);
+  if (notice.rest > Duration::zero()) {
+    // It lives and answers: neither the rest nor what is not heard during it is a sign of trouble.
+    this->restsUntil = this->Now() + notice.rest;
+    this->reportedAt = std::max(this->reportedAt, this->restsUntil);
+    LogEvent(LogLevel::kInfo, "endpoint_rests",
+             { { "endpoint", FormatAddress(this->settings.endpoint) },
+               { "rest_ms", std::to_string(notice.rest / milliseconds(1)) } });
+  }
 }
 
 void EndpointAgent::OnBody(std::string_view aData)
@@ -164,7 +180,7 @@
 {
   this->asking.reset();
   if (aEnd == ExchangeEnd::kComplete) {
-    const auto read = this->reports.ReadReport(this->reportStatus, this->reportBody);
+    const auto read = this->reports.ReadReport(this->reportHead, this->reportBody);
     if (read) {
       this->TakeReport(*read);
       this->AfterInput();
--- a/src/gateway/endpoint_agent.h
+++ b/src/gateway/endpoint_agent.h
@@ -83,7 +83,8 @@
   TimePoint reportedAt{};
   bool isReachable = false;
   std::weak_ptr<EndpointExchange> asking;
-  std::uint16_t reportStatus = 0;
+  ResponseHead reportHead;
+  TimePoint restsUntil{}; // the engine asked for a rest
   std::string reportBody;
   TimePoint askedAt{};
   std::uint32_t stateRound = 0;
--- a/src/gateway/flow.cpp
+++ b/src/gateway/flow.cpp
@@ -16,6 +16,12 @@
 // have closed them, and a request lost there could not be told from one that ran.
 constexpr Duration kOnceMaxIdle = std::chrono::milliseconds(800);
 constexpr Duration kMaxIdle = std::chrono::seconds(4);
+// Bounds of an endpoint's answer: the longest stream of events, and of one event in it.
+constexpr std::uint64_t kMaxStreamBytes = 32 << 20;
+constexpr std::size_t kMaxEventBytes = 1 << 20;
+// Parts of answers that this process keeps at once because they are not passed on as they come. The
+// smallest entry VM has 88 MB.
+constexpr std::size_t kMaxHeldBytes = 24 << 20;
 
 } // namespace
 
@@ -28,6 +34,11 @@
 {
 }
 
+Gateway::Flow::~Flow()
+{
+  this->DropBody();
+}
+
 void Gateway::Flow::Start(const direct::EndpointInfo& aEndpoint)
 {
   EndpointCall call{ this->request, this->ingress.body };
@@ -40,11 +51,14 @@
   request.bytes = this->gateway.dialect.WriteEndpointRequest(call);
   request.isHead = this->request.method == "HEAD";
   request.maxIdle = this->spec.kind == CallKind::kSafe ? kMaxIdle : kOnceMaxIdle;
+  if (this->IsStream()) {
+    request.maxBodyBytes = kMaxStreamBytes;
+  }
   request.correlationField = this->gateway.dialect.CorrelationField();
   request.correlationValue = this->request.id;
   this->hasHead = false;
   this->kind = AnswerKind::kInvalid;
-  this->body.clear();
+  this->DropBody();
   this->events = EventSplitter();
   this->attemptOpen = true;
   this->attemptVersion = aEndpoint.version;
@@ -92,15 +106,42 @@
   this->head = aHead;
   this->hasHead = true;
   this->kind = this->gateway.dialect.KindOf(aHead);
+  this->gateway.TakeNotice(this->number, this->gateway.dialect.NoticeOf(aHead));
 }
 
 void Gateway::Flow::OnBody(std::string_view aData)
 {
   if (this->kind == AnswerKind::kSuccess && this->IsStream()) {
     this->TakeStreamData(aData);
-  } else {
-    this->body.append(aData);
+    if (this->attemptOpen && this->events.Rest().size() > kMaxEventBytes) {
+      this->CutAnswer("event_without_end");
+    }
+    return;
+  }
+  this->gateway.heldBytes += aData.size();
+  if (this->gateway.heldBytes > kMaxHeldBytes) {
+    this->gateway.heldBytes -= aData.size();
+    this->CutAnswer("answers_too_large");
+    return;
   }
+  this->body.append(aData);
+}
+
+// Ends an attempt whose answer cannot be kept any longer.
+void Gateway::Flow::CutAnswer(std::string_view aCause)
+{
+  LogEvent(LogLevel::kWarning, "answer_cut",
+           { { "request", this->request.id },
+             { "cause", std::string(aCause) },
+             { "held_bytes", std::to_string(this->gateway.heldBytes) } });
+  this->gateway.pool.Cancel(this->attempt);
+  this->OnEnd(ExchangeEnd::kMalformed);
+}
+
+void Gateway::Flow::DropBody()
+{
+  this->gateway.heldBytes -= this->body.size();
+  std::string().swap(this->body);
 }
 
 // Passes whole events on as they come.
@@ -192,7 +233,8 @@
       [[fallthrough]];
     default:
       this->EndWithout(GiveUpReason::kFailed,
-                       this->gateway.dispatcher.RetryAfter(this->spec.service, this->spec.rank));
+                       this->gateway.dispatcher.RetryAfter(
+                         this->gateway.Now(), this->spec.service, this->spec.rank));
       break;
   }
   this->gateway.AfterInput();
--- a/src/gateway/flow.h
+++ b/src/gateway/flow.h
@@ -11,6 +11,9 @@
 public:
   Flow(Gateway& aGateway, direct::CallNumber aNumber, std::shared_ptr<IngressExchange> aExchange,
        IngressRequest aRequest);
+  ~Flow() override;
+  Flow(const Flow&) = delete;
+  Flow& operator=(const Flow&) = delete;
 
   // Sends the request to the endpoint.
   void Start(const direct::EndpointInfo& aEndpoint);
@@ -42,6 +45,8 @@
 private:
   void TakeStreamData(std::string_view aData);
   void BeginStream();
+  void CutAnswer(std::string_view aCause);
+  void DropBody();
   void FinishAttempt(direct::AttemptEnd aEnd);
   void NoteFirst();
   void PassAnswer();
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -343,6 +343,27 @@
   }
 }
 
+// Obeys what an answer says of its endpoint, and tells the other entries that it leaves.
+void Gateway::TakeNotice(CallNumber aCall, const direct::EndpointNotice& aNotice)
+{
+  const direct::EndpointInfo* found = this->dispatcher.EndpointOf(aCall);
+  if (found == nullptr) {
+    return;
+  }
+  const direct::EndpointInfo endpoint = *found;
+  if (!this->dispatcher.OnNotice(this->Now(), endpoint.id, aNotice)) {
+    return;
+  }
+  LogEvent(LogLevel::kInfo, "endpoint_notice",
+           { { "endpoint", endpoint.id },
+             { "born_ms", std::to_string(endpoint.bornMs) },
+             { "leaving", aNotice.isLeaving ? "true" : "false" },
+             { "rest_ms", MillisecondsText(aNotice.rest) } });
+  if (aNotice.isLeaving) {
+    this->SendStates();
+  }
+}
+
 void Gateway::GiveUp(CallNumber aCall, direct::GiveUpReason aReason, Duration aRetryAfter)
 {
   const auto found = this->flows.find(aCall);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -146,7 +146,7 @@
   void Refuse(Flow& aFlow, std::uint16_t aStatus, std::string_view aCause, Duration aRetryAfter);
   void Remove(Flow& aFlow);
   void ReturnQuota(Flow& aFlow);
-  void RunStarts();
+  void TakeNotice(direct::CallNumber aCall, const direct::EndpointNotice& aNotice);
   void SendStates();
   std::size_t StateRounds() const;
   void TakeEntryState(const Address& aFrom, const Peer& aPeer, const direct::EntryState& aState);
@@ -177,6 +177,7 @@
   std::vector<std::unique_ptr<Flow>> ended;     // destroyed when no call into them is on the stack
   std::map<std::string, PeerEntry> peerEntries; // by IP number
   direct::CallNumber lastCall = 0;
+  std::size_t heldBytes = 0; // of answers that are not passed on yet
   std::function<void()> onNewerConfig;
   std::function<void()> onOtherEndpoints;
   bool readsStore = false;
--- a/src/gateway/gateway_peers.cpp
+++ b/src/gateway/gateway_peers.cpp
@@ -58,6 +58,7 @@
     this->onNewerConfig();
   }
   this->dispatcher.SetBannedVersions(now, this->moves.Banned());
+  this->dispatcher.OnLeaving(now, aState.leaving);
   TimePoint notBefore{ Duration(aState.echoUs) };
   if (notBefore > now) {
     // The echo of an earlier life: a VM that lost power counts its time anew. It shows nothing.
@@ -167,6 +168,7 @@
   state.moves = this->moves.States(now, [this](const auto& aService, const auto& aVersion) {
     return this->dispatcher.RunningElsewhere(aService, aVersion);
   });
+  state.leaving = this->dispatcher.RecentlyLeaving(now);
   state.uses = this->quota.OwnUse();
   // Where all hear each other in every round, that is as new and needs no estimate.
   if (this->IsReader() && this->StateRounds() > 1) {
--- a/src/runtime/endpoint_pool.cpp
+++ b/src/runtime/endpoint_pool.cpp
@@ -18,6 +18,9 @@
 // request meets the endpoint's own close on the way.
 constexpr int kKeepNumerator = 2;
 constexpr int kKeepDenominator = 3;
+// Interim answers and answers to earlier requests that may come before the one waited for. An
+// endpoint sends at most a few of them; one in trouble may send them without end.
+constexpr unsigned kMaxSkippedAnswers = 16;
 
 // Idle time that the answer's Keep-Alive field allows; zero when the connection ends.
 Duration IdleTimeOf(const ResponseReader& aReader)
@@ -89,7 +92,7 @@
     : pool(aPool)
     , request(std::move(aRequest))
     , handler(&aHandler)
-    , reader(std::make_unique<ResponseReader>(this->request.isHead))
+    , reader(std::make_unique<ResponseReader>(this->request.isHead, this->request.maxBodyBytes))
     , connectBy(aPool.clock.Read().steady + this->request.connectTimeout)
   {
   }
@@ -149,7 +152,12 @@
         this->Complete();
         return;
       }
-      this->reader = std::make_unique<ResponseReader>(this->request.isHead);
+      if (++this->skippedAnswers > kMaxSkippedAnswers) {
+        this->End(ExchangeEnd::kMalformed);
+        return;
+      }
+      this->reader =
+        std::make_unique<ResponseReader>(this->request.isHead, this->request.maxBodyBytes);
       this->headReported = false;
     }
   }
@@ -243,6 +251,7 @@
   std::unique_ptr<TcpSocket> socket;
   std::unique_ptr<ResponseReader> reader;
   bool headReported = false;
+  unsigned skippedAnswers = 0;
   bool reused = false;
   TimePoint connectBy;
 };
--- a/src/runtime/endpoint_pool.h
+++ b/src/runtime/endpoint_pool.h
@@ -28,6 +28,9 @@
   // request and is skipped.
   std::string correlationField;
   std::string correlationValue;
+  // Of the answer's decoded body; a longer one ends the exchange as malformed. No answer of the
+  // product's protocols comes near the default.
+  std::uint64_t maxBodyBytes = 4 << 20;
 };
 
 // How an exchange ended.
@@ -36,7 +39,7 @@
   kComplete,  // the whole answer was read
   kUnsent,    // no byte of the request left this process
   kBroken,    // the connection ended before the answer was complete
-  kMalformed, // the answer is not HTTP
+  kMalformed, // the answer is not HTTP, or it has no end within its bounds
 };
 
 std::string_view ToString(ExchangeEnd aEnd);
--- a/src/runtime/http_reader.cpp
+++ b/src/runtime/http_reader.cpp
@@ -5,8 +5,6 @@
 
 #include <strings.h>
 
-#include <limits>
-
 namespace caraway {
 
 namespace {
@@ -30,9 +28,10 @@
   return aError == http::error::body_limit ? ReadState::kBodyTooBig : ReadState::kMalformed;
 }
 
-// Feeds a parser from the front of aInput until it is done, wants more or fails.
+// Feeds a parser from the front of aInput until it is done, wants more or fails. aMaxLine: bytes
+// that may wait for the end of their line; the parser itself does not bound chunk extensions.
 template<class Parser>
-ReadState Feed(Parser& aParser, std::string& aInput)
+ReadState Feed(Parser& aParser, std::string& aInput, std::size_t aMaxLine)
 {
   std::size_t used = 0;
   ReadState state = ReadState::kMore;
@@ -55,7 +54,7 @@
     }
   }
   aInput.erase(0, used);
-  return state;
+  return state == ReadState::kMore && aInput.size() > aMaxLine ? ReadState::kHeadTooBig : state;
 }
 
 // Collects what both kinds of messages share.
@@ -144,11 +143,13 @@
 struct RequestReader::Impl
 {
   RequestCollector collector;
+  std::uint32_t maxHeadBytes = 0;
 };
 
 RequestReader::RequestReader(std::uint32_t aMaxHeadBytes, std::uint64_t aMaxBodyBytes)
   : impl(std::make_unique<Impl>())
 {
+  this->impl->maxHeadBytes = aMaxHeadBytes;
   this->impl->collector.header_limit(aMaxHeadBytes);
   this->impl->collector.body_limit(aMaxBodyBytes);
 }
@@ -157,7 +158,7 @@
 
 ReadState RequestReader::Read(std::string& aInput)
 {
-  const ReadState state = Feed(this->impl->collector, aInput);
+  const ReadState state = Feed(this->impl->collector, aInput, this->impl->maxHeadBytes);
   if (state == ReadState::kDone) {
     this->impl->collector.head.fields = std::move(this->impl->collector.fields);
   }
@@ -189,11 +190,11 @@
   ResponseCollector collector;
 };
 
-ResponseReader::ResponseReader(bool aToHead)
+ResponseReader::ResponseReader(bool aToHead, std::uint64_t aMaxBodyBytes)
   : impl(std::make_unique<Impl>())
 {
   this->impl->collector.header_limit(kMaxResponseHead);
-  this->impl->collector.body_limit(std::numeric_limits<std::uint64_t>::max());
+  this->impl->collector.body_limit(aMaxBodyBytes);
   this->impl->collector.skip(aToHead);
 }
 
@@ -201,7 +202,7 @@
 
 ReadState ResponseReader::Read(std::string& aInput)
 {
-  const ReadState state = Feed(this->impl->collector, aInput);
+  const ReadState state = Feed(this->impl->collector, aInput, kMaxResponseHead);
   this->impl->collector.head.length = this->impl->collector.length;
   return state;
 }
--- a/tests/gateway/fixture.h
+++ b/tests/gateway/fixture.h
@@ -61,6 +61,13 @@
     }
     return aHead.status < 300 ? AnswerKind::kSuccess : AnswerKind::kFailure;
   }
+  direct::EndpointNotice NoticeOf(const ResponseHead& aHead) const override
+  {
+    const HeaderField* rest = FindField(aHead.fields, "Rest");
+    return { FindField(aHead.fields, "Leaving") != nullptr,
+             rest == nullptr ? Duration::zero()
+                             : Duration(std::chrono::milliseconds(std::stoi(rest->value))) };
+  }
   HeaderFields AnswerFields(const ResponseHead& aHead) const override
   {
     HeaderFields fields;
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -369,6 +369,56 @@
 }
 
 // An order moves the service to a version that fails: it gets a small part, and nothing soon.
+// An endpoint's own word that it leaves binds at once, also before the list says it, and for the
+// whole life of its process.
+BOOST_AUTO_TEST_CASE(an_endpoint_that_says_it_leaves_gets_nothing_new)
+{
+  this->Configure();
+  const auto answer = [](const char* aField) {
+    return [aField](Connection& aTo, const RequestHead& aHead) {
+      aTo.Write("HTTP/1.1 200 OK\r\nId: " + FindField(aHead.fields, "Id")->value +
+                "\r\nProof: p\r\n" + aField + "Content-Length: 2\r\n\r\nok");
+    };
+  };
+  ScriptedEndpoint& leaving = this->AddEndpoint(answer("Leaving: 1\r\n"));
+  BOOST_TEST(Has(this->Ask(Request("/once/x", "r1"), "ok"), " 200 "));
+  ScriptedEndpoint& other = this->AddEndpoint(answer(""));
+  for (int call = 0; call < 10; call++) {
+    BOOST_TEST(Has(this->Ask(Request("/once/x", "s" + std::to_string(call)), "ok"), " 200 "));
+  }
+  BOOST_TEST(leaving.requests.size() == 1U);
+  BOOST_TEST(other.requests.size() == 10U);
+  // A new life under the same name is another matter.
+  this->listed["e1"].bornMs = 5;
+  this->gateway->SetEndpoints(this->listed);
+  this->listed.erase("e2");
+  this->gateway->SetEndpoints(this->listed);
+  BOOST_TEST(Has(this->Ask(Request("/once/x", "t"), "ok"), " 200 "));
+  BOOST_TEST(leaving.requests.size() == 2U);
+}
+
+// A refusal with a time to come back is obeyed, also where there is nothing else to ask.
+BOOST_AUTO_TEST_CASE(an_endpoint_that_asks_for_a_rest_gets_it)
+{
+  this->Configure();
+  ScriptedEndpoint& endpoint = this->AddEndpoint([](Connection& aTo, const RequestHead& aHead) {
+    aTo.Write("HTTP/1.1 503 Busy\r\nId: " + FindField(aHead.fields, "Id")->value +
+              "\r\nNot-Run: 1\r\nRest: 60000\r\nContent-Length: 0\r\n\r\n");
+  });
+  for (int call = 0; call < 5; call++) {
+    BareClient client(this->gateway->Port());
+    client.Send("POST /safe/x HTTP/1.1\r\nHost: h\r\nId: r\r\nKey: k\r\nLeft: 200\r\n\r\n");
+    RunUntil([&] {
+      this->clock.Advance(milliseconds(10));
+      this->gateway->ConfirmConfig(1, this->clock.Read().steady);
+      return !client.Received().empty();
+    });
+    BOOST_TEST(Has(client.Received(), " 503 "));
+    BOOST_TEST(Has(client.Received(), "Retry-After: "));
+  }
+  BOOST_TEST(endpoint.requests.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(a_bad_version_gets_little_and_then_nothing)
 {
   this->Configure();
--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -148,7 +148,7 @@
       ReadEndpoint("i", text);
       ReadNodeSettings(text, findings);
       DecodeRead(text, 3);
-      PlatformReports("h").ReadReport(200, text);
+      PlatformReports("h").ReadReport(MakeAnswer(200, {}), text);
     }
   });
 }
@@ -250,6 +250,27 @@
   BOOST_TEST((dialect.KindOf(MakeAnswer(421, {})) == AnswerKind::kMisdirected));
 }
 
+BOOST_AUTO_TEST_CASE(notices_of_endpoints_are_read)
+{
+  const PlatformDialect dialect;
+  BOOST_TEST(!dialect.NoticeOf(MakeAnswer(200, {})).isLeaving);
+  BOOST_TEST(dialect.NoticeOf(MakeAnswer(200, { { "server-leaving", "1" } })).isLeaving);
+  const HeaderField retry{ "Retry-After", "1.5" };
+  using std::chrono::milliseconds;
+  BOOST_TEST((dialect.NoticeOf(MakeAnswer(503, { retry })).rest == milliseconds(1500)));
+  BOOST_TEST((dialect.NoticeOf(MakeAnswer(429, { retry })).rest == Duration::zero()));
+  for (const char* text : { "", "-3", "soon", "nan", "Wed, 21 Oct 2015 07:28:00 GMT" }) {
+    BOOST_TEST((dialect.NoticeOf(MakeAnswer(503, { { "Retry-After", text } })).rest ==
+                Duration::zero()));
+  }
+  BOOST_TEST((dialect.NoticeOf(MakeAnswer(503, { { "Retry-After", "1e300" } })).rest <=
+              std::chrono::minutes(10)));
+  const auto leaving = PlatformReports("h").ReadReport(
+    MakeAnswer(200, { { "Server-Leaving", "1" } }), R"({"born":7,"state":"ready"})");
+  BOOST_TEST(leaving.has_value());
+  BOOST_TEST(leaving->isLeaving);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace caraway::platform
