--- a/src/direct/dispatcher.cpp
+++ b/src/direct/dispatcher.cpp
@@ -43,6 +43,7 @@
   for (const auto& [id, info] : aAll) {
     Target& target = this->targets[id];
     if (target.local == nullptr) {
+      target.listedAt = aNow;
       target.localPort = std::make_unique<LocalPort>();
       target.localPort->owner = this;
       target.localPort->endpoint = id;
@@ -55,11 +56,19 @@
     target.saysLeaving = this->leaving.Contains(LifeOf(id, info.bornMs));
     target.isListed = true;
     target.hasAgent = aHasAgents(info.service);
-    target.local->SetLimit(aNow, target.agentLive ? 0 : this->LocalLimit(target));
+    target.local->SetLimit(aNow, target.InUse() != nullptr ? 0 : this->LocalLimit(target));
   }
   this->DropUnusableCalls(aNow);
   std::erase_if(this->targets,
                 [](const auto& aRow) { return !aRow.second.isListed && aRow.second.running == 0; });
+  this->idOfHost.clear();
+  this->idOfHash.clear();
+  for (const auto& [id, target] : this->targets) {
+    this->idOfHash[caraway::HashOf(id)] = id;
+    if (target.hasAgent && (target.isListed || !this->idOfHost.contains(target.info.host))) {
+      this->idOfHost[target.info.host] = id;
+    }
+  }
   this->DrainLocalOffers(aNow);
 }
 
@@ -190,9 +199,7 @@
     }
     this->warm[call.spec.subject] = Warm{ call.endpoint, aNow };
   }
-  if (target.agentLive) {
-    this->port.SendToAgent(target.info.host, direct::BeginAnswer{ aCall });
-  }
+  this->Tell(target, direct::BeginAnswer{ aCall });
   this->DrainLocalOffers(aNow);
 }
 
@@ -241,7 +248,7 @@
 void Dispatcher::OnOffer(TimePoint aNow, const std::string& aHost, CallNumber aCall)
 {
   Target* target = this->FindByHost(aHost);
-  if (target != nullptr) {
+  if (target != nullptr && target->InUse() != &target->owner) {
     this->TakeOffer(aNow, *target, aCall);
     this->DrainLocalOffers(aNow);
   }
@@ -252,8 +259,10 @@
   for (auto& [id, target] : this->targets) {
     target.local->KeepHolder(aNow, this->self);
     target.local->OnTimer(aNow);
-    if (target.agentLive && this->IsAgentSilent(aNow, target)) {
-      this->SetAgentLive(aNow, target, false);
+    for (Remote* remote : { &target.agent, &target.owner }) {
+      if (remote->isLive && this->IsSilent(aNow, *remote)) {
+        this->SetLive(aNow, target, *remote, false);
+      }
     }
   }
   if (aNow >= this->nextHold) {
@@ -304,7 +313,7 @@
   const auto found = this->calls.find(aCall);
   const bool isWanted = found != this->calls.end() && found->second.stage == Stage::kQueued;
   const bool isUsable = isWanted && this->MayUse(aNow, aTarget, found->second.spec) &&
-                        (aTarget.agentLive || aTarget.health.AvoidUntil() <= aNow ||
+                        (aTarget.InUse() != nullptr || aTarget.health.AvoidUntil() <= aNow ||
                          found->second.reserved.size() == 1);
   if (isUsable) {
     this->Start(aNow, aTarget, found->second);
@@ -316,9 +325,7 @@
   // Declining what runs here already would release it.
   if (isWanted || found == this->calls.end() || found->second.endpoint != aTarget.info.id) {
     aTarget.local->Withdraw(aNow, this->self, aCall);
-    if (aTarget.agentLive) {
-      this->port.SendToAgent(aTarget.info.host, WithdrawSlot{ aCall });
-    }
+    this->Tell(aTarget, WithdrawSlot{ aCall });
   }
 }
 
@@ -334,11 +341,11 @@
   aTarget.running++;
   const UseSlot use{ aCall.spec.number, this->PromptAt(aNow, aTarget, aCall.spec) };
   aCall.sentTokens = use.promptTokens + PendingAt(aTarget);
-  aTarget.sentPrefill += use.promptTokens;
-  aTarget.local->Use(aNow, this->self, use);
-  if (aTarget.agentLive) {
-    this->port.SendToAgent(aTarget.info.host, use);
+  if (Remote* remote = aTarget.InUse()) {
+    remote->sentPrefill += use.promptTokens;
   }
+  aTarget.local->Use(aNow, this->self, use);
+  this->Tell(aTarget, use);
   this->Schedule(aCall);
   this->port.StartAttempt(aCall.spec.number, aTarget.info);
 }
@@ -357,9 +364,7 @@
   Target& target = found->second;
   target.running -= std::min(target.running, 1U);
   target.local->Release(aNow, this->self, aCall.spec.number);
-  if (target.agentLive) {
-    this->port.SendToAgent(target.info.host, ReleaseSlot{ aCall.spec.number });
-  }
+  this->Tell(target, ReleaseSlot{ aCall.spec.number });
 }
 
 void Dispatcher::GiveUp(TimePoint aNow, CallNumber aCall, GiveUpReason aReason)
--- a/src/direct/dispatcher.h
+++ b/src/direct/dispatcher.h
@@ -1,7 +1,7 @@
 // Decisions of an entry on the direct path: at which endpoints a call queues, where it is sent,
-// when it is sent again and when it is given up. Queues stand in the agents beside the endpoints;
-// where an agent is silent or there is none, the entry queues by itself for its part of the
-// endpoint's slots.
+// when it is sent again and when it is given up. Queues stand in the agents beside the endpoints.
+// Where an agent is silent or there is none, one of the entries owns the endpoint's queue; while
+// that one is silent too, the entry queues by itself for its part of the endpoint's slots.
 #pragma once
 
 #include "core/random.h"
@@ -19,6 +19,7 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace caraway::direct {
@@ -31,7 +32,8 @@
   std::uint32_t smallPool = 16;
   std::uint32_t reservations = 6;
   Duration widenAfter = std::chrono::milliseconds(10);
-  // Silence of an agent after which entries queue by themselves; some periods of AgentState.
+  // Silence of a queue's process after which entries turn to the next one; some periods of AgentState.
+  // An agent that was never heard gets as long before the owner is asked.
   Duration agentSilence = std::chrono::milliseconds(900);
   Duration busyAgentSilence = std::chrono::milliseconds(500); // while something is held there
   Duration holdPeriod = std::chrono::milliseconds(200); // of HoldState where something is held
@@ -55,8 +57,12 @@
   virtual void GiveUp(CallNumber aCall, GiveUpReason aReason, Duration aRetryAfter) = 0;
   // Queues a message for the agent beside the endpoint.
   virtual void SendToAgent(const std::string& aHost, const DirectMessage& aMessage) = 0;
-  // The agent beside the endpoint answers again, or has fallen silent for aSilence.
-  virtual void OnAgentChange(const EndpointInfo& aEndpoint, bool aIsLive, Duration aSilence) = 0;
+  // Queues a message for the entry that owns the endpoint's queue.
+  virtual void SendToOwner(const std::string& aHost, const ForEndpoint& aMessage) = 0;
+  // The agent beside the endpoint, or the owner of its queue, answers again or has fallen silent for
+  // aSilence.
+  virtual void OnQueueChange(const EndpointInfo& aEndpoint, std::string_view aKind, bool aIsLive,
+                             Duration aSilence) = 0;
 };
 
 class Dispatcher
@@ -98,6 +104,10 @@
 
   void OnAgentState(TimePoint aNow, const std::string& aHost, const AgentState& aState);
   void OnOffer(TimePoint aNow, const std::string& aHost, CallNumber aCall);
+  // Entries that own the queues of endpoints, by endpoint id.
+  void SetOwners(TimePoint aNow, const std::map<std::string, std::string>& aHosts);
+  // What the owner of an endpoint's queue says; other entries are not believed.
+  void OnOwnerMessage(TimePoint aNow, const std::string& aHost, const ForEndpoint& aMessage);
 
   void OnTimer(TimePoint aNow);
   TimePoint NextTimer() const;
@@ -121,6 +131,15 @@
     Dispatcher* owner = nullptr;
     std::string endpoint;
   };
+  // A queue of the endpoint in another process.
+  struct Remote
+  {
+    bool isLive = false;
+    TimePoint heardAt{};
+    TimePoint busySince = kNever; // something is held there since
+    AgentState state;
+    std::uint32_t sentPrefill = 0; // own prompt tokens sent since its last state
+  };
   struct Target
   {
     EndpointInfo info;
@@ -128,15 +147,21 @@
     bool isListed = true; // false: only finishes what it runs
     bool saysLeaving = false; // in an answer, to this entry or to another one
     TimePoint restsUntil{};   // it asked this process for a rest
-    bool agentLive = false;
-    TimePoint agentHeardAt{};
-    TimePoint busySince = kNever; // something is held there since
-    AgentState agent;
+    TimePoint listedAt{};
+    Remote agent;
+    Remote owner;
+    std::string ownerHost; // empty: not known
     std::unique_ptr<LocalPort> localPort;
     std::unique_ptr<SlotQueue> local;
     EndpointHealth health;
-    std::uint32_t running = 0;     // own calls there
-    std::uint32_t sentPrefill = 0; // own prompt tokens sent since the agent's last state
+    std::uint32_t running = 0; // own calls there
+
+    // The queue in use; nullptr: the entry's own.
+    const Remote* InUse() const
+    {
+      return this->agent.isLive ? &this->agent : this->owner.isLive ? &this->owner : nullptr;
+    }
+    Remote* InUse() { return const_cast<Remote*>(std::as_const(*this).InUse()); }
   };
   enum class Stage : std::uint8_t
   {
@@ -189,8 +214,17 @@
   void GiveUp(TimePoint aNow, CallNumber aCall, GiveUpReason aReason);
   void TakeOffer(TimePoint aNow, Target& aTarget, CallNumber aCall);
   void DrainLocalOffers(TimePoint aNow);
-  bool IsAgentSilent(TimePoint aNow, const Target& aTarget) const;
-  void SetAgentLive(TimePoint aNow, Target& aTarget, bool aIsLive);
+  static std::string_view KindOf(const Target& aTarget);
+  bool IsSilent(TimePoint aNow, const Remote& aRemote) const;
+  void TakeState(TimePoint aNow, Target& aTarget, Remote& aRemote, const AgentState& aState);
+  void SetLive(TimePoint aNow, Target& aTarget, Remote& aRemote, bool aIsLive);
+  bool NeedsOwner(TimePoint aNow, const Target& aTarget) const;
+  void SendTo(const Target& aTarget, const Remote* aRemote, const QueueMessage& aMessage);
+  // Tells the queue in use, unless it is the entry's own.
+  void Tell(const Target& aTarget, const QueueMessage& aMessage)
+  {
+    this->SendTo(aTarget, aTarget.InUse(), aMessage);
+  }
   std::uint32_t LocalLimit(const Target& aTarget) const;
   void SendHolds(TimePoint aNow);
   void Schedule(Call& aCall);
@@ -207,6 +241,8 @@
   DispatchPort& port;
   std::uint32_t entryCount = 1;
   std::map<std::string, Target> targets; // by endpoint id
+  std::unordered_map<std::string, std::string> idOfHost; // of endpoints with agents
+  std::unordered_map<std::uint64_t, std::string> idOfHash;
   std::unordered_map<CallNumber, Call> calls;
   std::unordered_map<std::uint64_t, Warm> warm; // subject -> endpoint that read it last
   std::priority_queue<Due, std::vector<Due>, std::greater<>> due;
--- a/src/direct/dispatcher_agents.cpp
+++ b/src/direct/dispatcher_agents.cpp
@@ -12,6 +12,12 @@
 
 } // namespace
 
+std::string_view Dispatcher::KindOf(const Target& aTarget)
+{
+  const Remote* remote = aTarget.InUse();
+  return remote == nullptr ? "own" : remote == &aTarget.agent ? "agent" : "owner";
+}
+
 void Dispatcher::LocalPort::OfferSlotTo(const Peer&, CallNumber aCall)
 {
   this->owner->localOffers.emplace_back(this->endpoint, aCall);
@@ -20,21 +26,60 @@
 void Dispatcher::OnAgentState(TimePoint aNow, const std::string& aHost, const AgentState& aState)
 {
   Target* target = this->FindByHost(aHost);
-  if (target == nullptr) {
+  if (target != nullptr) {
+    this->TakeState(aNow, *target, target->agent, aState);
+  }
+}
+
+void Dispatcher::SetOwners(TimePoint aNow, const std::map<std::string, std::string>& aHosts)
+{
+  for (auto& [id, target] : this->targets) {
+    const auto found = aHosts.find(id);
+    const std::string& host = found == aHosts.end() ? std::string() : found->second;
+    if (host != target.ownerHost) {
+      this->SetLive(aNow, target, target.owner, false);
+      target.owner = Remote{};
+      target.ownerHost = host;
+    }
+  }
+  this->DrainLocalOffers(aNow);
+}
+
+void Dispatcher::OnOwnerMessage(TimePoint aNow, const std::string& aHost,
+                                const ForEndpoint& aMessage)
+{
+  const auto id = this->idOfHash.find(aMessage.endpoint);
+  const auto found = id == this->idOfHash.end() ? this->targets.end() : this->targets.find(id->second);
+  if (found == this->targets.end() || found->second.ownerHost != aHost) {
     return;
   }
-  const bool isOtherLife = aState.endpointBornMs != 0 && target->info.bornMs != 0 &&
-                           aState.endpointBornMs != target->info.bornMs;
-  if (aState.isReachable && !target->agent.isReachable) {
-    target->health.OnRecovered();
+  Target& target = found->second;
+  if (const auto* state = std::get_if<AgentState>(&aMessage.message)) {
+    this->TakeState(aNow, target, target.owner, *state);
+  } else if (const auto* offer = std::get_if<OfferSlot>(&aMessage.message)) {
+    // An offer of a queue that is not in use any more is left to lapse.
+    if (target.InUse() == &target.owner) {
+      this->TakeOffer(aNow, target, offer->call);
+      this->DrainLocalOffers(aNow);
+    }
+  }
+}
+
+void Dispatcher::TakeState(TimePoint aNow, Target& aTarget, Remote& aRemote,
+                           const AgentState& aState)
+{
+  const bool isOtherLife = aState.endpointBornMs != 0 && aTarget.info.bornMs != 0 &&
+                           aState.endpointBornMs != aTarget.info.bornMs;
+  if (aState.isReachable && !aRemote.state.isReachable) {
+    aTarget.health.OnRecovered();
   }
-  target->agent = aState;
-  target->agentHeardAt = aNow;
-  target->sentPrefill = 0;
+  aRemote.state = aState;
+  aRemote.heardAt = aNow;
+  aRemote.sentPrefill = 0;
   if (isOtherLife) {
-    target->agent.isLeaving = false; // said of another registration
+    aRemote.state.isLeaving = false; // said of another registration
   }
-  this->SetAgentLive(aNow, *target, true);
+  this->SetLive(aNow, aTarget, aRemote, true);
   this->DrainLocalOffers(aNow);
 }
 
@@ -45,14 +90,15 @@
     return "unknown";
   }
   const Target& target = found->second;
-  const std::uint32_t taken = target.agentLive ? target.agent.taken : target.running;
-  const std::uint32_t limit = target.agentLive ? target.agent.limit : target.local->Limit();
-  std::string text = target.agentLive ? "agent" : "own";
+  const Remote* remote = target.InUse();
+  const std::uint32_t taken = remote != nullptr ? remote->state.taken : target.running;
+  const std::uint32_t limit = remote != nullptr ? remote->state.limit : target.local->Limit();
+  std::string text(KindOf(target));
   text += ",taken:" + std::to_string(taken) + "/" + std::to_string(limit);
   text += ",prefill:" + std::to_string(PendingAt(target));
   text += ",failures:" + std::to_string(static_cast<int>(target.health.FailureRate() * 100)) + "%";
-  if (target.agentLive) {
-    text += ",age:" + std::to_string((aNow - target.agentHeardAt) / milliseconds(1));
+  if (remote != nullptr) {
+    text += ",age:" + std::to_string((aNow - remote->heardAt) / milliseconds(1));
   }
   return text;
 }
@@ -64,34 +110,41 @@
     text += (text.empty() ? "" : ";") + id;
     text += target.isListed ? "" : ":gone";
     text += target.info.isLeaving ? ":leaving" : "";
-    text += target.agentLive ? ":agent" : ":own";
+    text += ":" + std::string(KindOf(target));
     text += target.health.AvoidUntil() > aNow ? ":avoided" : "";
     text += ":" + std::to_string(target.running);
-    text += "/" + std::to_string(target.agentLive ? target.agent.limit : target.local->Limit());
+    text += "/" + std::to_string(target.InUse() != nullptr ? target.InUse()->state.limit
+                                                          : target.local->Limit());
   }
   return text;
 }
 
-bool Dispatcher::IsAgentSilent(TimePoint aNow, const Target& aTarget) const
+bool Dispatcher::IsSilent(TimePoint aNow, const Remote& aRemote) const
 {
-  if (aTarget.busySince != kNever) {
-    const TimePoint since = std::max(aTarget.busySince, aTarget.agentHeardAt);
+  if (aRemote.busySince != kNever) {
+    const TimePoint since = std::max(aRemote.busySince, aRemote.heardAt);
     if (aNow - since > this->options.busyAgentSilence) {
       return true;
     }
   }
-  return aNow - aTarget.agentHeardAt > this->options.agentSilence;
+  return aNow - aRemote.heardAt > this->options.agentSilence;
 }
 
-// Moves the reservations between the agent's queue and the entry's own.
-void Dispatcher::SetAgentLive(TimePoint aNow, Target& aTarget, bool aIsLive)
+// Moves the reservations where another queue comes into use.
+void Dispatcher::SetLive(TimePoint aNow, Target& aTarget, Remote& aRemote, bool aIsLive)
 {
-  if (aTarget.agentLive == aIsLive) {
+  if (aRemote.isLive == aIsLive) {
+    return;
+  }
+  const Remote* before = aTarget.InUse();
+  aRemote.isLive = aIsLive;
+  const Remote* after = aTarget.InUse();
+  this->port.OnQueueChange(aTarget.info, &aRemote == &aTarget.agent ? "agent" : "owner", aIsLive,
+                           aNow - aRemote.heardAt);
+  if (before == after) {
     return;
   }
-  aTarget.agentLive = aIsLive;
-  this->port.OnAgentChange(aTarget.info, aIsLive, aNow - aTarget.agentHeardAt);
-  aTarget.local->SetLimit(aNow, aIsLive ? 0 : this->LocalLimit(aTarget));
+  aTarget.local->SetLimit(aNow, after != nullptr ? 0 : this->LocalLimit(aTarget));
   for (auto& [number, call] : this->calls) {
     const auto& reserved = call.reserved;
     if (call.stage != Stage::kQueued ||
@@ -99,15 +152,38 @@
       continue;
     }
     const ReserveSlot reservation = this->ReservationOf(aNow, aTarget, call);
-    if (aIsLive) {
+    if (before == nullptr) {
       aTarget.local->Withdraw(aNow, this->self, number);
-      this->port.SendToAgent(aTarget.info.host, reservation);
+    } else if (before->isLive) {
+      this->SendTo(aTarget, before, WithdrawSlot{ number });
+    }
+    if (after != nullptr) {
+      this->SendTo(aTarget, after, reservation);
     } else {
       aTarget.local->Reserve(aNow, this->self, reservation);
     }
   }
 }
 
+// The owner of the queue is asked where no agent can be expected.
+bool Dispatcher::NeedsOwner(TimePoint aNow, const Target& aTarget) const
+{
+  if (aTarget.ownerHost.empty() || aTarget.agent.isLive) {
+    return false;
+  }
+  const TimePoint since = std::max(aTarget.listedAt, aTarget.agent.heardAt);
+  return !aTarget.hasAgent || aNow - since > this->options.agentSilence;
+}
+
+void Dispatcher::SendTo(const Target& aTarget, const Remote* aRemote, const QueueMessage& aMessage)
+{
+  if (aRemote == &aTarget.agent) {
+    this->port.SendToAgent(aTarget.info.host, ToDirect(aMessage));
+  } else if (aRemote == &aTarget.owner) {
+    this->port.SendToOwner(aTarget.ownerHost, ForEndpoint{ caraway::HashOf(aTarget.info.id), aMessage });
+  }
+}
+
 std::uint32_t Dispatcher::LocalLimit(const Target& aTarget) const
 {
   const double part = this->options.ownShare * aTarget.info.slots / this->entryCount;
@@ -118,7 +194,7 @@
 {
   std::map<std::string, HoldState> states;
   for (const auto& [id, target] : this->targets) {
-    if (target.hasAgent && target.isListed) {
+    if (target.isListed && (target.hasAgent || this->NeedsOwner(aNow, target))) {
       states[id].slots = target.info.slots;
     }
   }
@@ -143,24 +219,25 @@
   std::uint32_t index = ++this->holdRound;
   for (const auto& [id, state] : states) {
     const bool isIdle = state.waiting.empty() && state.running.empty();
-    Target& target = this->targets.at(id);
-    target.busySince = isIdle ? kNever : std::min(target.busySince, aNow);
     const bool isItsTurn = index++ % this->options.idleHoldPeriods == 0;
-    if (!isIdle || isItsTurn) {
-      this->port.SendToAgent(target.info.host, state);
+    Target& target = this->targets.at(id);
+    const bool toOwner = this->NeedsOwner(aNow, target);
+    for (Remote* remote : { &target.agent, &target.owner }) {
+      const bool isAsked = remote == &target.owner ? toOwner : target.hasAgent;
+      remote->busySince =
+        isIdle || !isAsked ? kNever : std::min(remote->busySince, aNow);
+      if (isAsked && (!isIdle || isItsTurn)) {
+        this->SendTo(target, remote, state);
+      }
     }
   }
 }
 
 Dispatcher::Target* Dispatcher::FindByHost(const std::string& aHost)
 {
-  Target* best = nullptr;
-  for (auto& [id, target] : this->targets) {
-    if (target.hasAgent && target.info.host == aHost && (best == nullptr || target.isListed)) {
-      best = &target;
-    }
-  }
-  return best;
+  const auto id = this->idOfHost.find(aHost);
+  const auto found = id == this->idOfHost.end() ? this->targets.end() : this->targets.find(id->second);
+  return found == this->targets.end() ? nullptr : &found->second;
 }
 
 } // namespace caraway::direct
--- a/src/direct/dispatcher_place.cpp
+++ b/src/direct/dispatcher_place.cpp
@@ -42,9 +42,7 @@
       return false;
     }
     target.local->Withdraw(aNow, this->self, aCall.spec.number);
-    if (target.agentLive) {
-      this->port.SendToAgent(target.info.host, WithdrawSlot{ aCall.spec.number });
-    }
+    this->Tell(target, WithdrawSlot{ aCall.spec.number });
     return true;
   });
   if (aCall.reserved.empty()) {
@@ -62,11 +60,11 @@
       continue;
     }
     firstRested = std::min(firstRested, target.restsUntil);
-    const std::uint32_t own = this->LocalLimit(target);
-    slots += target.agentLive ? target.agent.limit : own;
+    const Remote* remote = target.InUse();
+    slots += remote != nullptr ? remote->state.limit : this->LocalLimit(target);
     double waiting = 0;
     for (Tier rank = 0; rank <= aRank; rank++) {
-      waiting += target.agentLive ? target.agent.waiting.at(rank) : 0;
+      waiting += remote != nullptr ? remote->state.waiting.at(rank) : 0;
     }
     // A call waits at many endpoints at once, so the longest queue holds about all that wait.
     ahead = std::max(ahead, waiting);
@@ -116,7 +114,7 @@
     if (!this->MayUse(aNow, target, aCall.spec)) {
       continue;
     }
-    const bool isDown = target.agentLive && !target.agent.isReachable;
+    const bool isDown = target.InUse() != nullptr && !target.InUse()->state.isReachable;
     const bool isAvoided = target.health.AvoidUntil() > aNow || isDown || aCall.tried.contains(id);
     scored.push_back({ isAvoided, this->CostOf(aNow, target, aCall), &target });
   }
@@ -136,14 +134,14 @@
 // Expected seconds until the first event, with what speaks against the endpoint.
 double Dispatcher::CostOf(TimePoint aNow, const Target& aTarget, const Call& aCall)
 {
+  const Remote* remote = aTarget.InUse();
   const std::uint32_t limit =
-    std::max(aTarget.agentLive ? aTarget.agent.limit : this->LocalLimit(aTarget), 1U);
-  const std::uint32_t taken =
-    std::max(aTarget.agentLive ? aTarget.agent.taken : 0U, aTarget.running);
+    std::max(remote != nullptr ? remote->state.limit : this->LocalLimit(aTarget), 1U);
+  const std::uint32_t taken = std::max(remote != nullptr ? remote->state.taken : 0U, aTarget.running);
   double queued = 0;
-  if (aTarget.agentLive) {
+  if (remote != nullptr) {
     for (Tier rank = 0; rank <= aCall.spec.rank; rank++) {
-      queued += aTarget.agent.waiting.at(rank);
+      queued += remote->state.waiting.at(rank);
     }
   } else {
     queued = static_cast<double>(aTarget.local->WaitingCount());
@@ -178,9 +176,9 @@
 // Prompt tokens at the endpoint before their first event, as far as the entry knows.
 std::uint32_t Dispatcher::PendingAt(const Target& aTarget)
 {
-  const std::uint32_t known =
-    aTarget.agentLive ? aTarget.agent.pendingPrefill : aTarget.local->PendingPrefill();
-  return known + (aTarget.agentLive ? aTarget.sentPrefill : 0);
+  const Remote* remote = aTarget.InUse();
+  return remote != nullptr ? remote->state.pendingPrefill + remote->sentPrefill
+                           : aTarget.local->PendingPrefill();
 }
 
 void Dispatcher::ReserveAt(TimePoint aNow, Target& aTarget, Call& aCall)
@@ -191,8 +189,8 @@
   }
   aCall.reserved.push_back(id);
   const ReserveSlot reservation = this->ReservationOf(aNow, aTarget, aCall);
-  if (aTarget.agentLive) {
-    this->port.SendToAgent(aTarget.info.host, reservation);
+  if (aTarget.InUse() != nullptr) {
+    this->Tell(aTarget, reservation);
   } else {
     aTarget.local->Reserve(aNow, this->self, reservation);
   }
@@ -217,12 +215,12 @@
 // entries' calls; the own measurements count where it says nothing.
 Duration Dispatcher::FirstEventTime(const Target& aTarget, std::uint32_t aTokens)
 {
-  const AgentState& agent = aTarget.agent;
-  if (!aTarget.agentLive || agent.firstEventPer1000Us == 0) {
+  const Remote* remote = aTarget.InUse();
+  if (remote == nullptr || remote->state.firstEventPer1000Us == 0) {
     return aTarget.health.FirstEventTime(aTokens);
   }
-  return Duration(agent.firstEventBaseUs +
-                  std::uint64_t{ agent.firstEventPer1000Us } * aTokens / 1000);
+  return Duration(remote->state.firstEventBaseUs +
+                  std::uint64_t{ remote->state.firstEventPer1000Us } * aTokens / 1000);
 }
 
 // When the call must be sent to the endpoint to meet its objective. A prompt that takes longer to
@@ -245,9 +243,7 @@
       continue;
     }
     found->second.local->Withdraw(aNow, this->self, aCall.spec.number);
-    if (found->second.agentLive) {
-      this->port.SendToAgent(found->second.info.host, WithdrawSlot{ aCall.spec.number });
-    }
+    this->Tell(found->second, WithdrawSlot{ aCall.spec.number });
   }
   aCall.reserved.clear();
 }
@@ -257,7 +253,7 @@
   const EndpointInfo& info = aTarget.info;
   if (!aTarget.isListed || info.service != aSpec.service || info.isLeaving ||
       aTarget.saysLeaving || aNow < aTarget.restsUntil ||
-      (aTarget.agentLive && aTarget.agent.isLeaving)) {
+      (aTarget.InUse() != nullptr && aTarget.InUse()->state.isLeaving)) {
     return false;
   }
   const auto banned = this->bannedVersions.find(info.service);
--- a/src/direct/messages.cpp
+++ b/src/direct/messages.cpp
@@ -4,6 +4,23 @@
 
 namespace caraway::direct {
 
+DirectMessage ToDirect(const QueueMessage& aMessage)
+{
+  return std::visit([](const auto& aOne) -> DirectMessage { return aOne; }, aMessage);
+}
+
+std::optional<QueueMessage> ToQueue(const DirectMessage& aMessage)
+{
+  return std::visit(
+    [](const auto& aOne) -> std::optional<QueueMessage> {
+      if constexpr (std::is_constructible_v<QueueMessage, decltype(aOne)>) {
+        return aOne;
+      }
+      return std::nullopt;
+    },
+    aMessage);
+}
+
 std::string EncodeDatagram(const Datagram& aDatagram)
 {
   return ToBytes(aDatagram);
--- a/src/direct/messages.h
+++ b/src/direct/messages.h
@@ -116,13 +116,12 @@
 {
   std::uint32_t slots = 0; // of the endpoint, by its registration
   std::vector<ReserveSlot> waiting;
-  std::vector<UseSlot> running;          // prompt tokens 0: the answer has begun
-  std::vector<std::string> otherEntries; // IP numbers of the entries that the sender hears
+  std::vector<UseSlot> running; // prompt tokens 0: the answer has begun
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(slots, waiting, running, otherEntries);
+    aArchive(slots, waiting, running);
   }
 
   friend bool operator==(const HoldState&, const HoldState&) = default;
@@ -142,7 +141,8 @@
   // tokens to be read until then. Zero: nothing learned yet.
   std::uint32_t firstEventBaseUs = 0;
   std::uint32_t firstEventPer1000Us = 0;
-  std::vector<std::string> entries; // IP numbers of the entries that the agent hears
+  // IP numbers of some of the entries that the agent hears, others in each state.
+  std::vector<std::string> entries;
 
   template<class Archive>
   void serialize(Archive& aArchive)
@@ -180,6 +180,8 @@
   std::uint64_t endpointsHash = 0;  // of the list of endpoints there
   std::uint32_t endpointsAgeMs = 0; // since the list was read from the store
   bool readsStore = false;          // the store answers the sender
+  // Since the use of quotas was last saved, as far as the sender knows; zero: nobody saves it.
+  std::uint32_t useSavedAgeMs = 0;
   std::vector<AccountUse> uses;
   // From the entry that hears all others in every round: use of all entries in the last window.
   std::vector<AccountUse> windowUses;
@@ -190,14 +192,36 @@
   void serialize(Archive& aArchive)
   {
     aArchive(sentAtUs, echoUs, configOffset, configAgeMs, endpointsHash, endpointsAgeMs, readsStore,
-             uses, windowUses, moves, leaving);
+             useSavedAgeMs, uses, windowUses, moves, leaving);
   }
 
   friend bool operator==(const EntryState&, const EntryState&) = default;
 };
 
+using QueueMessage = std::variant<ReserveSlot, WithdrawSlot, OfferSlot, UseSlot, BeginAnswer,
+                                  ReleaseSlot, HoldState, AgentState>;
+
+// Between an entry and the entry that owns the queue of an endpoint without an agent.
+struct ForEndpoint
+{
+  std::uint64_t endpoint = 0; // hash of its id
+  QueueMessage message;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(endpoint, message);
+  }
+
+  friend bool operator==(const ForEndpoint&, const ForEndpoint&) = default;
+};
+
 using DirectMessage = std::variant<ReserveSlot, WithdrawSlot, OfferSlot, UseSlot, BeginAnswer,
-                                   ReleaseSlot, HoldState, AgentState, EntryState>;
+                                   ReleaseSlot, HoldState, AgentState, EntryState, ForEndpoint>;
+
+DirectMessage ToDirect(const QueueMessage& aMessage);
+// nullopt for a message that is not for or from a queue.
+std::optional<QueueMessage> ToQueue(const DirectMessage& aMessage);
 
 struct Datagram
 {
--- a/src/direct/shared_quota.cpp
+++ b/src/direct/shared_quota.cpp
@@ -39,9 +39,23 @@
 SharedQuota::SharedQuota(const SharedQuotaOptions& aOptions, TimePoint aStart)
   : options(aOptions)
   , start(aStart)
+  , silence(aOptions.silence)
+  , expected(aOptions.entriesAtStart)
+  , expectedUntil(kNever)
 {
 }
 
+void SharedQuota::SetEntries(TimePoint aNow, std::uint32_t aCount)
+{
+  this->expected = std::max(aCount, 1U);
+  this->expectedUntil = aNow + this->options.meetTime;
+}
+
+void SharedQuota::SetSilence(Duration aSilence)
+{
+  this->silence = std::max(aSilence, this->options.silence);
+}
+
 std::int64_t SharedQuota::BucketOf(TimePoint aNow) const
 {
   return aNow.time_since_epoch() * static_cast<std::int64_t>(kParts) / this->options.window;
@@ -81,10 +95,11 @@
   this->AssumeSilent(aNow, aAccount, aLimit);
   Window& window = this->windows[aAccount];
   this->Advance(window, aNow);
-  const double bound = this->BoundOf(aLimit);
+  const double bound = this->BoundOf(aNow, aLimit);
   window.bound = bound;
   const double heard = this->UsedIn(window, aAccount, aNow) + this->UnheardUse(aNow, aAccount);
-  const double over = std::max(heard, this->ToldUse(aNow, aAccount)) + aUnits - bound;
+  const double over = std::max(heard, this->ToldUse(aNow, aAccount)) + aUnits -
+                      this->UnsavedBound(aNow, aAccount, bound);
   if (over <= 0) {
     this->Add(aNow, aAccount, aUnits);
     this->own[aAccount] += aUnits;
@@ -134,7 +149,7 @@
     Told& row = this->told[use.account];
     const auto units = static_cast<double>(use.tokens);
     const double since = SecondsOf(aNow - row.at);
-    const bool isRecent = row.at != TimePoint{} && aNow - row.at <= this->options.silence;
+    const bool isRecent = row.at != TimePoint{} && aNow - row.at <= this->silence;
     // An account of which nothing was told lately has come to this within about one delay.
     const double newest =
       isRecent ? (units - row.units) / std::max(since, kLeastGap) : units / SecondsOf(kToldDelay);
@@ -149,7 +164,7 @@
 double SharedQuota::ToldUse(TimePoint aNow, std::uint64_t aAccount) const
 {
   const auto found = this->told.find(aAccount);
-  if (found == this->told.end() || aNow - found->second.at > this->options.silence) {
+  if (found == this->told.end() || aNow - found->second.at > this->silence) {
     return 0;
   }
   const Told& row = found->second;
@@ -243,10 +258,45 @@
   }
 }
 
-double SharedQuota::BoundOf(const QuotaLimit& aLimit) const
+void SharedQuota::OnUseSaved(TimePoint aNow, TimePoint aAt)
+{
+  if (this->savedAt && aAt <= *this->savedAt) {
+    return;
+  }
+  this->savedAt = aAt;
+  this->savedTotals.clear();
+  for (auto& [account, window] : this->windows) {
+    this->Advance(window, aNow);
+    this->savedTotals[account] = this->UsedIn(window, account, aNow);
+  }
+}
+
+Duration SharedQuota::SinceSaved(TimePoint aNow) const
+{
+  return this->savedAt ? aNow - *this->savedAt : Duration::zero();
+}
+
+// A start assumes kHotShare of an account that is not in the last save, and what was saved of one
+// that is.
+double SharedQuota::UnsavedBound(TimePoint aNow, std::uint64_t aAccount, double aBound) const
+{
+  if (this->SinceSaved(aNow) <= this->options.saveGap) {
+    return aBound;
+  }
+  const auto saved = this->savedTotals.find(aAccount);
+  const double total = saved == this->savedTotals.end() ? 0 : saved->second;
+  return std::min(std::max(aBound * kHotShare, total), aBound);
+}
+
+double SharedQuota::BoundOf(TimePoint aNow, const QuotaLimit& aLimit) const
 {
   const double bound = aLimit.ratePerSecond * SecondsOf(this->options.window) + aLimit.burst;
-  return bound * (1 + this->options.overage) + this->options.slackUnits;
+  const double whole = bound * (1 + this->options.overage) + this->options.slackUnits;
+  const std::uint32_t heard = this->EntryCount(aNow);
+  if (heard >= this->expected || aNow >= this->expectedUntil) {
+    return whole;
+  }
+  return whole * heard / this->expected;
 }
 
 std::vector<AccountUse> SharedQuota::OwnUse() const
@@ -302,7 +352,7 @@
 {
   std::uint32_t count = 1;
   for (const auto& [node, row] : this->peers) {
-    count += aNow - row.heardAt <= this->options.silence ? 1U : 0U;
+    count += aNow - row.heardAt <= this->silence ? 1U : 0U;
   }
   return count;
 }
@@ -314,7 +364,7 @@
   for (const auto& [node, row] : this->peers) {
     const auto rate = row.rates.find(aAccount);
     const Duration age = aNow - row.heardAt;
-    if (rate != row.rates.end() && age <= this->options.silence) {
+    if (rate != row.rates.end() && age <= this->silence) {
       units += rate->second * SecondsOf(age);
     }
   }
@@ -329,7 +379,7 @@
   });
   const double part = aLimit.ratePerSecond / static_cast<double>(this->peers.size() + 1);
   for (auto& [node, row] : this->peers) {
-    if (aNow - row.heardAt <= this->options.silence) {
+    if (aNow - row.heardAt <= this->silence) {
       continue;
     }
     const Duration since = std::min(aNow - row.heardAt, kLongestAssumed);
--- a/src/direct/shared_quota.h
+++ b/src/direct/shared_quota.h
@@ -32,6 +32,13 @@
   Duration silence = std::chrono::milliseconds(1500);
   // A silent entry counts as gone after this time.
   Duration forget = std::chrono::seconds(16);
+  // Entries that are assumed until SetEntries tells; 1 where nobody tells.
+  std::uint32_t entriesAtStart = 1;
+  // While saves fail for longer than this, accounts use no more than a start would assume of them:
+  // otherwise a restart of all entries opens a second window. A few missed saves.
+  Duration saveGap = std::chrono::milliseconds(1500);
+  // Within this time all living entries have been heard.
+  Duration meetTime = std::chrono::seconds(3);
 };
 
 // Use of one account in the last window, the newest of equal parts of it first.
@@ -76,6 +83,18 @@
   // a restart of all entries.
   std::vector<SavedUse> HotUse(TimePoint aNow);
 
+  // aCount entries live, with this one. Those of them that were not heard yet count with an equal
+  // part of the bound, for as long as it takes to hear them.
+  void SetEntries(TimePoint aNow, std::uint32_t aCount);
+  // How long an entry may say nothing before it counts as silent, if that is longer than the option.
+  void SetSilence(Duration aSilence);
+
+  // The use of the window up to aAt is saved, or was small enough not to be. Where nobody ever says
+  // so, nothing is saved and nothing is bounded by it.
+  void OnUseSaved(TimePoint aNow, TimePoint aAt);
+  // Since the use was last known to be saved; zero where nobody ever said so.
+  Duration SinceSaved(TimePoint aNow) const;
+
   // Takes aUnits out of the account's quota. Zero: taken. Otherwise nothing is taken, and the
   // result is how long to wait until there is room.
   Duration Take(TimePoint aNow, std::uint64_t aAccount, const QuotaLimit& aLimit, double aUnits);
@@ -133,7 +152,8 @@
   };
 
   std::int64_t BucketOf(TimePoint aNow) const;
-  double BoundOf(const QuotaLimit& aLimit) const;
+  double UnsavedBound(TimePoint aNow, std::uint64_t aAccount, double aBound) const;
+  double BoundOf(TimePoint aNow, const QuotaLimit& aLimit) const;
   double BeforeAt(std::uint64_t aAccount, double aBound, std::size_t aAge, TimePoint aNow) const;
   void Advance(Window& aWindow, TimePoint aNow) const;
   void Add(TimePoint aNow, std::uint64_t aAccount, double aUnits);
@@ -144,6 +164,11 @@
 
   SharedQuotaOptions options;
   TimePoint start;
+  std::optional<TimePoint> savedAt;
+  std::unordered_map<std::uint64_t, double> savedTotals; // use in the window as of savedAt
+  Duration silence;
+  std::uint32_t expected;       // entries, with this one
+  TimePoint expectedUntil;
   bool isBeforeKnown = false;
   std::unordered_map<std::uint64_t, Before> before;
   std::unordered_map<std::uint64_t, Window> windows;
--- a/src/direct/slot_queue.cpp
+++ b/src/direct/slot_queue.cpp
@@ -233,7 +233,18 @@
 {
   const std::uint32_t pending = this->PendingPrefill();
   return pending == 0 ||
-         pending + aReservation.request.promptTokens <= this->options.maxPendingPrefill;
+         pending + aReservation.request.promptTokens <= this->MaxPendingPrefill();
+}
+
+// Prompt tokens that this endpoint reads in the time that may wait there. A pace measured among the
+// tokens of other requests may look far slower than the engine is.
+double SlotQueue::MaxPendingPrefill() const
+{
+  const Duration reading = this->pace.FirstToken(1000) - this->pace.FirstToken(0);
+  const double perMs = reading > Duration::zero() ? 1.0 / SecondsOf(reading)
+                                                  : this->options.initialTokensPerMs;
+  const double waitMs = SecondsOf(this->options.maxPendingReading) * 1000;
+  return std::max(perMs, this->options.leastTokensPerMs) * waitMs;
 }
 
 std::map<SlotQueue::Key, SlotQueue::Reservation>::iterator SlotQueue::First(TimePoint aNow)
--- a/src/direct/slot_queue.h
+++ b/src/direct/slot_queue.h
@@ -18,8 +18,12 @@
   Duration offerTimeout = std::chrono::milliseconds(120);
   // A holder without a sign of life loses what it holds; some periods of HoldState.
   Duration holderTimeout = std::chrono::milliseconds(1000);
-  // Prompt tokens that may wait for their first event at the endpoint before more is offered.
-  std::uint32_t maxPendingPrefill = 6000;
+  // Reading time of the prompts that may wait for their first event at the endpoint before more is
+  // offered; a quarter of the objective of a usual prompt.
+  Duration maxPendingReading = std::chrono::milliseconds(150);
+  // Assumed until the endpoint's pace is known, and of the slowest engine at all.
+  double initialTokensPerMs = 40;
+  double leastTokensPerMs = 20;
 };
 
 // What a queue asks of its host. Calls must not call back into the queue.
@@ -97,6 +101,7 @@
   bool Hear(TimePoint aNow, const Peer& aHolder);
   void Pump(TimePoint aNow);
   bool HasRoomFor(const Reservation& aReservation) const;
+  double MaxPendingPrefill() const;
   std::map<Key, Reservation>::iterator First(TimePoint aNow);
   static bool GoesBefore(const Reservation& aLeft, const Reservation& aRight, TimePoint aNow);
 
--- a/src/gateway/endpoint_agent.cpp
+++ b/src/gateway/endpoint_agent.cpp
@@ -51,73 +51,47 @@
 
 direct::AgentState EndpointAgent::State() const
 {
-  direct::AgentState state;
+  direct::AgentState state = this->queue.State();
   state.endpointBornMs = this->report.bornMs;
   state.isReachable = this->isReachable;
   state.isLeaving = this->report.isLeaving;
-  state.limit = this->queue.Limit();
-  state.taken = this->queue.Taken();
-  state.pendingPrefill = this->queue.PendingPrefill();
-  state.waiting = this->queue.Waiting();
-  const Pace& pace = this->queue.FirstEvents();
-  state.firstEventBaseUs = static_cast<std::uint32_t>(pace.FirstToken(0).count());
-  state.firstEventPer1000Us =
-    static_cast<std::uint32_t>((pace.FirstToken(1000) - pace.FirstToken(0)).count());
-  for (const auto& [node, row] : this->entries) {
-    state.entries.push_back(row.address.host);
-  }
   return state;
 }
 
-void EndpointAgent::OfferSlotTo(const Peer& aHolder, direct::CallNumber aCall)
+void EndpointAgent::SendFromQueue(const Address& aEntry, const direct::QueueMessage& aMessage)
 {
-  const auto found = this->entries.find(aHolder.node);
-  if (found != this->entries.end()) {
-    this->offersMade++;
-    this->net.Send(found->second.address, direct::OfferSlot{ aCall });
-    LogEvent(
-      LogLevel::kInfo, "offered",
-      { { "entry", found->second.address.host },
-        { "call", std::to_string(aCall) },
-        { "taken", std::to_string(this->queue.Taken()) },
-        { "limit", std::to_string(this->queue.Limit()) },
-        { "waiting", std::to_string(this->queue.WaitingCount()) },
-        { "prefill", std::to_string(this->queue.PendingPrefill()) },
-        { "report_age_ms", std::to_string((this->Now() - this->reportedAt) / milliseconds(1)) } });
+  this->net.Send(aEntry, direct::ToDirect(aMessage));
+  const auto* offer = std::get_if<direct::OfferSlot>(&aMessage);
+  if (offer == nullptr) {
+    return;
   }
+  this->offersMade++;
+  const direct::SlotQueue& slotQueue = this->queue.Queue();
+  LogEvent(LogLevel::kInfo, "offered",
+           { { "entry", aEntry.host },
+             { "call", std::to_string(offer->call) },
+             { "taken", std::to_string(slotQueue.Taken()) },
+             { "limit", std::to_string(slotQueue.Limit()) },
+             { "waiting", std::to_string(slotQueue.WaitingCount()) },
+             { "prefill", std::to_string(slotQueue.PendingPrefill()) },
+             { "report_age_ms",
+               std::to_string((this->Now() - this->reportedAt) / milliseconds(1)) } });
 }
 
 void EndpointAgent::OnPeerMessage(const Address& aFrom, const Peer& aPeer,
                                   const direct::DirectMessage& aMessage)
 {
-  const TimePoint now = this->Now();
-  EntryRow& row = this->entries[aPeer.node];
-  const bool isNew = row.heardAt == TimePoint{};
-  row.address = aFrom;
-  row.heardAt = now;
-  if (isNew) {
+  const std::optional<direct::QueueMessage> message = direct::ToQueue(aMessage);
+  if (!message) {
+    return;
+  }
+  if (this->queue.OnMessage(this->Now(), aFrom, aPeer, *message)) {
     LogEvent(LogLevel::kInfo, "entry_heard", { { "entry", FormatAddress(aFrom) } });
     this->net.Send(aFrom, this->State());
   }
-  if (const auto* reserve = std::get_if<direct::ReserveSlot>(&aMessage)) {
-    row.holds = true;
-    this->queue.Reserve(now, aPeer, *reserve);
-  } else if (const auto* withdraw = std::get_if<direct::WithdrawSlot>(&aMessage)) {
-    this->queue.Withdraw(now, aPeer, withdraw->call);
-  } else if (const auto* use = std::get_if<direct::UseSlot>(&aMessage)) {
-    row.holds = true;
-    this->queue.Use(now, aPeer, *use);
-  } else if (const auto* begin = std::get_if<direct::BeginAnswer>(&aMessage)) {
-    this->queue.BeginAnswer(now, aPeer, begin->call);
-  } else if (const auto* release = std::get_if<direct::ReleaseSlot>(&aMessage)) {
-    this->queue.Release(now, aPeer, release->call);
-  } else if (const auto* state = std::get_if<direct::HoldState>(&aMessage)) {
-    row.holds = !state->waiting.empty() || !state->running.empty();
-    if (state->slots != this->slots) {
-      this->slots = state->slots;
-      this->UpdateLimit();
-    }
-    this->queue.Reconcile(now, aPeer, *state);
+  if (this->queue.Slots() != this->slots) {
+    this->slots = this->queue.Slots();
+    this->UpdateLimit();
   }
 }
 
@@ -222,20 +196,21 @@
 
 std::string EndpointAgent::MetricsText() const
 {
+  const direct::SlotQueue& slotQueue = this->queue.Queue();
   prometheus::Registry registry;
   const auto add = [&registry](const char* aName, const char* aHelp, double aValue) {
     prometheus::BuildGauge().Name(aName).Help(aHelp).Register(registry).Add({}).Set(aValue);
   };
-  add("caraway_agent_limit", "Requests that may be at the endpoint at once", this->queue.Limit());
-  add("caraway_agent_taken", "Slots offered or used", this->queue.Taken());
+  add("caraway_agent_limit", "Requests that may be at the endpoint at once", slotQueue.Limit());
+  add("caraway_agent_taken", "Slots offered or used", slotQueue.Taken());
   add("caraway_agent_waiting", "Reservations in the queue",
-      static_cast<double>(this->queue.WaitingCount()));
+      static_cast<double>(slotQueue.WaitingCount()));
   add("caraway_agent_prefill_tokens", "Prompt tokens before their first event",
-      this->queue.PendingPrefill());
+      slotQueue.PendingPrefill());
   add("caraway_agent_offers_total", "Offers since the start",
       static_cast<double>(this->offersMade));
   add("caraway_agent_endpoint_reachable", "The endpoint answers", this->isReachable ? 1 : 0);
-  add("caraway_agent_entries", "Entries heard", static_cast<double>(this->entries.size()));
+  add("caraway_agent_entries", "Entries heard", static_cast<double>(this->queue.EntryCount()));
   add("caraway_log_lines_dropped", "Log lines beyond the bound, since the start",
       static_cast<double>(DroppedLogLines()));
   return prometheus::TextSerializer().Serialize(registry.Collect());
@@ -244,17 +219,7 @@
 void EndpointAgent::SendStates()
 {
   const TimePoint now = this->Now();
-  std::erase_if(this->entries, [&](const auto& aRow) {
-    return now - aRow.second.heardAt > this->settings.entrySilence;
-  });
-  const direct::AgentState state = this->State();
-  std::uint32_t index = ++this->stateRound;
-  for (const auto& [node, row] : this->entries) {
-    const bool isItsTurn = index++ % this->settings.idleStatePeriods == 0;
-    if (row.holds || isItsTurn) {
-      this->net.Send(row.address, state);
-    }
-  }
+  this->queue.SendStates(now, this->State());
   this->net.Flush();
   this->stateTimer.ArmAfter(this->settings.statePeriod);
 }
--- a/src/gateway/endpoint_agent.h
+++ b/src/gateway/endpoint_agent.h
@@ -3,14 +3,13 @@
 // none.
 #pragma once
 
-#include "direct/slot_queue.h"
 #include "gateway/dialect.h"
 #include "gateway/peer_net.h"
+#include "gateway/queue_server.h"
 #include "runtime/clock.h"
 #include "runtime/endpoint_pool.h"
 #include "runtime/timer.h"
 
-#include <map>
 #include <string>
 #include <system_error>
 
@@ -22,19 +21,16 @@
   Address endpoint;                                       // the engine beside it
   Duration reportPeriod = std::chrono::milliseconds(200); // of the engine's report
   Duration statePeriod = std::chrono::milliseconds(200);  // of AgentState to entries that hold here
-  std::uint32_t idleStatePeriods = 3;                     // of AgentState to the others
   // An engine that did not answer for this long counts as down; some periods of its report.
   Duration endpointSilence = std::chrono::milliseconds(700);
-  // An entry that was not heard for this long gets no state any more.
-  Duration entrySilence = std::chrono::seconds(3);
   // Requests at the engine beyond its slots: one that waits there fills the slot that falls free
   // without a round trip.
   std::uint32_t extraRequests = 0;
-  direct::SlotQueueOptions queue;
+  QueueServerOptions queue;
 };
 
 class EndpointAgent final
-  : private direct::SlotQueuePort
+  : private QueueServerPort
   , private PeerMessageHandler
   , private ExchangeHandler
 {
@@ -49,14 +45,7 @@
   std::string MetricsText() const;
 
 private:
-  struct EntryRow
-  {
-    Address address;
-    TimePoint heardAt{};
-    bool holds = false; // held slots or reservations here when it last said so
-  };
-
-  void OfferSlotTo(const Peer& aHolder, direct::CallNumber aCall) override;
+  void SendFromQueue(const Address& aEntry, const direct::QueueMessage& aMessage) override;
   void OnPeerMessage(const Address& aFrom, const Peer& aPeer,
                      const direct::DirectMessage& aMessage) override;
   void OnPeerMessagesDone() override;
@@ -76,8 +65,7 @@
   const ReportReader& reports;
   EndpointPool pool;
   PeerNet net;
-  direct::SlotQueue queue;
-  std::map<NodeId, EntryRow> entries;
+  QueueServer queue;
   std::uint32_t slots = 0; // of the engine, as entries know it
   EndpointReport report;
   TimePoint reportedAt{};
@@ -87,7 +75,6 @@
   TimePoint restsUntil{}; // the engine asked for a rest
   std::string reportBody;
   TimePoint askedAt{};
-  std::uint32_t stateRound = 0;
   std::uint64_t offersMade = 0;
   TimePoint armedFor = kNever;
   Timer reportTimer;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -69,9 +69,11 @@
   , pool(aPoller, aClock)
   , net(aPoller, aSelf, *this)
   , server(aPoller, aClock, *this)
+  , owned(aSettings.ownedQueues, *this)
   , timer([this] {
     this->armedFor = kNever;
     this->dispatcher.OnTimer(this->Now());
+    this->owned.OnTimer(this->Now());
     this->AfterInput();
   })
   , stateTimer([this] { this->SendStates(); })
@@ -138,7 +140,9 @@
     return service != nullptr && service->engineSlots > 0;
   };
   this->moves.SetEndpoints(this->endpoints);
+  this->owned.SetEndpoints(this->Now(), this->endpoints);
   this->dispatcher.SetEndpoints(this->Now(), this->endpoints, hasAgents);
+  this->UpdateOwners();
   if (isOther) {
     this->SendStates();
   }
@@ -377,10 +381,22 @@
   this->net.Send(Address{ aHost, this->settings.agentPort }, aMessage);
 }
 
-void Gateway::OnAgentChange(const direct::EndpointInfo& aEndpoint, bool aIsLive, Duration aSilence)
+void Gateway::SendToOwner(const std::string& aHost, const direct::ForEndpoint& aMessage)
 {
-  LogEvent(aIsLive ? LogLevel::kInfo : LogLevel::kWarning, aIsLive ? "agent_heard" : "agent_silent",
+  this->net.Send(this->AddressOf(aHost), aMessage);
+}
+
+void Gateway::SendFromOwned(const Address& aEntry, const direct::ForEndpoint& aMessage)
+{
+  this->net.Send(aEntry, aMessage);
+}
+
+void Gateway::OnQueueChange(const direct::EndpointInfo& aEndpoint, std::string_view aKind,
+                            bool aIsLive, Duration aSilence)
+{
+  LogEvent(aIsLive ? LogLevel::kInfo : LogLevel::kWarning, aIsLive ? "queue_heard" : "queue_silent",
            { { "endpoint", aEndpoint.id },
+             { "queue", std::string(aKind) },
              { "address", aEndpoint.host },
              { "silent_ms", aIsLive ? "" : MillisecondsText(aSilence) } });
 }
@@ -450,7 +466,7 @@
 void Gateway::AfterInput()
 {
   this->net.Flush();
-  const TimePoint next = this->dispatcher.NextTimer();
+  const TimePoint next = std::min(this->dispatcher.NextTimer(), this->owned.NextTimer());
   if (next < this->armedFor) {
     this->armedFor = next;
     this->timer.ArmAfter(next - this->Now());
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -10,6 +10,7 @@
 #include "gateway/config_freshness.h"
 #include "gateway/dialect.h"
 #include "gateway/gateway_metrics.h"
+#include "gateway/owned_queues.h"
 #include "gateway/peer_net.h"
 #include "runtime/endpoint_pool.h"
 #include "runtime/ingress_server.h"
@@ -48,6 +49,7 @@
   // two misses. What is taken later than three seconds after the signal must not be cut.
   Duration leaveNotice = std::chrono::milliseconds(2800);
   direct::DispatchOptions dispatch;
+  QueueServerOptions ownedQueues;
   direct::RetryBudgetOptions budget;
   direct::SharedQuotaOptions quota;
 };
@@ -57,14 +59,15 @@
 {
 public:
   virtual ~QuotaStore() = default;
-  // Replaces what was saved before; empty: nothing needs to be kept.
-  virtual void SaveUse(const std::string& aBytes) = 0;
+  // Replaces what was saved before; empty: nothing needs to be kept. aOnSaved follows a success.
+  virtual void SaveUse(const std::string& aBytes, const std::function<void()>& aOnSaved) = 0;
 };
 
 class Gateway final
   : private IngressHandler
   , private direct::DispatchPort
   , private PeerMessageHandler
+  , private OwnedQueuesPort
 {
 public:
   Gateway(const GatewaySettings& aSettings, const Peer& aSelf, Poller& aPoller, const Clock& aClock,
@@ -86,6 +89,11 @@
   // Called when another entry has a newer configuration or order, or another list of endpoints.
   void SetHooks(std::function<void()> aOnNewerConfig, std::function<void()> aOnOtherEndpoints);
 
+  // Another entry may live at this IP number; it is told of this one.
+  void AddEntry(const std::string& aHost);
+  // The list of entries that were added is complete.
+  void SetEntriesKnown();
+
   // This entry follows the store for all that hear it: the first one by address that can.
   bool IsReader() const;
   // Since the store confirmed the configuration, to this entry or to one that told it.
@@ -118,6 +126,7 @@
     TimePoint heardAt{};
     std::int64_t sentAtUs = 0; // of its last state, by its own clock
     bool readsStore = false;
+    bool isGreeted = false; // a state was sent to it
   };
 
   void OnRequest(const std::shared_ptr<IngressExchange>& aExchange,
@@ -128,8 +137,10 @@
   void GiveUp(direct::CallNumber aCall, direct::GiveUpReason aReason,
               Duration aRetryAfter) override;
   void SendToAgent(const std::string& aHost, const direct::DirectMessage& aMessage) override;
-  void OnAgentChange(const direct::EndpointInfo& aEndpoint, bool aIsLive,
+  void SendToOwner(const std::string& aHost, const direct::ForEndpoint& aMessage) override;
+  void OnQueueChange(const direct::EndpointInfo& aEndpoint, std::string_view aKind, bool aIsLive,
                      Duration aSilence) override;
+  void SendFromOwned(const Address& aEntry, const direct::ForEndpoint& aMessage) override;
 
   void OnPeerMessage(const Address& aFrom, const Peer& aPeer,
                      const direct::DirectMessage& aMessage) override;
@@ -148,6 +159,9 @@
   void ReturnQuota(Flow& aFlow);
   void TakeNotice(direct::CallNumber aCall, const direct::EndpointNotice& aNotice);
   void SendStates();
+  void UpdateOwners();
+  Address AddressOf(const std::string& aHost) const;
+  Duration EntrySilence() const;
   std::size_t StateRounds() const;
   void TakeEntryState(const Address& aFrom, const Peer& aPeer, const direct::EntryState& aState);
   void SaveHotUse();
@@ -176,6 +190,10 @@
   std::unordered_map<IngressExchange*, direct::CallNumber> flowOf;
   std::vector<std::unique_ptr<Flow>> ended;     // destroyed when no call into them is on the stack
   std::map<std::string, PeerEntry> peerEntries; // by IP number
+  std::set<std::string> knownEntries; // IP numbers where an entry lived once
+  std::size_t nextKnown = 0;          // of them, to be asked whether it lives again
+  OwnedQueues owned;
+  std::string ownersOf; // what the owners of queues were last worked out from
   direct::CallNumber lastCall = 0;
   std::size_t heldBytes = 0; // of answers that are not passed on yet
   std::function<void()> onNewerConfig;
--- a/src/gateway/gateway_peers.cpp
+++ b/src/gateway/gateway_peers.cpp
@@ -4,6 +4,7 @@
 #include "runtime/log.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace caraway::gateway {
@@ -36,14 +37,70 @@
   } else if (const auto* agent = std::get_if<direct::AgentState>(&aMessage)) {
     this->dispatcher.OnAgentState(now, aFrom.host, *agent);
     for (const std::string& host : agent->entries) {
-      if (host != this->settings.peerListen.host) {
-        this->peerEntries.try_emplace(
-          host, PeerEntry{ Address{ host, this->settings.peerListen.port }, now });
-      }
+      this->AddEntry(host);
     }
   } else if (const auto* state = std::get_if<direct::EntryState>(&aMessage)) {
     this->TakeEntryState(aFrom, aPeer, *state);
+  } else if (const auto* queue = std::get_if<direct::ForEndpoint>(&aMessage)) {
+    const bool isFromOwner = std::holds_alternative<direct::AgentState>(queue->message) ||
+                             std::holds_alternative<direct::OfferSlot>(queue->message);
+    if (isFromOwner) {
+      this->dispatcher.OnOwnerMessage(now, aFrom.host, *queue);
+    } else {
+      this->owned.OnMessage(now, aFrom, aPeer, *queue);
+    }
+  }
+}
+
+void Gateway::AddEntry(const std::string& aHost)
+{
+  if (aHost == this->settings.peerListen.host) {
+    return;
   }
+  this->knownEntries.insert(aHost);
+  this->peerEntries.try_emplace(aHost, PeerEntry{ this->AddressOf(aHost), this->Now() });
+}
+
+void Gateway::SetEntriesKnown()
+{
+  this->quota.SetEntries(this->Now(), static_cast<std::uint32_t>(this->peerEntries.size()) + 1);
+  this->SendStates();
+}
+
+Address Gateway::AddressOf(const std::string& aHost) const
+{
+  const auto found = this->peerEntries.find(aHost);
+  return found == this->peerEntries.end() ? Address{ aHost, this->net.Port() }
+                                          : found->second.address;
+}
+
+// Among many entries each hears the others less often.
+Duration Gateway::EntrySilence() const
+{
+  const auto rounds = static_cast<std::int64_t>(this->StateRounds());
+  return std::max(this->settings.entrySilence, this->settings.statePeriod * rounds * 3);
+}
+
+// Works out which entries own the queues of endpoints, when entries or endpoints have changed.
+void Gateway::UpdateOwners()
+{
+  std::vector<std::string> hosts{ this->settings.peerListen.host };
+  std::string basis = std::to_string(this->endpointsHash);
+  for (const auto& [host, peer] : this->peerEntries) {
+    if (peer.sentAtUs != 0) {
+      hosts.push_back(host);
+      basis += ' ' + host;
+    }
+  }
+  if (basis == this->ownersOf) {
+    return;
+  }
+  this->ownersOf = basis;
+  std::map<std::string, std::string> owners;
+  for (const auto& [id, info] : this->endpoints) {
+    owners[id] = OwnerOf(id, hosts);
+  }
+  this->dispatcher.SetOwners(this->Now(), owners);
 }
 
 // A datagram may have waited long; what it echoes of this entry's clock tells its greatest age.
@@ -51,9 +108,14 @@
                              const direct::EntryState& aState)
 {
   const TimePoint now = this->Now();
-  this->peerEntries[aFrom.host] = PeerEntry{ aFrom, now, aState.sentAtUs, aState.readsStore };
+  PeerEntry& entry = this->peerEntries[aFrom.host];
+  entry = PeerEntry{ aFrom, now, aState.sentAtUs, aState.readsStore, entry.isGreeted };
+  this->knownEntries.insert(aFrom.host);
   this->quota.OnPeerUse(now, aPeer, aState.uses);
   this->quota.OnWindowUse(now, aState.windowUses);
+  if (aState.useSavedAgeMs > 0) {
+    this->quota.OnUseSaved(now, now - milliseconds(aState.useSavedAgeMs));
+  }
   if (this->moves.OnPeer(now, aPeer, aState.moves) && this->onNewerConfig) {
     this->onNewerConfig();
   }
@@ -108,11 +170,15 @@
     return;
   }
   const caraway::Now now = this->clock.Read();
+  const auto onSaved = [this, at = now.steady] { this->quota.OnUseSaved(this->Now(), at); };
   const direct::SavedUses hot{ now.wall.time_since_epoch().count(),
                                this->quota.HotUse(now.steady) };
   if (!hot.accounts.empty() || this->hasSavedUse) {
     this->hasSavedUse = !hot.accounts.empty();
-    this->quotaStore->SaveUse(hot.accounts.empty() ? std::string() : direct::EncodeSavedUses(hot));
+    this->quotaStore->SaveUse(hot.accounts.empty() ? std::string() : direct::EncodeSavedUses(hot),
+                              onSaved);
+  } else {
+    onSaved();
   }
 }
 
@@ -155,8 +221,14 @@
 {
   const TimePoint now = this->Now();
   std::erase_if(this->peerEntries, [&](const auto& aRow) {
-    return now - aRow.second.heardAt > this->settings.entrySilence;
+    return now - aRow.second.heardAt > this->EntrySilence();
   });
+  // Two entries that were cut off from each other find each other again.
+  if (!this->knownEntries.empty()) {
+    auto known = std::next(this->knownEntries.begin(),
+                           static_cast<std::ptrdiff_t>(this->nextKnown++ % this->knownEntries.size()));
+    this->AddEntry(std::string(*known));
+  }
   direct::EntryState state;
   state.configOffset = this->freshness.Offset();
   state.configAgeMs = static_cast<std::uint32_t>(
@@ -169,6 +241,8 @@
     return this->dispatcher.RunningElsewhere(aService, aVersion);
   });
   state.leaving = this->dispatcher.RecentlyLeaving(now);
+  state.useSavedAgeMs = static_cast<std::uint32_t>(
+    std::clamp<std::int64_t>(this->quota.SinceSaved(now) / milliseconds(1), 0, 3600000));
   state.uses = this->quota.OwnUse();
   // Where all hear each other in every round, that is as new and needs no estimate.
   if (this->IsReader() && this->StateRounds() > 1) {
@@ -180,18 +254,23 @@
     const auto reader = std::find_if(this->peerEntries.begin(), this->peerEntries.end(),
                                      [](const auto& aRow) { return aRow.second.readsStore; });
     std::size_t index = ++this->stateRound;
-    for (const auto& [host, peer] : this->peerEntries) {
+    for (auto& [host, peer] : this->peerEntries) {
       // The reader and the others hear each other in every round: its word keeps theirs fresh.
       const bool isItsTurn = index++ % this->StateRounds() == 0;
       const bool isToReader = reader != this->peerEntries.end() && host == reader->first;
-      const bool isDue = isReader || isToReader || isItsTurn;
+      const bool isDue = isReader || isToReader || isItsTurn || !peer.isGreeted;
       if (isDue) {
+        peer.isGreeted = true;
         state.echoUs = peer.sentAtUs;
         this->net.Send(peer.address, state);
       }
     }
   }
   this->StepMoves();
+  this->UpdateOwners();
+  this->owned.SendStates(now);
+  this->quota.SetSilence(this->settings.statePeriod *
+                         static_cast<std::int64_t>(this->StateRounds()) * 3);
   const std::uint32_t entryCount = this->quota.EntryCount(now);
   this->dispatcher.SetEntryCount(entryCount);
   this->moves.SetEntryCount(entryCount);
--- /dev/null
+++ b/src/gateway/owned_queues.cpp
@@ -0,0 +1,115 @@
+#include "gateway/owned_queues.h"
+
+#include <algorithm>
+
+namespace caraway::gateway {
+
+std::string OwnerOf(const std::string& aEndpoint, const std::vector<std::string>& aHosts)
+{
+  std::string best;
+  std::uint64_t highest = 0;
+  for (const std::string& host : aHosts) {
+    const std::uint64_t hash = HashOf(host, HashOf(aEndpoint));
+    if (best.empty() || hash > highest) {
+      best = host;
+      highest = hash;
+    }
+  }
+  return best;
+}
+
+OwnedQueues::Owned::Owned(const QueueServerOptions& aOptions, OwnedQueuesPort& aPort,
+                          std::uint64_t aEndpoint)
+  : port(aPort)
+  , endpoint(aEndpoint)
+  , server(aOptions, *this)
+{
+}
+
+void OwnedQueues::Owned::SendFromQueue(const Address& aEntry, const direct::QueueMessage& aMessage)
+{
+  this->port.SendFromOwned(aEntry, { this->endpoint, aMessage });
+}
+
+direct::AgentState OwnedQueues::Owned::State() const
+{
+  direct::AgentState state = this->server.State();
+  state.endpointBornMs = this->info.bornMs;
+  state.isReachable = true; // what attempts show decides
+  state.isLeaving = this->info.isLeaving;
+  state.entries.clear(); // entries know each other
+  return state;
+}
+
+OwnedQueues::OwnedQueues(const QueueServerOptions& aOptions, OwnedQueuesPort& aPort)
+  : options(aOptions)
+  , port(aPort)
+{
+}
+
+void OwnedQueues::SetEndpoints(TimePoint aNow,
+                               const std::map<std::string, direct::EndpointInfo>& aAll)
+{
+  this->endpoints.clear();
+  for (const auto& [id, info] : aAll) {
+    this->endpoints[HashOf(id)] = info;
+  }
+  std::erase_if(this->queues,
+                [this](const auto& aRow) { return !this->endpoints.contains(aRow.first); });
+  for (auto& [endpoint, owned] : this->queues) {
+    owned->info = this->endpoints.at(endpoint);
+    UpdateLimit(aNow, *owned);
+  }
+}
+
+void OwnedQueues::UpdateLimit(TimePoint aNow, Owned& aOwned)
+{
+  aOwned.server.SetLimit(aNow, aOwned.info.isLeaving ? 0 : aOwned.info.slots);
+}
+
+void OwnedQueues::OnMessage(TimePoint aNow, const Address& aFrom, const Peer& aPeer,
+                            const direct::ForEndpoint& aMessage)
+{
+  const auto known = this->endpoints.find(aMessage.endpoint);
+  if (known == this->endpoints.end()) {
+    return;
+  }
+  std::unique_ptr<Owned>& owned = this->queues[aMessage.endpoint];
+  if (owned == nullptr) {
+    owned = std::make_unique<Owned>(this->options, this->port, aMessage.endpoint);
+    owned->info = known->second;
+    UpdateLimit(aNow, *owned);
+  }
+  if (owned->server.OnMessage(aNow, aFrom, aPeer, aMessage.message)) {
+    owned->SendFromQueue(aFrom, owned->State());
+  }
+}
+
+void OwnedQueues::SendStates(TimePoint aNow)
+{
+  for (auto& [endpoint, owned] : this->queues) {
+    owned->server.SendStates(aNow, owned->State());
+  }
+  // Its entries have turned to another owner.
+  std::erase_if(this->queues, [](const auto& aRow) {
+    return aRow.second->server.EntryCount() == 0;
+  });
+}
+
+void OwnedQueues::OnTimer(TimePoint aNow)
+{
+  for (auto& [endpoint, owned] : this->queues) {
+    owned->server.OnTimer(aNow);
+  }
+}
+
+TimePoint OwnedQueues::NextTimer() const
+{
+  TimePoint next = kNever;
+  for (const auto& [endpoint, owned] : this->queues) {
+    next = std::min(next, owned->server.NextTimer());
+  }
+  return next;
+}
+
+} // namespace caraway::gateway
--- a/tests/direct/dispatcher_test.cpp
+++ b/tests/direct/dispatcher_test.cpp
@@ -28,7 +28,11 @@
   {
     this->sent.emplace_back(aHost, aMessage);
   }
-  void OnAgentChange(const EndpointInfo&, bool, Duration) override {}
+  void SendToOwner(const std::string& aHost, const ForEndpoint& aMessage) override
+  {
+    this->sentToOwners.emplace_back(aHost, aMessage);
+  }
+  void OnQueueChange(const EndpointInfo&, std::string_view, bool, Duration) override {}
 
   template<class Message>
   std::vector<std::string> HostsOf() const
@@ -46,6 +50,7 @@
   std::vector<std::pair<CallNumber, GiveUpReason>> givenUp;
   Duration retryAfter{};
   std::vector<std::pair<std::string, DirectMessage>> sent;
+  std::vector<std::pair<std::string, ForEndpoint>> sentToOwners;
 };
 
 struct Fixture
@@ -189,6 +194,34 @@
   BOOST_TEST(this->port.started.size() == 1U);
 }
 
+// Where no agent answers, the entry that owns the queue is asked; while it is silent too, the entry
+// queues by itself.
+BOOST_AUTO_TEST_CASE(without_an_agent_the_owner_of_the_queue_is_asked)
+{
+  this->List(1, false, 4);
+  this->dispatcher->SetOwners(this->now, { { "e1", "10.9.9.9" } });
+  for (std::uint32_t round = 0; round < this->options.idleHoldPeriods; round++) {
+    this->Advance(this->options.holdPeriod);
+  }
+  BOOST_REQUIRE(!this->port.sentToOwners.empty());
+  BOOST_TEST(this->port.sentToOwners[0].first == "10.9.9.9");
+  AgentState state;
+  state.isReachable = true;
+  state.limit = 4;
+  const std::uint64_t endpoint = this->port.sentToOwners[0].second.endpoint;
+  this->dispatcher->OnOwnerMessage(this->now, "10.8.8.8", { endpoint, state }); // not the owner
+  this->dispatcher->Submit(this->now, this->Spec(1));
+  BOOST_TEST(this->port.started.size() == 1U); // by the own queue
+  this->dispatcher->OnOwnerMessage(this->now, "10.9.9.9", { endpoint, state });
+  this->dispatcher->Submit(this->now, this->Spec(2));
+  BOOST_TEST(this->port.started.size() == 1U);
+  this->dispatcher->OnOwnerMessage(this->now, "10.9.9.9", { endpoint, OfferSlot{ 2 } });
+  BOOST_TEST(this->port.started.size() == 2U);
+  this->dispatcher->Submit(this->now, this->Spec(3));
+  this->Advance(this->options.busyAgentSilence + this->options.holdPeriod + milliseconds(10));
+  BOOST_TEST(this->port.started.size() == 3U);
+}
+
 BOOST_AUTO_TEST_CASE(a_refused_attempt_is_placed_elsewhere)
 {
   this->List(2, false);
--- a/tests/direct/shared_quota_test.cpp
+++ b/tests/direct/shared_quota_test.cpp
@@ -255,6 +255,41 @@
   BOOST_TEST(this->TakeAll(next) <= 9000 - 6000 - late * 3 / 4);
 }
 
+// Found by the soak of processes, seed 140: the store refuses saves, a burst follows, and then all
+// entries are killed.
+BOOST_AUTO_TEST_CASE(while_saves_fail_a_restart_opens_no_second_window)
+{
+  SharedQuota first(this->options, this->now - seconds(20));
+  first.SetUseBefore({}, milliseconds(0));
+  first.OnUseSaved(this->now, this->now);
+  this->now += seconds(2);
+  const double taken = this->TakeAll(first);
+  SharedQuota next(this->options, this->now);
+  next.SetUseBefore({}, seconds(2));
+  BOOST_TEST(taken + this->TakeAll(next) <= 9000);
+  // Once a save gets through, the whole bound is there again.
+  first.OnUseSaved(this->now, this->now);
+  BOOST_TEST(taken + this->TakeAll(first) == 9000);
+}
+
+// Entries that know of each other and have not met yet take an equal part each.
+BOOST_AUTO_TEST_CASE(entries_that_have_not_met_share_the_bound)
+{
+  double taken = 0;
+  for (int entry = 0; entry < 4; entry++) {
+    SharedQuota quota(this->options, this->now - seconds(20));
+    quota.SetUseBefore({}, milliseconds(0));
+    quota.SetEntries(this->now, 4);
+    taken += this->TakeAll(quota);
+  }
+  BOOST_TEST(taken <= 9000);
+  SharedQuota alone(this->options, this->now - seconds(20));
+  alone.SetUseBefore({}, milliseconds(0));
+  alone.SetEntries(this->now, 4);
+  this->now += this->options.meetTime;
+  BOOST_TEST(this->TakeAll(alone) == 9000); // the others do not live any more
+}
+
 BOOST_AUTO_TEST_CASE(a_start_without_what_was_saved_counts_the_whole_bound)
 {
   SharedQuota quota(this->options, this->now);
--- a/tests/direct/slot_queue_test.cpp
+++ b/tests/direct/slot_queue_test.cpp
@@ -118,6 +118,30 @@
   BOOST_TEST(slope.count() <= 26000);
 }
 
+// Load: prompts of one length before engines that read three times as fast as each other. Each gets
+// as many at once as it reads in the same time.
+BOOST_AUTO_TEST_CASE(a_fast_reader_gets_more_prompts_at_once)
+{
+  const auto offersAt = [this](int aMicrosecondsPerToken) {
+    Offered offered;
+    SlotQueue engine(this->options, offered);
+    engine.SetLimit(this->now, 20);
+    for (CallNumber call = 1; call <= 20; call++) {
+      const std::uint32_t prompt = 500 * static_cast<std::uint32_t>(call);
+      engine.Use(this->now, kFirst, UseSlot{ call, prompt });
+      this->now += milliseconds(10) + Duration(aMicrosecondsPerToken) * prompt;
+      engine.BeginAnswer(this->now, kFirst, call);
+      engine.Release(this->now, kFirst, call);
+    }
+    for (CallNumber call = 100; call < 120; call++) {
+      engine.Reserve(this->now, kFirst, this->Reservation(call, 0, 500, 2000));
+    }
+    return offered.offers.size();
+  };
+  BOOST_TEST(offersAt(25) == 3U); // 150 ms are 6,000 tokens
+  BOOST_TEST(offersAt(8) == 9U);  // 18,750 tokens
+}
+
 BOOST_AUTO_TEST_CASE(a_prompt_over_the_limit_goes_alone)
 {
   this->queue.SetLimit(this->now, 6);
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -66,7 +66,7 @@
     this->isHeard = true;
   }
   void OnPeerMessagesDone() override {}
-  void SaveUse(const std::string&) override { this->saves++; }
+  void SaveUse(const std::string&, const std::function<void()>&) override { this->saves++; }
 
   PeerNet first;
   bool isHeard = false;
