Count what an entry used between its last report and its end

Cause: a killed entry's use since its last report was told to nobody; with a hot account at its bound three such entries together went over it.

--- a/src/direct/shared_quota.cpp
+++ b/src/direct/shared_quota.cpp
@@ -31,6 +31,8 @@
 // Half-life of the largest growth: where all entries have just refused an account, its calls come
 // back as fast as before when there is room.
 constexpr Duration kGrowthMemory = std::chrono::seconds(2);
+// An entry reports at least this often before it counts as silent.
+constexpr int kReportsInSilence = 3;
 constexpr double kLeastGap = 0.05;  // seconds between two tellings; datagrams may come together
 constexpr double kRateMemory = 0.5; // weight of the newest report in a peer's rate
 
@@ -317,6 +319,11 @@
     return;
   }
   if (row.incarnation != aPeer.incarnation) {
+    // What it used between its last report and its end was told to nobody.
+    const Duration untold = std::min(aNow - row.heardAt, this->silence / kReportsInSilence);
+    for (const auto& [account, rate] : row.rates) {
+      this->Add(aNow, account, rate * SecondsOf(untold));
+    }
     row = PeerRow{};
     row.incarnation = aPeer.incarnation;
   }
--- a/tests/direct/shared_quota_test.cpp
+++ b/tests/direct/shared_quota_test.cpp
@@ -255,6 +255,25 @@
   BOOST_TEST(this->TakeAll(next) <= 9000 - 6000 - late * 3 / 4);
 }
 
+// Found by a hunt (morant-liguanea, herd_after_ack.toml --vary --seed 97648869736): entries are killed
+// while a hot account uses its whole quota.
+BOOST_AUTO_TEST_CASE(use_between_the_last_report_and_a_kill_is_counted)
+{
+  const Peer peer{ NodeId{ 2 }, Incarnation{ 1 } };
+  const Peer reborn{ NodeId{ 2 }, Incarnation{ 2 } };
+  SharedQuota quota(this->options, this->now - seconds(20));
+  std::uint64_t used = 0;
+  for (int report = 0; report <= 20; report++) {
+    quota.OnPeerUse(this->now, peer, { { kAccount, used } });
+    this->now += milliseconds(200);
+    used += 200;
+  }
+  // The last 200 units were not reported when it was killed.
+  this->now += milliseconds(300);
+  quota.OnPeerUse(this->now, reborn, { { kAccount, 0 } });
+  BOOST_TEST(this->TakeAll(quota) <= 9000.0 - static_cast<double>(used));
+}
+
 // Found by the soak of processes, seed 140: the store refuses saves, a burst follows, and then all
 // entries are killed.
 BOOST_AUTO_TEST_CASE(while_saves_fail_a_restart_opens_no_second_window)
