Queue at some endpoints of a large pool, not at all of them

Ruled out: longer idle periods (silence of an agent is noticed by them). Now: 48 contacts in pools beyond 64, own failure domain first, by rendezvous hash; others only when no contact is usable.

--- a/src/direct/dispatcher.cpp
+++ b/src/direct/dispatcher.cpp
@@ -37,6 +37,9 @@
 void Dispatcher::SetEndpoints(TimePoint aNow, const std::map<std::string, EndpointInfo>& aAll,
                               const std::function<bool(const std::string&)>& aHasAgents)
 {
+  const std::set<std::string> contacts =
+    ChooseContacts(this->options.contacts, static_cast<std::uint64_t>(this->self.node),
+                   this->failureDomain, aAll);
   for (auto& [id, target] : this->targets) {
     target.isListed = aAll.contains(id);
   }
@@ -55,6 +58,7 @@
     target.info = info;
     target.saysLeaving = this->leaving.Contains(LifeOf(id, info.bornMs));
     target.isListed = true;
+    target.isContact = contacts.contains(id);
     target.hasAgent = aHasAgents(info.service);
     target.local->SetLimit(aNow, target.InUse() != nullptr ? 0 : this->LocalLimit(target));
   }
--- a/src/direct/dispatcher.h
+++ b/src/direct/dispatcher.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "core/random.h"
+#include "direct/contacts.h"
 #include "direct/endpoint_health.h"
 #include "direct/endpoint_table.h"
 #include "direct/leaving_table.h"
@@ -42,6 +43,7 @@
   // traffic is uneven, and an endpoint queues a little itself.
   double ownShare = 1.7;
   Duration initialRunTime = std::chrono::milliseconds(400); // assumed before a run was seen
+  ContactOptions contacts;
   SlotQueueOptions queue;
   PatienceOptions patience;
 };
@@ -144,7 +146,8 @@
   {
     EndpointInfo info;
     bool hasAgent = false;
-    bool isListed = true; // false: only finishes what it runs
+    bool isListed = true;  // false: only finishes what it runs
+    bool isContact = true; // calls queue here while any contact is usable
     bool saysLeaving = false; // in an answer, to this entry or to another one
     TimePoint restsUntil{};   // it asked this process for a rest
     TimePoint listedAt{};
--- a/src/direct/dispatcher_agents.cpp
+++ b/src/direct/dispatcher_agents.cpp
@@ -194,7 +194,8 @@
 {
   std::map<std::string, HoldState> states;
   for (const auto& [id, target] : this->targets) {
-    if (target.isListed && (target.hasAgent || this->NeedsOwner(aNow, target))) {
+    const bool isKept = target.isContact || target.running > 0;
+    if (target.isListed && isKept && (target.hasAgent || this->NeedsOwner(aNow, target))) {
       states[id].slots = target.info.slots;
     }
   }
--- a/src/direct/dispatcher_place.cpp
+++ b/src/direct/dispatcher_place.cpp
@@ -56,7 +56,7 @@
   double ahead = 0;
   TimePoint firstRested = kNever;
   for (const auto& [id, target] : this->targets) {
-    if (!target.isListed || target.info.service != aService) {
+    if (!target.isListed || !target.isContact || target.info.service != aService) {
       continue;
     }
     firstRested = std::min(firstRested, target.restsUntil);
@@ -99,31 +99,46 @@
   aCall.widenAt = aNow + (aCall.isWide ? kReplacePeriod : this->options.widenAfter);
 }
 
-// Usable endpoints, best first. Those that are to be avoided or were tried before count only when
-// there are no others.
+// Usable endpoints, best first. Those beyond the contacts count only when no contact is usable, and
+// those that are to be avoided or were tried before when there is no other at all.
 std::vector<Dispatcher::Target*> Dispatcher::Candidates(TimePoint aNow, const Call& aCall)
 {
+  // Best first.
+  enum class Resort : std::uint8_t
+  {
+    kContact,
+    kOther,
+    kAvoided,
+  };
   struct Scored
   {
-    bool isLastResort;
+    Resort resort;
     double cost;
     Target* target;
   };
   std::vector<Scored> scored;
+  bool hasContact = false;
   for (auto& [id, target] : this->targets) {
     if (!this->MayUse(aNow, target, aCall.spec)) {
       continue;
     }
     const bool isDown = target.InUse() != nullptr && !target.InUse()->state.isReachable;
     const bool isAvoided = target.health.AvoidUntil() > aNow || isDown || aCall.tried.contains(id);
-    scored.push_back({ isAvoided, this->CostOf(aNow, target, aCall), &target });
+    const Resort resort = isAvoided          ? Resort::kAvoided
+                          : target.isContact ? Resort::kContact
+                                             : Resort::kOther;
+    if (resort != Resort::kContact && hasContact) {
+      continue;
+    }
+    hasContact = hasContact || resort == Resort::kContact;
+    scored.push_back({ resort, this->CostOf(aNow, target, aCall), &target });
   }
   std::sort(scored.begin(), scored.end(), [](const Scored& aLeft, const Scored& aRight) {
-    return std::tie(aLeft.isLastResort, aLeft.cost) < std::tie(aRight.isLastResort, aRight.cost);
+    return std::tie(aLeft.resort, aLeft.cost) < std::tie(aRight.resort, aRight.cost);
   });
   std::vector<Target*> result;
   for (const Scored& row : scored) {
-    if (row.isLastResort && !result.empty()) {
+    if (row.resort != scored.front().resort) {
       break;
     }
     result.push_back(row.target);
--- a/src/gateway/queue_server.h
+++ b/src/gateway/queue_server.h
@@ -17,7 +17,7 @@
   // An entry that was not heard for this long gets no state any more.
   Duration entrySilence = std::chrono::seconds(3);
   // Entries named in one state; enough for a new entry to find all others within seconds.
-  std::size_t entriesTold = 4;
+  std::size_t entriesTold = 2;
   direct::SlotQueueOptions queue;
 };
 
--- a/tests/direct/dispatcher_test.cpp
+++ b/tests/direct/dispatcher_test.cpp
@@ -3,6 +3,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
+#include <set>
 #include <vector>
 
 namespace caraway::direct {
@@ -222,6 +223,27 @@
   BOOST_TEST(this->port.started.size() == 3U);
 }
 
+// In a large pool an entry queues at its contacts, and elsewhere only when none of them is usable.
+BOOST_AUTO_TEST_CASE(beyond_the_contacts_only_without_them)
+{
+  this->List(200, false);
+  for (CallNumber call = 1; call <= 60; call++) {
+    this->dispatcher->Submit(this->now, this->Spec(call));
+  }
+  std::set<std::string> used;
+  for (const auto& [call, endpoint] : this->port.started) {
+    used.insert(endpoint);
+  }
+  BOOST_TEST(used.size() <= this->options.contacts.contacts);
+  for (const std::string& id : used) {
+    this->all[id].isLeaving = true;
+  }
+  this->Apply();
+  const std::size_t before = this->port.started.size();
+  this->dispatcher->Submit(this->now, this->Spec(100));
+  BOOST_TEST(this->port.started.size() == before + 1);
+}
+
 BOOST_AUTO_TEST_CASE(a_refused_attempt_is_placed_elsewhere)
 {
   this->List(2, false);
