--- a/src/direct/contacts.h
+++ b/src/direct/contacts.h
@@ -7,7 +7,6 @@
 
 #include <cstddef>
 #include <map>
-#include <map>
 #include <set>
 #include <string>
 
--- a/src/direct/dispatcher.cpp
+++ b/src/direct/dispatcher.cpp
@@ -37,9 +37,8 @@
 void Dispatcher::SetEndpoints(TimePoint aNow, const std::map<std::string, EndpointInfo>& aAll,
                               const std::function<bool(const std::string&)>& aHasAgents)
 {
-  const std::set<std::string> contacts =
-    ChooseContacts(this->options.contacts, static_cast<std::uint64_t>(this->self.node),
-                   this->failureDomain, aAll);
+  const std::set<std::string> contacts = ChooseContacts(
+    this->options.contacts, static_cast<std::uint64_t>(this->self.node), this->failureDomain, aAll);
   for (auto& [id, target] : this->targets) {
     target.isListed = aAll.contains(id);
   }
@@ -93,9 +92,8 @@
     return false;
   }
   Target& target = found->second;
-  const bool isNews =
-    (aNotice.isLeaving && !target.saysLeaving) ||
-    (aNotice.rest > Duration::zero() && aNow + aNotice.rest > target.restsUntil);
+  const bool isNews = (aNotice.isLeaving && !target.saysLeaving) ||
+                      (aNotice.rest > Duration::zero() && aNow + aNotice.rest > target.restsUntil);
   if (!isNews) {
     return false;
   }
--- a/src/direct/dispatcher.h
+++ b/src/direct/dispatcher.h
@@ -33,8 +33,8 @@
   std::uint32_t smallPool = 16;
   std::uint32_t reservations = 6;
   Duration widenAfter = std::chrono::milliseconds(10);
-  // Silence of a queue's process after which entries turn to the next one; some periods of AgentState.
-  // An agent that was never heard gets as long before the owner is asked.
+  // Silence of a queue's process after which entries turn to the next one; some periods of
+  // AgentState. An agent that was never heard gets as long before the owner is asked.
   Duration agentSilence = std::chrono::milliseconds(900);
   Duration busyAgentSilence = std::chrono::milliseconds(500); // while something is held there
   Duration holdPeriod = std::chrono::milliseconds(200); // of HoldState where something is held
@@ -61,8 +61,8 @@
   virtual void SendToAgent(const std::string& aHost, const DirectMessage& aMessage) = 0;
   // Queues a message for the entry that owns the endpoint's queue.
   virtual void SendToOwner(const std::string& aHost, const ForEndpoint& aMessage) = 0;
-  // The agent beside the endpoint, or the owner of its queue, answers again or has fallen silent for
-  // aSilence.
+  // The agent beside the endpoint, or the owner of its queue, answers again or has fallen silent
+  // for aSilence.
   virtual void OnQueueChange(const EndpointInfo& aEndpoint, std::string_view aKind, bool aIsLive,
                              Duration aSilence) = 0;
 };
@@ -146,8 +146,8 @@
   {
     EndpointInfo info;
     bool hasAgent = false;
-    bool isListed = true;  // false: only finishes what it runs
-    bool isContact = true; // calls queue here while any contact is usable
+    bool isListed = true;     // false: only finishes what it runs
+    bool isContact = true;    // calls queue here while any contact is usable
     bool saysLeaving = false; // in an answer, to this entry or to another one
     TimePoint restsUntil{};   // it asked this process for a rest
     TimePoint listedAt{};
@@ -243,7 +243,7 @@
   RetryBudget& budget;
   DispatchPort& port;
   std::uint32_t entryCount = 1;
-  std::map<std::string, Target> targets; // by endpoint id
+  std::map<std::string, Target> targets;                 // by endpoint id
   std::unordered_map<std::string, std::string> idOfHost; // of endpoints with agents
   std::unordered_map<std::uint64_t, std::string> idOfHash;
   std::unordered_map<CallNumber, Call> calls;
@@ -251,7 +251,7 @@
   std::priority_queue<Due, std::vector<Due>, std::greater<>> due;
   TimePoint nextHold{};
   std::uint32_t holdRound = 0;
-  std::map<std::string, std::string> bannedVersions;     // by service
+  std::map<std::string, std::string> bannedVersions; // by service
   LeavingTable leaving;
   std::map<std::string, Duration, std::less<>> runTimes; // usual time of a run by service
   std::vector<std::pair<std::string, CallNumber>> localOffers;
--- a/src/direct/dispatcher_agents.cpp
+++ b/src/direct/dispatcher_agents.cpp
@@ -49,7 +49,8 @@
                                 const ForEndpoint& aMessage)
 {
   const auto id = this->idOfHash.find(aMessage.endpoint);
-  const auto found = id == this->idOfHash.end() ? this->targets.end() : this->targets.find(id->second);
+  const auto found =
+    id == this->idOfHash.end() ? this->targets.end() : this->targets.find(id->second);
   if (found == this->targets.end() || found->second.ownerHost != aHost) {
     return;
   }
@@ -114,7 +115,7 @@
     text += target.health.AvoidUntil() > aNow ? ":avoided" : "";
     text += ":" + std::to_string(target.running);
     text += "/" + std::to_string(target.InUse() != nullptr ? target.InUse()->state.limit
-                                                          : target.local->Limit());
+                                                           : target.local->Limit());
   }
   return text;
 }
@@ -180,7 +181,8 @@
   if (aRemote == &aTarget.agent) {
     this->port.SendToAgent(aTarget.info.host, ToDirect(aMessage));
   } else if (aRemote == &aTarget.owner) {
-    this->port.SendToOwner(aTarget.ownerHost, ForEndpoint{ caraway::HashOf(aTarget.info.id), aMessage });
+    this->port.SendToOwner(aTarget.ownerHost,
+                           ForEndpoint{ caraway::HashOf(aTarget.info.id), aMessage });
   }
 }
 
@@ -225,8 +227,7 @@
     const bool toOwner = this->NeedsOwner(aNow, target);
     for (Remote* remote : { &target.agent, &target.owner }) {
       const bool isAsked = remote == &target.owner ? toOwner : target.hasAgent;
-      remote->busySince =
-        isIdle || !isAsked ? kNever : std::min(remote->busySince, aNow);
+      remote->busySince = isIdle || !isAsked ? kNever : std::min(remote->busySince, aNow);
       if (isAsked && (!isIdle || isItsTurn)) {
         this->SendTo(target, remote, state);
       }
@@ -237,7 +238,8 @@
 Dispatcher::Target* Dispatcher::FindByHost(const std::string& aHost)
 {
   const auto id = this->idOfHost.find(aHost);
-  const auto found = id == this->idOfHost.end() ? this->targets.end() : this->targets.find(id->second);
+  const auto found =
+    id == this->idOfHost.end() ? this->targets.end() : this->targets.find(id->second);
   return found == this->targets.end() ? nullptr : &found->second;
 }
 
--- a/src/direct/dispatcher_place.cpp
+++ b/src/direct/dispatcher_place.cpp
@@ -69,8 +69,7 @@
     // A call waits at many endpoints at once, so the longest queue holds about all that wait.
     ahead = std::max(ahead, waiting);
   }
-  const Duration drain =
-    RetryTime(this->options.patience, ahead, slots, this->RunTime(aService));
+  const Duration drain = RetryTime(this->options.patience, ahead, slots, this->RunTime(aService));
   return firstRested == kNever ? drain : std::max(drain, firstRested - aNow);
 }
 
@@ -152,7 +151,8 @@
   const Remote* remote = aTarget.InUse();
   const std::uint32_t limit =
     std::max(remote != nullptr ? remote->state.limit : this->LocalLimit(aTarget), 1U);
-  const std::uint32_t taken = std::max(remote != nullptr ? remote->state.taken : 0U, aTarget.running);
+  const std::uint32_t taken =
+    std::max(remote != nullptr ? remote->state.taken : 0U, aTarget.running);
   double queued = 0;
   if (remote != nullptr) {
     for (Tier rank = 0; rank <= aCall.spec.rank; rank++) {
@@ -266,8 +266,8 @@
 bool Dispatcher::MayUse(TimePoint aNow, const Target& aTarget, const CallSpec& aSpec) const
 {
   const EndpointInfo& info = aTarget.info;
-  if (!aTarget.isListed || info.service != aSpec.service || info.isLeaving ||
-      aTarget.saysLeaving || aNow < aTarget.restsUntil ||
+  if (!aTarget.isListed || info.service != aSpec.service || info.isLeaving || aTarget.saysLeaving ||
+      aNow < aTarget.restsUntil ||
       (aTarget.InUse() != nullptr && aTarget.InUse()->state.isLeaving)) {
     return false;
   }
--- a/src/direct/messages.h
+++ b/src/direct/messages.h
@@ -185,7 +185,7 @@
   std::vector<AccountUse> uses;
   // From the entry that hears all others in every round: use of all entries in the last window.
   std::vector<AccountUse> windowUses;
-  std::vector<MoveState> moves; // of versions, that are under way or have just ended
+  std::vector<MoveState> moves;      // of versions, that are under way or have just ended
   std::vector<EndpointLife> leaving; // that said so to the sender a short while ago
 
   template<class Archive>
--- a/src/direct/shared_quota.h
+++ b/src/direct/shared_quota.h
@@ -86,7 +86,8 @@
   // aCount entries live, with this one. Those of them that were not heard yet count with an equal
   // part of the bound, for as long as it takes to hear them.
   void SetEntries(TimePoint aNow, std::uint32_t aCount);
-  // How long an entry may say nothing before it counts as silent, if that is longer than the option.
+  // How long an entry may say nothing before it counts as silent, if that is longer than the
+  // option.
   void SetSilence(Duration aSilence);
 
   // The use of the window up to aAt is saved, or was small enough not to be. Where nobody ever says
@@ -167,7 +168,7 @@
   std::optional<TimePoint> savedAt;
   std::unordered_map<std::uint64_t, double> savedTotals; // use in the window as of savedAt
   Duration silence;
-  std::uint32_t expected;       // entries, with this one
+  std::uint32_t expected; // entries, with this one
   TimePoint expectedUntil;
   bool isBeforeKnown = false;
   std::unordered_map<std::uint64_t, Before> before;
--- a/src/direct/slot_queue.cpp
+++ b/src/direct/slot_queue.cpp
@@ -232,8 +232,7 @@
 bool SlotQueue::HasRoomFor(const Reservation& aReservation) const
 {
   const std::uint32_t pending = this->PendingPrefill();
-  return pending == 0 ||
-         pending + aReservation.request.promptTokens <= this->MaxPendingPrefill();
+  return pending == 0 || pending + aReservation.request.promptTokens <= this->MaxPendingPrefill();
 }
 
 // Prompt tokens that this endpoint reads in the time that may wait there. A pace measured among the
@@ -241,8 +240,8 @@
 double SlotQueue::MaxPendingPrefill() const
 {
   const Duration reading = this->pace.FirstToken(1000) - this->pace.FirstToken(0);
-  const double perMs = reading > Duration::zero() ? 1.0 / SecondsOf(reading)
-                                                  : this->options.initialTokensPerMs;
+  const double perMs =
+    reading > Duration::zero() ? 1.0 / SecondsOf(reading) : this->options.initialTokensPerMs;
   const double waitMs = SecondsOf(this->options.maxPendingReading) * 1000;
   return std::max(perMs, this->options.leastTokensPerMs) * waitMs;
 }
--- a/src/gateway/endpoint_agent.cpp
+++ b/src/gateway/endpoint_agent.cpp
@@ -67,15 +67,15 @@
   }
   this->offersMade++;
   const direct::SlotQueue& slotQueue = this->queue.Queue();
-  LogEvent(LogLevel::kInfo, "offered",
-           { { "entry", aEntry.host },
-             { "call", std::to_string(offer->call) },
-             { "taken", std::to_string(slotQueue.Taken()) },
-             { "limit", std::to_string(slotQueue.Limit()) },
-             { "waiting", std::to_string(slotQueue.WaitingCount()) },
-             { "prefill", std::to_string(slotQueue.PendingPrefill()) },
-             { "report_age_ms",
-               std::to_string((this->Now() - this->reportedAt) / milliseconds(1)) } });
+  LogEvent(
+    LogLevel::kInfo, "offered",
+    { { "entry", aEntry.host },
+      { "call", std::to_string(offer->call) },
+      { "taken", std::to_string(slotQueue.Taken()) },
+      { "limit", std::to_string(slotQueue.Limit()) },
+      { "waiting", std::to_string(slotQueue.WaitingCount()) },
+      { "prefill", std::to_string(slotQueue.PendingPrefill()) },
+      { "report_age_ms", std::to_string((this->Now() - this->reportedAt) / milliseconds(1)) } });
 }
 
 void EndpointAgent::OnPeerMessage(const Address& aFrom, const Peer& aPeer,
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -190,8 +190,8 @@
   std::unordered_map<IngressExchange*, direct::CallNumber> flowOf;
   std::vector<std::unique_ptr<Flow>> ended;     // destroyed when no call into them is on the stack
   std::map<std::string, PeerEntry> peerEntries; // by IP number
-  std::set<std::string> knownEntries; // IP numbers where an entry lived once
-  std::size_t nextKnown = 0;          // of them, to be asked whether it lives again
+  std::set<std::string> knownEntries;           // IP numbers where an entry lived once
+  std::size_t nextKnown = 0;                    // of them, to be asked whether it lives again
   OwnedQueues owned;
   std::string ownersOf; // what the owners of queues were last worked out from
   direct::CallNumber lastCall = 0;
--- a/src/gateway/gateway_peers.cpp
+++ b/src/gateway/gateway_peers.cpp
@@ -220,13 +220,13 @@
 void Gateway::SendStates()
 {
   const TimePoint now = this->Now();
-  std::erase_if(this->peerEntries, [&](const auto& aRow) {
-    return now - aRow.second.heardAt > this->EntrySilence();
-  });
+  std::erase_if(this->peerEntries,
+                [&](const auto& aRow) { return now - aRow.second.heardAt > this->EntrySilence(); });
   // Two entries that were cut off from each other find each other again.
   if (!this->knownEntries.empty()) {
-    auto known = std::next(this->knownEntries.begin(),
-                           static_cast<std::ptrdiff_t>(this->nextKnown++ % this->knownEntries.size()));
+    auto known =
+      std::next(this->knownEntries.begin(),
+                static_cast<std::ptrdiff_t>(this->nextKnown++ % this->knownEntries.size()));
     this->AddEntry(std::string(*known));
   }
   direct::EntryState state;
--- a/src/gateway/owned_queues.cpp
+++ b/src/gateway/owned_queues.cpp
@@ -91,9 +91,8 @@
     owned->server.SendStates(aNow, owned->State());
   }
   // Its entries have turned to another owner.
-  std::erase_if(this->queues, [](const auto& aRow) {
-    return aRow.second->server.EntryCount() == 0;
-  });
+  std::erase_if(this->queues,
+                [](const auto& aRow) { return aRow.second->server.EntryCount() == 0; });
 }
 
 void OwnedQueues::OnTimer(TimePoint aNow)
--- a/src/gateway/queue_server.cpp
+++ b/src/gateway/queue_server.cpp
@@ -54,8 +54,9 @@
   if (count == 0) {
     return state;
   }
-  auto row = std::next(this->entries.begin(),
-                       static_cast<std::ptrdiff_t>(this->stateRound * this->options.entriesTold % count));
+  auto row =
+    std::next(this->entries.begin(),
+              static_cast<std::ptrdiff_t>(this->stateRound * this->options.entriesTold % count));
   while (state.entries.size() < std::min(count, this->options.entriesTold)) {
     state.entries.push_back(row->second.address.host);
     row = std::next(row) == this->entries.end() ? this->entries.begin() : std::next(row);
--- a/tests/direct/shared_quota_test.cpp
+++ b/tests/direct/shared_quota_test.cpp
@@ -255,8 +255,8 @@
   BOOST_TEST(this->TakeAll(next) <= 9000 - 6000 - late * 3 / 4);
 }
 
-// Found by a hunt (morant-liguanea, herd_after_ack.toml --vary --seed 97648869736): entries are killed
-// while a hot account uses its whole quota.
+// Found by a hunt (morant-liguanea, herd_after_ack.toml --vary --seed 97648869736): entries are
+// killed while a hot account uses its whole quota.
 BOOST_AUTO_TEST_CASE(use_between_the_last_report_and_a_kill_is_counted)
 {
   const Peer peer{ NodeId{ 2 }, Incarnation{ 1 } };
--- a/tests/direct/small_test.cpp
+++ b/tests/direct/small_test.cpp
@@ -155,14 +155,22 @@
   const UseSlot use{ 4, 100 };
   const AgentState agent{ 1764816512000, true,           true,  6,     5,
                           4000,          { 1, 2, 3, 4 }, 10000, 15000, { "127.0.0.2" } };
-  const EntryState entry{
-    11, 12, 13, 14, 15, 16, true, 21, { AccountUse{ 17, 18 } }, { AccountUse{ 19, 20 } }, {},
-    { EndpointLife{ 22, 23 } }
-  };
+  const EntryState entry{ 11,
+                          12,
+                          13,
+                          14,
+                          15,
+                          16,
+                          true,
+                          21,
+                          { AccountUse{ 17, 18 } },
+                          { AccountUse{ 19, 20 } },
+                          {},
+                          { EndpointLife{ 22, 23 } } };
   const Datagram sent{ Peer{ NodeId{ 1 }, Incarnation{ 2 } },
                        { reserve, WithdrawSlot{ 5 }, OfferSlot{ 8 }, use, BeginAnswer{ 6 },
-                         ReleaseSlot{ 7 }, HoldState{ 6, { reserve }, { use } },
-                         agent, entry, ForEndpoint{ 11, reserve } } };
+                         ReleaseSlot{ 7 }, HoldState{ 6, { reserve }, { use } }, agent, entry,
+                         ForEndpoint{ 11, reserve } } };
   const std::optional<Datagram> read = DecodeDatagram(EncodeDatagram(sent));
   BOOST_REQUIRE(read.has_value());
   BOOST_REQUIRE(read->messages.size() == sent.messages.size());
--- a/tests/gateway/owned_queues_test.cpp
+++ b/tests/gateway/owned_queues_test.cpp
@@ -99,7 +99,8 @@
   const auto usesOwner = [](const Gateway& aEntry) {
     return aEntry.Summary().find(":owner:") != std::string::npos;
   };
-  BOOST_REQUIRE(this->PlayUntil([&] { return usesOwner(*this->gateway) && usesOwner(*this->second); }));
+  BOOST_REQUIRE(
+    this->PlayUntil([&] { return usesOwner(*this->gateway) && usesOwner(*this->second); }));
   std::list<BareClient> clients;
   for (int call = 0; call < 6; call++) {
     clients.emplace_back(call % 2 == 0 ? this->gateway->Port() : this->second->Port());
