--- a/src/gateway/flow.cpp
+++ b/src/gateway/flow.cpp
@@ -233,8 +233,8 @@
       [[fallthrough]];
     default:
       this->EndWithout(GiveUpReason::kFailed,
-                       this->gateway.dispatcher.RetryAfter(
-                         this->gateway.Now(), this->spec.service, this->spec.rank));
+                       this->gateway.dispatcher.RetryAfter(this->gateway.Now(), this->spec.service,
+                                                           this->spec.rank));
       break;
   }
   this->gateway.AfterInput();
--- a/src/runtime/http_reader.h
+++ b/src/runtime/http_reader.h
@@ -74,8 +74,8 @@
 class ResponseReader
 {
 public:
-  // aToHead: the request's method was HEAD, so the answer has no body. aMaxBodyBytes: of the decoded
-  // body, whatever its framing.
+  // aToHead: the request's method was HEAD, so the answer has no body. aMaxBodyBytes: of the
+  // decoded body, whatever its framing.
   ResponseReader(bool aToHead, std::uint64_t aMaxBodyBytes);
   ~ResponseReader();
   ResponseReader(const ResponseReader&) = delete;
--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -260,8 +260,8 @@
   BOOST_TEST((dialect.NoticeOf(MakeAnswer(503, { retry })).rest == milliseconds(1500)));
   BOOST_TEST((dialect.NoticeOf(MakeAnswer(429, { retry })).rest == Duration::zero()));
   for (const char* text : { "", "-3", "soon", "nan", "Wed, 21 Oct 2015 07:28:00 GMT" }) {
-    BOOST_TEST((dialect.NoticeOf(MakeAnswer(503, { { "Retry-After", text } })).rest ==
-                Duration::zero()));
+    BOOST_TEST(
+      (dialect.NoticeOf(MakeAnswer(503, { { "Retry-After", text } })).rest == Duration::zero()));
   }
   BOOST_TEST((dialect.NoticeOf(MakeAnswer(503, { { "Retry-After", "1e300" } })).rest <=
               std::chrono::minutes(10)));
