Refuse at the door what of the lowest class would only wait in vain

Nobody starts sooner by that waiting, and callers came back into the same burst after 150 ms or more. Now: one and a half calls of the lowest class are let in for each that starts, once some have waited in vain; the others are refused at once and come back spread over 0.1 to 0.25 of their time.

--- a/src/direct/dispatcher.cpp
+++ b/src/direct/dispatcher.cpp
@@ -22,6 +22,7 @@
   , failureDomain(aFailureDomain)
   , random(aRandom)
   , budget(aBudget)
+  , admission(aOptions.admission, aRandom)
   , port(aPort)
 {
 }
@@ -163,10 +164,16 @@
 
 void Dispatcher::Submit(TimePoint aNow, const CallSpec& aSpec)
 {
+  this->budget.OnRequest(aNow, aSpec.service);
+  if (!this->admission.Admit(aNow, aSpec)) {
+    const Duration wait = this->RetryAfter(aNow, aSpec.service, aSpec.rank);
+    this->port.GiveUp(aSpec.number, GiveUpReason::kOverload,
+                      std::max(wait, ReturnTime(aNow, aSpec, this->random)));
+    return;
+  }
   Call& call = this->calls[aSpec.number];
   call.spec = aSpec;
   call.giveUpAt = GiveUpTime(this->options.patience, aSpec);
-  this->budget.OnRequest(aNow, aSpec.service);
   this->Place(aNow, call);
   this->Schedule(call);
   this->DrainLocalOffers(aNow);
@@ -339,6 +346,9 @@
   aCall.endpoint = id;
   aCall.tried.insert(id);
   aCall.attempts++;
+  if (aCall.attempts == 1) {
+    this->admission.OnStart(aNow, aCall.spec);
+  }
   aCall.sentAt = aNow;
   aTarget.running++;
   const UseSlot use{ aCall.spec.number, this->PromptAt(aNow, aTarget, aCall.spec) };
@@ -373,6 +383,9 @@
 {
   const auto found = this->calls.find(aCall);
   Call& call = found->second;
+  if (call.attempts == 0 && aReason == GiveUpReason::kOverload) {
+    this->admission.OnGivenUp(aNow, call.spec);
+  }
   const Duration retryAfter = this->RetryAfter(aNow, call.spec.service, call.spec.rank);
   this->WithdrawAll(aNow, call, "");
   this->LeaveEndpoint(aNow, call);
--- a/src/direct/dispatcher.h
+++ b/src/direct/dispatcher.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "core/random.h"
+#include "direct/admission.h"
 #include "direct/contacts.h"
 #include "direct/endpoint_health.h"
 #include "direct/endpoint_table.h"
@@ -46,6 +47,7 @@
   ContactOptions contacts;
   SlotQueueOptions queue;
   PatienceOptions patience;
+  AdmissionOptions admission;
 };
 
 // What the dispatcher asks of its host. Calls must not call back into the dispatcher.
@@ -85,6 +87,7 @@
   // Own calls at the service's endpoints of other versions than aVersion.
   std::uint32_t RunningElsewhere(const std::string& aService, const std::string& aVersion) const;
 
+  // May give the call up before it returns.
   void Submit(TimePoint aNow, const CallSpec& aSpec);
   // Ends a call at once, whatever it does; the host closes its attempt.
   void Cancel(TimePoint aNow, CallNumber aCall);
@@ -241,6 +244,7 @@
   std::string failureDomain;
   Random& random;
   RetryBudget& budget;
+  Admission admission;
   DispatchPort& port;
   std::uint32_t entryCount = 1;
   std::map<std::string, Target> targets;                 // by endpoint id
--- a/tests/gateway/endless_test.cpp
+++ b/tests/gateway/endless_test.cpp
@@ -14,7 +14,7 @@
 
 using Connection = ScriptedEndpoint::Connection;
 
-constexpr std::size_t kPiece = 16 * 1024;
+constexpr std::size_t kPiece = 16384;
 // What the kernel's buffers between the two ends of a connection may hold besides.
 constexpr std::size_t kBuffers = 8 << 20;
 // An endless answer that was not cut by then counts as kept.
@@ -23,7 +23,7 @@
 // An endpoint that sends aBegin and then aPiece until the connection is closed.
 struct EndlessEndpoint
 {
-  EndlessEndpoint(GatewayFixture& aFixture, std::string aBegin, std::string aPiece)
+  EndlessEndpoint(GatewayFixture& aFixture, const std::string& aBegin, std::string aPiece)
     : piece(std::move(aPiece))
     , pump([this] { this->Send(); })
   {
