--- a/src/direct/admission.h
+++ b/src/direct/admission.h
@@ -17,10 +17,10 @@
   Duration halfLife = std::chrono::seconds(1); // of what is remembered; a burst lasts some seconds
   // Calls let in for each one that starts: the queue must not run empty, and free capacity must
   // show.
-  double headroom = 1.5;
+  double headroom = 2;
   double leastShare = 0.1; // let in whatever was seen
-  double leastGivenUp = 2; // calls that waited in vain before anything is refused at the door
-  double vainShare = 0.2;  // of those that arrived, with those refused at the door, likewise
+  double leastGivenUp = 3; // calls that waited in vain before anything is refused at the door
+  double vainShare = 0.4;  // of those that arrived, with those refused at the door, likewise
 };
 
 class Admission
