--- a/src/direct/call.h
+++ b/src/direct/call.h
@@ -41,6 +41,8 @@
   std::uint32_t promptTokens = 0;
   std::uint32_t outputTokens = 0; // estimate
   std::uint64_t subject = 0;      // hash of the longest shared prompt; 0: none
+  // Hash of account, path and body: the same when a caller sends the request again under a new id.
+  std::uint64_t fingerprint = 0;
 
   bool MayRepeat() const
   {
--- a/src/direct/dispatcher.cpp
+++ b/src/direct/dispatcher.cpp
@@ -316,6 +316,12 @@
   return target == this->targets.end() ? nullptr : &target->second.info;
 }
 
+std::uint32_t Dispatcher::AttemptsOf(CallNumber aCall) const
+{
+  const auto found = this->calls.find(aCall);
+  return found == this->calls.end() ? 0 : found->second.attempts;
+}
+
 // Takes the offer if the call still wants it, and declines it otherwise.
 void Dispatcher::TakeOffer(TimePoint aNow, Target& aTarget, CallNumber aCall)
 {
--- a/src/direct/dispatcher.h
+++ b/src/direct/dispatcher.h
@@ -121,6 +121,8 @@
   Duration RetryAfter(TimePoint aNow, const std::string& aService, Tier aRank) const;
   // Endpoint that runs the call; nullptr if none does.
   const EndpointInfo* EndpointOf(CallNumber aCall) const;
+  // Times that the call was sent to an endpoint.
+  std::uint32_t AttemptsOf(CallNumber aCall) const;
   std::size_t CallCount() const { return this->calls.size(); }
   // What placed a call at an endpoint: who queues, places taken and their limit, prompt tokens
   // ahead, part of the attempts that failed, and the age of the agent's word in milliseconds.
--- a/src/gateway/flow.cpp
+++ b/src/gateway/flow.cpp
@@ -205,7 +205,9 @@
   if (aEnd != AttemptEnd::kAnswered) {
     LogEvent(LogLevel::kInfo, "attempt_failed",
              { { "request", this->request.id },
+               { "fingerprint", std::to_string(this->spec.fingerprint) },
                { "endpoint", endpoint == nullptr ? "" : endpoint->id },
+               { "born_ms", std::to_string(endpoint == nullptr ? 0 : endpoint->bornMs) },
                { "end", std::string(ToString(aEnd)) },
                { "status", std::to_string(this->hasHead ? this->head.status : 0) },
                { "delivered", std::to_string(this->deliveredId.value_or(0)) } });
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -54,6 +54,14 @@
   return std::to_string(aTime / milliseconds(1));
 }
 
+std::uint64_t FingerprintOf(const CallerRequest& aRequest, const direct::AccountSpec* aAccount,
+                            std::string_view aBody)
+{
+  const std::uint64_t caller =
+    aAccount == nullptr ? HashOf(aRequest.host) : HashOf(aAccount->name);
+  return HashOf(aBody, HashOf(aRequest.target, HashOf(aRequest.method, caller)));
+}
+
 } // namespace
 
 Gateway::Gateway(const GatewaySettings& aSettings, const Peer& aSelf, Poller& aPoller,
@@ -287,6 +295,7 @@
   spec.promptTokens = aFlow.request.promptTokens;
   spec.outputTokens = aFlow.request.outputTokens;
   spec.subject = aFlow.request.subject;
+  spec.fingerprint = FingerprintOf(aFlow.request, aFlow.account, aFlow.ingress.body);
   const Duration byRoute = route.timeout > Duration::zero() ? route.timeout : kDefaultDeadline;
   const Duration byCaller = aFlow.request.timeLeft.value_or(kDefaultDeadline);
   spec.deadline = std::min(aFlow.ingress.readAt + byRoute, aFlow.ingress.firstByteAt + byCaller);
@@ -333,7 +342,10 @@
     LogEvent(LogLevel::kInfo, "sent",
              { { "request", flow.request.id },
                { "call", std::to_string(aCall) },
+               { "fingerprint", std::to_string(flow.spec.fingerprint) },
+               { "attempt", std::to_string(this->dispatcher.AttemptsOf(aCall)) },
                { "endpoint", aEndpoint.id },
+               { "born_ms", std::to_string(aEndpoint.bornMs) },
                { "address", FormatAddress({ aEndpoint.host, aEndpoint.port }) },
                { "version", aEndpoint.version },
                { "route", flow.route->name },
