--- a/tests/gateway/fixture.h
+++ b/tests/gateway/fixture.h
@@ -126,6 +126,16 @@
     BOOST_REQUIRE(!this->listener.Listen({ "127.0.0.1", 0 }));
   }
 
+  // Ends as a process does that crashes.
+  void Crash()
+  {
+    this->isDown = true;
+    this->listener.Close();
+    for (const auto& connection : this->connections) {
+      connection->socket.Close(true);
+    }
+  }
+
   std::string Field(std::size_t aRequest, const char* aName) const
   {
     const HeaderField* field = FindField(this->requests.at(aRequest).fields, aName);
@@ -138,6 +148,7 @@
   std::vector<RequestHead> requests;
   std::vector<std::string> bodies;
   int ended = 0; // connections that the gateway closed
+  bool isDown = false;
 };
 
 inline std::string Whole(const RequestHead& aHead, const std::string& aBody, int aStatus = 200)
@@ -208,6 +219,7 @@
     config->accounts.push_back(account);
     config->accountOfKey[aKey] = 0;
     config->BuildIndex();
+    this->config = config;
     this->gateway->SetConfig(aOffset, config);
     this->gateway->ConfirmConfig(aOffset, this->clock.Read().steady);
     this->gateway->SetUseBefore("");
@@ -250,6 +262,7 @@
   TestDialect dialect;
   GatewaySettings settings;
   direct::QuotaLimit quota;
+  std::shared_ptr<const direct::ServiceConfig> config;
   std::list<std::unique_ptr<ScriptedEndpoint>> endpoints;
   std::map<std::string, direct::EndpointInfo> listed;
   std::unique_ptr<Gateway> gateway;
--- a/tests/gateway/owned_queues_test.cpp
+++ b/tests/gateway/owned_queues_test.cpp
@@ -1,5 +1,5 @@
 // Entries that find each other without agents share one queue before each endpoint.
-#include "fixture.h"
+#include "two_entries.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -12,33 +12,6 @@
 using std::chrono::milliseconds;
 using Connection = ScriptedEndpoint::Connection;
 
-// Two gateways on one clock, told of each other by address only, as the platform's store does.
-struct TwoEntries : GatewayFixture
-{
-  TwoEntries()
-  {
-    GatewaySettings other = this->settings;
-    other.peerListen = { "127.0.0.2", this->gateway->PeerPort() };
-    this->second =
-      std::make_unique<Gateway>(other, Peer{ NodeId{ 2 }, Incarnation{ 1 } }, this->poller,
-                                this->clock, this->random, this->dialect);
-    BOOST_REQUIRE(!this->second->Start());
-  }
-
-  bool PlayUntil(const std::function<bool()>& aDone)
-  {
-    return RunUntil([&] {
-      this->clock.Advance(milliseconds(1));
-      for (Gateway* entry : { this->gateway.get(), this->second.get() }) {
-        entry->ConfirmConfig(1, this->clock.Read().steady);
-      }
-      return aDone();
-    });
-  }
-
-  std::unique_ptr<Gateway> second;
-};
-
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(owned_queues)
--- /dev/null
+++ b/tests/gateway/suspect_test.cpp
@@ -0,0 +1,108 @@
+// Requests that crash the endpoints that run them, repeated by their callers under new ids.
+#include "two_entries.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace caraway::gateway {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using Connection = ScriptedEndpoint::Connection;
+
+constexpr int kEndpoints = 8;
+constexpr int kRepeats = 10;
+// Endpoints that one request may end.
+constexpr int kMostCrashes = 3;
+
+struct CrashingRequest : TwoEntries
+{
+  CrashingRequest()
+  {
+    this->Configure();
+    for (int index = 0; index < kEndpoints; index++) {
+      this->AddCrashing();
+    }
+    this->second->SetConfig(1, this->config);
+    this->second->SetUseBefore("");
+    this->second->SetEndpoints(this->listed);
+    this->second->AddEntry("127.0.0.1");
+  }
+
+  // An endpoint that crashes when it gets the body "poison", and answers everything else.
+  void AddCrashing()
+  {
+    ScriptedEndpoint& endpoint = this->AddEndpoint([](Connection&, const RequestHead&) {});
+    endpoint.script = [&endpoint](Connection& aTo, const RequestHead& aHead) {
+      if (endpoint.bodies.back() == "poison") {
+        endpoint.Crash();
+      } else {
+        aTo.Write(Whole(aHead, "fine"));
+      }
+    };
+  }
+
+  int Crashes() const
+  {
+    return static_cast<int>(std::count_if(this->endpoints.begin(), this->endpoints.end(),
+                                          [](const auto& aOne) { return aOne->isDown; }));
+  }
+
+  // The whole answer to one request at an entry, or what came until the connection ended.
+  std::string AskAt(const Gateway& aEntry, const std::string& aPath, const std::string& aId,
+                    const std::string& aBody)
+  {
+    BareClient client(aEntry.Port());
+    client.Send(Request(aPath, aId, aBody));
+    this->PlayUntil([&] {
+      const std::string& text = client.Received();
+      return client.Ended() || text.find("\r\n\r\n") + 4 < text.size();
+    });
+    return client.Received();
+  }
+
+  void Pass(Duration aTime)
+  {
+    const TimePoint end = this->clock.Read().steady + aTime;
+    this->PlayUntil([&] { return this->clock.Read().steady >= end; });
+  }
+};
+
+bool Has(const std::string& aText, const std::string& aPart)
+{
+  return aText.find(aPart) != std::string::npos;
+}
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(crashing_requests, CrashingRequest)
+
+BOOST_AUTO_TEST_CASE(a_request_that_crashes_endpoints_is_not_sent_on)
+{
+  std::string answer;
+  for (int repeat = 0; repeat < kRepeats; repeat++) {
+    answer = this->AskAt(*this->gateway, "/safe/x", "r" + std::to_string(repeat), "poison");
+    this->Pass(milliseconds(500));
+  }
+  BOOST_TEST(this->Crashes() <= kMostCrashes);
+  BOOST_TEST(Has(answer, "HTTP/1.1 503 "));
+  BOOST_TEST(Has(answer, "Retry-After: "));
+  BOOST_TEST(Has(this->AskAt(*this->gateway, "/safe/x", "good", "body"), "fine"));
+}
+
+BOOST_AUTO_TEST_CASE(a_request_that_crashes_endpoints_is_not_sent_on_by_other_entries)
+{
+  this->Pass(seconds(1));
+  for (int repeat = 0; repeat < kRepeats; repeat++) {
+    const Gateway& entry = repeat % 2 == 0 ? *this->gateway : *this->second;
+    this->AskAt(entry, "/once/x", "r" + std::to_string(repeat), "poison");
+    this->Pass(milliseconds(500));
+  }
+  BOOST_TEST(this->Crashes() <= kMostCrashes);
+  BOOST_TEST(Has(this->AskAt(*this->second, "/once/x", "good", "body"), "fine"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace caraway::gateway
--- /dev/null
+++ b/tests/gateway/two_entries.h
@@ -0,0 +1,38 @@
+// Two gateways that know each other's address.
+#pragma once
+
+#include "fixture.h"
+
+#include <functional>
+#include <memory>
+
+namespace caraway::gateway {
+
+// Two gateways on one clock, told of each other by address only, as the platform's store does.
+struct TwoEntries : GatewayFixture
+{
+  TwoEntries()
+  {
+    GatewaySettings other = this->settings;
+    other.peerListen = { "127.0.0.2", this->gateway->PeerPort() };
+    this->second =
+      std::make_unique<Gateway>(other, Peer{ NodeId{ 2 }, Incarnation{ 1 } }, this->poller,
+                                this->clock, this->random, this->dialect);
+    BOOST_REQUIRE(!this->second->Start());
+  }
+
+  bool PlayUntil(const std::function<bool()>& aDone)
+  {
+    return RunUntil([&] {
+      this->clock.Advance(std::chrono::milliseconds(1));
+      for (Gateway* entry : { this->gateway.get(), this->second.get() }) {
+        entry->ConfirmConfig(1, this->clock.Read().steady);
+      }
+      return aDone();
+    });
+  }
+
+  std::unique_ptr<Gateway> second;
+};
+
+} // namespace caraway::gateway
