Send a request on to no further endpoint once two died while they ran it

Cause: on the path that serves the users' platform nothing outlived an attempt. An entry forgot a request with its final answer, other entries never heard of it, and a restart forgot everything.

Change. direct::CrashWatch keeps attempts that ended without an answer until it is known whether their endpoint died: its agent says so, a connection is refused, a probe finds nobody listening, the address has another endpoint, or a new process registers under the id. The fingerprints go into core's SuspectTable, which now counts distinct lives of endpoints: one death that two entries see counts once, and deaths seen by different entries add up. After two the fingerprint is refused with 503 and the time that is left (ten minutes), waiting calls of it end at once, and a suspect that breaks off is not repeated by the entry itself. Entries tell each other, at once where a request is refused; topic keyed.suspects keeps those beyond a restart of all entries. A request that is answered is cleared everywhere.

The two changed cases of suspect_test.cpp name endpoints where they gave counts; they ask as much as before.

Ruled out: the entry's own repeats beyond max-attempts (no request id is sent more often than that).

--- a/src/core/agent.cpp
+++ b/src/core/agent.cpp
@@ -140,9 +140,7 @@
 
 void Agent::Impl::On(Now aNow, Peer aFrom, const Suspicion& aSuspicion)
 {
-  const bool isNews = this->suspects.OnSuspicion(aNow.steady, aSuspicion.fingerprint,
-                                                 aSuspicion.crashes, aSuspicion.forgetAfter);
-  if (isNews) {
+  if (this->suspects.OnSuspicion(aNow.steady, aSuspicion)) {
     this->Broadcast(aSuspicion, aFrom.node);
   }
 }
--- a/src/core/agent_work.cpp
+++ b/src/core/agent_work.cpp
@@ -478,11 +478,14 @@
   if (aFingerprint == 0) {
     return;
   }
-  const caraway::Suspect suspect = this->suspects.OnCrash(aNow.steady, aFingerprint);
+  const std::uint64_t crash =
+    HashOf(std::to_string(aNow.steady.time_since_epoch().count()), HashOf(this->identity.name));
+  this->suspects.OnCrash(aNow.steady, aFingerprint, crash);
+  const Suspicion suspicion = this->suspects.Of(aNow.steady, aFingerprint);
   this->Note(aNow, EventKind::kSuspect, RequestId{}, NodeId{}, "",
              { { "fingerprint", std::to_string(aFingerprint) },
-               { "crashes", std::to_string(suspect.crashes) } });
-  this->Broadcast(Suspicion{ aFingerprint, suspect.crashes, suspect.forgetAt - aNow.steady });
+               { "crashes", std::to_string(suspicion.crashes.size()) } });
+  this->Broadcast(suspicion);
 }
 
 } // namespace caraway
--- a/src/core/entry_state.cpp
+++ b/src/core/entry_state.cpp
@@ -284,8 +284,7 @@
 // Keeps the suspicion and passes it on once, so that no endpoint of the pool is hit unwarned.
 void Entry::Impl::On(Now aNow, Peer aFrom, const Suspicion& aSuspicion)
 {
-  if (!this->suspects.OnSuspicion(aNow.steady, aSuspicion.fingerprint, aSuspicion.crashes,
-                                  aSuspicion.forgetAfter)) {
+  if (!this->suspects.OnSuspicion(aNow.steady, aSuspicion)) {
     return;
   }
   for (const auto& [node, state] : this->peers.All()) {
--- a/src/core/messages.h
+++ b/src/core/messages.h
@@ -320,11 +320,26 @@
   }
 };
 
+// An endpoint died while it ran the request.
+struct SuspectedCrash
+{
+  std::uint64_t id = 0;   // hash of the life of the endpoint that ended
+  bool isCleared = false; // the request has run well since
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(id, isCleared);
+  }
+
+  friend bool operator==(const SuspectedCrash&, const SuspectedCrash&) = default;
+};
+
 // Either direction: a request that was running when an endpoint died.
 struct Suspicion
 {
   std::uint64_t fingerprint = 0;
-  std::uint32_t crashes = 0;
+  std::vector<SuspectedCrash> crashes;
   Duration forgetAfter{};
 
   template<class Archive>
@@ -332,6 +347,8 @@
   {
     aArchive(fingerprint, crashes, forgetAfter);
   }
+
+  friend bool operator==(const Suspicion&, const Suspicion&) = default;
 };
 
 using Message =
--- a/src/core/suspect.cpp
+++ b/src/core/suspect.cpp
@@ -7,6 +7,25 @@
 namespace {
 
 constexpr std::uint32_t kRefuseAfter = 2; // crashes
+constexpr std::size_t kMaxCrashes = 16;   // remembered of one fingerprint
+
+// Adds what is new about one crash; false if nothing is.
+bool Merge(Suspect& aSuspect, const SuspectedCrash& aCrash)
+{
+  const auto found =
+    std::find_if(aSuspect.crashes.begin(), aSuspect.crashes.end(),
+                 [&](const SuspectedCrash& aKnown) { return aKnown.id == aCrash.id; });
+  if (found != aSuspect.crashes.end()) {
+    const bool isNews = aCrash.isCleared && !found->isCleared;
+    found->isCleared = found->isCleared || aCrash.isCleared;
+    return isNews;
+  }
+  if (aSuspect.crashes.size() >= kMaxCrashes) {
+    aSuspect.crashes.erase(aSuspect.crashes.begin());
+  }
+  aSuspect.crashes.push_back(aCrash);
+  return true;
+}
 
 } // namespace
 
@@ -16,32 +35,50 @@
 {
 }
 
-Suspect SuspectTable::OnCrash(TimePoint aNow, std::uint64_t aFingerprint)
+std::uint32_t Suspect::OpenCrashes() const
+{
+  return static_cast<std::uint32_t>(
+    std::count_if(this->crashes.begin(), this->crashes.end(),
+                  [](const SuspectedCrash& aCrash) { return !aCrash.isCleared; }));
+}
+
+bool SuspectTable::OnCrash(TimePoint aNow, std::uint64_t aFingerprint, std::uint64_t aCrash)
 {
   Suspect& suspect = this->Remember(aNow, aFingerprint);
-  suspect.crashes++;
+  if (!Merge(suspect, { aCrash, false })) {
+    return false;
+  }
   suspect.forgetAt = aNow + this->keep;
-  return suspect;
+  return true;
 }
 
-bool SuspectTable::OnSuspicion(TimePoint aNow, std::uint64_t aFingerprint, std::uint32_t aCrashes,
-                               Duration aForgetAfter)
+bool SuspectTable::OnSuspicion(TimePoint aNow, const Suspicion& aSuspicion)
 {
-  if (aCrashes == 0 || aForgetAfter <= Duration::zero()) {
+  if (aSuspicion.crashes.empty() || aSuspicion.forgetAfter <= Duration::zero()) {
     return false;
   }
-  Suspect& suspect = this->Remember(aNow, aFingerprint);
-  if (aCrashes <= suspect.crashes) {
-    return false;
+  Suspect& suspect = this->Remember(aNow, aSuspicion.fingerprint);
+  bool isNews = false;
+  for (const SuspectedCrash& crash : aSuspicion.crashes) {
+    isNews = Merge(suspect, crash) || isNews;
   }
-  suspect.crashes = aCrashes;
-  suspect.forgetAt = aNow + std::min(aForgetAfter, this->keep);
-  return true;
+  if (isNews) {
+    suspect.forgetAt = aNow + std::min(aSuspicion.forgetAfter, this->keep);
+  }
+  return isNews;
 }
 
-void SuspectTable::Clear(std::uint64_t aFingerprint)
+// The crashes are kept, so that reports of them that are still under way count no more.
+bool SuspectTable::Clear(std::uint64_t aFingerprint)
 {
-  this->suspects.erase(aFingerprint);
+  const auto found = this->suspects.find(aFingerprint);
+  if (found == this->suspects.end() || found->second.OpenCrashes() == 0) {
+    return false;
+  }
+  for (SuspectedCrash& crash : found->second.crashes) {
+    crash.isCleared = true;
+  }
+  return true;
 }
 
 Verdict SuspectTable::Judge(TimePoint aNow, std::uint64_t aFingerprint) const
@@ -50,7 +87,10 @@
   if (found == this->suspects.end() || found->second.forgetAt <= aNow) {
     return Verdict::kClear;
   }
-  return found->second.crashes >= kRefuseAfter ? Verdict::kRefused : Verdict::kAlone;
+  const std::uint32_t crashes = found->second.OpenCrashes();
+  return crashes >= kRefuseAfter ? Verdict::kRefused
+         : crashes > 0           ? Verdict::kAlone
+                                 : Verdict::kClear;
 }
 
 Duration SuspectTable::ForgetAfter(TimePoint aNow, std::uint64_t aFingerprint) const
@@ -76,7 +116,7 @@
   }
   this->order.push_back(aFingerprint);
   Suspect& suspect = this->suspects[aFingerprint];
-  suspect = Suspect{ 0, aNow + this->keep };
+  suspect = Suspect{ {}, aNow + this->keep };
   return suspect;
 }
 
@@ -95,6 +135,14 @@
   }
 }
 
+Suspicion SuspectTable::Of(TimePoint aNow, std::uint64_t aFingerprint) const
+{
+  const auto found = this->suspects.find(aFingerprint);
+  return found == this->suspects.end()
+           ? Suspicion{ aFingerprint, {}, Duration::zero() }
+           : Suspicion{ aFingerprint, found->second.crashes, found->second.forgetAt - aNow };
+}
+
 std::vector<Suspicion> SuspectTable::All(TimePoint aNow) const
 {
   std::vector<Suspicion> result;
--- a/src/core/suspect.h
+++ b/src/core/suspect.h
@@ -22,8 +22,11 @@
 // What is known of one fingerprint.
 struct Suspect
 {
-  std::uint32_t crashes = 0;
+  std::vector<SuspectedCrash> crashes; // each endpoint's life once, whoever reported it
   TimePoint forgetAt = kNever;
+
+  // Crashes after which the request has not run well.
+  std::uint32_t OpenCrashes() const;
 };
 
 class SuspectTable
@@ -31,17 +34,19 @@
 public:
   SuspectTable(std::uint32_t aCapacity, Duration aKeep);
 
-  // A request ran while an endpoint died; returns what is known afterwards.
-  Suspect OnCrash(TimePoint aNow, std::uint64_t aFingerprint);
+  // A request ran while an endpoint died. aCrash names the life of the endpoint that ended. True if
+  // that is news.
+  bool OnCrash(TimePoint aNow, std::uint64_t aFingerprint, std::uint64_t aCrash);
   // Another process reported a suspect; true if that is news.
-  bool OnSuspicion(TimePoint aNow, std::uint64_t aFingerprint, std::uint32_t aCrashes,
-                   Duration aForgetAfter);
-  // The request ran alone to its end: it does not crash endpoints.
-  void Clear(std::uint64_t aFingerprint);
+  bool OnSuspicion(TimePoint aNow, const Suspicion& aSuspicion);
+  // The request ran to its end: it does not crash endpoints. True if it was suspect.
+  bool Clear(std::uint64_t aFingerprint);
 
   Verdict Judge(TimePoint aNow, std::uint64_t aFingerprint) const;
   // Time until the fingerprint is forgotten; zero if it is not suspect.
   Duration ForgetAfter(TimePoint aNow, std::uint64_t aFingerprint) const;
+  // What is known of the fingerprint, with the time that it has left.
+  Suspicion Of(TimePoint aNow, std::uint64_t aFingerprint) const;
   // All suspects, with the time that each has left.
   std::vector<Suspicion> All(TimePoint aNow) const;
   std::size_t Size() const { return this->suspects.size(); }
--- a/src/direct/call.cpp
+++ b/src/direct/call.cpp
@@ -49,6 +49,8 @@
       return "refused";
     case GiveUpReason::kFailed:
       return "failed";
+    case GiveUpReason::kSuspect:
+      return "suspect";
   }
   return "invalid";
 }
--- a/src/direct/call.h
+++ b/src/direct/call.h
@@ -42,6 +42,7 @@
   std::uint32_t outputTokens = 0; // estimate
   std::uint64_t subject = 0;      // hash of the longest shared prompt; 0: none
   // Hash of account, path and body: the same when a caller sends the request again under a new id.
+  // 0: not known.
   std::uint64_t fingerprint = 0;
 
   bool MayRepeat() const
@@ -79,6 +80,7 @@
   kDeadline,   // its time is over
   kRefused,    // endpoints did not run it, and no further attempt is allowed
   kFailed,     // an attempt failed, and no further attempt is allowed
+  kSuspect,    // endpoints died while they ran the same request
 };
 
 std::string_view ToString(GiveUpReason aReason);
--- a/src/direct/dispatcher.cpp
+++ b/src/direct/dispatcher.cpp
@@ -24,6 +24,7 @@
   , budget(aBudget)
   , admission(aOptions.admission, aRandom)
   , port(aPort)
+  , crashes(aOptions.crashes)
 {
 }
 
@@ -52,6 +53,9 @@
       target.localPort->endpoint = id;
       target.local = std::make_unique<SlotQueue>(this->options.queue, *target.localPort);
     } else if (target.info.bornMs != info.bornMs || target.info.sequence < info.sequence) {
+      if (target.info.bornMs < info.bornMs) {
+        this->NoteDied(aNow, target.info, "registration");
+      }
       target.health.OnRecovered();
       target.restsUntil = target.info.bornMs != info.bornMs ? TimePoint{} : target.restsUntil;
     }
@@ -65,6 +69,7 @@
   this->DropUnusableCalls(aNow);
   std::erase_if(this->targets,
                 [](const auto& aRow) { return !aRow.second.isListed && aRow.second.running == 0; });
+  this->TakeSuspectNews(aNow);
   this->idOfHost.clear();
   this->idOfHash.clear();
   for (const auto& [id, target] : this->targets) {
@@ -165,6 +170,11 @@
 void Dispatcher::Submit(TimePoint aNow, const CallSpec& aSpec)
 {
   this->budget.OnRequest(aNow, aSpec.service);
+  if (this->crashes.Judge(aNow, aSpec.fingerprint) == Verdict::kRefused) {
+    this->port.GiveUp(aSpec.number, GiveUpReason::kSuspect,
+                      this->crashes.ForgetAfter(aNow, aSpec.fingerprint));
+    return;
+  }
   if (!this->admission.Admit(aNow, aSpec)) {
     const Duration wait = this->RetryAfter(aNow, aSpec.service, aSpec.rank);
     this->port.GiveUp(aSpec.number, GiveUpReason::kOverload,
@@ -186,8 +196,10 @@
     return;
   }
   this->WithdrawAll(aNow, found->second, "");
+  this->NoteLost(aNow, found->second);
   this->LeaveEndpoint(aNow, found->second);
   this->calls.erase(found);
+  this->TakeSuspectNews(aNow);
   this->DrainLocalOffers(aNow);
 }
 
@@ -223,6 +235,7 @@
   if (target != this->targets.end()) {
     target->second.health.OnAttempt(aNow, aEnd);
   }
+  this->NoteEnd(aNow, call, aEnd);
   if (aEnd == AttemptEnd::kAnswered) {
     Duration& usual =
       this->runTimes.try_emplace(call.spec.service, this->options.initialRunTime).first->second;
@@ -230,13 +243,12 @@
   }
   this->LeaveEndpoint(aNow, call);
   call.runs += HasNotRun(aEnd) ? 0U : 1U;
-  const bool mayRun = HasNotRun(aEnd) || (call.spec.MayRepeat() && call.runs < call.spec.maxRuns);
-  const bool hasTime = aNow < call.spec.deadline && call.attempts < kMaxAttempts;
   const bool isFree = aEnd == AttemptEnd::kUnsent; // nothing arrived at the endpoint
-  const bool goesOn = aEnd != AttemptEnd::kAnswered && mayRun && hasTime &&
+  const bool goesOn = this->MayGoOn(aNow, call, aEnd) &&
                       (isFree || this->budget.Take(aNow, call.spec.service, this->entryCount));
   if (!goesOn) {
     this->calls.erase(found);
+    this->TakeSuspectNews(aNow);
     this->DrainLocalOffers(aNow);
     return false;
   }
@@ -250,10 +262,103 @@
   this->LiftProbe(call);
   this->Place(aNow, call);
   this->Schedule(call);
+  this->TakeSuspectNews(aNow);
   this->DrainLocalOffers(aNow);
   return true;
 }
 
+// Whether a call whose attempt ended without an answer is sent once more.
+bool Dispatcher::MayGoOn(TimePoint aNow, const Call& aCall, AttemptEnd aEnd) const
+{
+  if (aEnd == AttemptEnd::kAnswered || aNow >= aCall.spec.deadline ||
+      aCall.attempts >= kMaxAttempts) {
+    return false;
+  }
+  const Verdict verdict = this->crashes.Judge(aNow, aCall.spec.fingerprint);
+  if (HasNotRun(aEnd)) {
+    return verdict != Verdict::kRefused;
+  }
+  // Whether this endpoint died as well is not known yet.
+  return verdict == Verdict::kClear && aCall.spec.MayRepeat() && aCall.runs < aCall.spec.maxRuns;
+}
+
+// What the end of an attempt says of the request and of the endpoint's process.
+void Dispatcher::NoteEnd(TimePoint aNow, const Call& aCall, AttemptEnd aEnd)
+{
+  const auto found = this->targets.find(aCall.endpoint);
+  if (found == this->targets.end()) {
+    return;
+  }
+  const Target& target = found->second;
+  if (aEnd == AttemptEnd::kAnswered) {
+    this->crashes.OnAnswered(aNow, aCall.spec.fingerprint);
+  } else if (aEnd == AttemptEnd::kUnsent || aEnd == AttemptEnd::kMisdirected) {
+    this->NoteDied(aNow, target.info, ToString(aEnd));
+  } else if (aEnd == AttemptEnd::kBroken || aEnd == AttemptEnd::kStalled) {
+    this->NoteLost(aNow, aCall);
+    // An agent sees its endpoint's end by itself.
+    if (!target.agent.isLive) {
+      this->port.ProbeEndpoint(target.info);
+    }
+  }
+}
+
+void Dispatcher::NoteLost(TimePoint aNow, const Call& aCall)
+{
+  const auto found = this->targets.find(aCall.endpoint);
+  if (aCall.stage == Stage::kRunning && found != this->targets.end()) {
+    this->crashes.OnLost(aNow, LifeOf(aCall.endpoint, found->second.info.bornMs),
+                         aCall.spec.fingerprint);
+  }
+}
+
+void Dispatcher::NoteDied(TimePoint aNow, const EndpointInfo& aEndpoint, std::string_view aEvidence)
+{
+  const std::size_t lost = this->crashes.OnDied(aNow, LifeOf(aEndpoint.id, aEndpoint.bornMs));
+  if (lost > 0) {
+    this->port.OnEndpointDied(aEndpoint, aEvidence, lost);
+  }
+}
+
+void Dispatcher::OnProbe(TimePoint aNow, const std::string& aEndpoint, std::int64_t aBornMs,
+                         bool aIsListening)
+{
+  const auto found = this->targets.find(aEndpoint);
+  if (aIsListening || found == this->targets.end() || found->second.info.bornMs != aBornMs) {
+    return;
+  }
+  this->NoteDied(aNow, found->second.info, "probe");
+  this->TakeSuspectNews(aNow);
+  this->DrainLocalOffers(aNow);
+}
+
+void Dispatcher::OnSuspicions(TimePoint aNow, const std::vector<Suspicion>& aSuspicions)
+{
+  this->crashes.OnSuspicions(aNow, aSuspicions);
+  this->TakeSuspectNews(aNow);
+  this->DrainLocalOffers(aNow);
+}
+
+// Reports what has become known, and gives up what waits and may not be sent any more.
+void Dispatcher::TakeSuspectNews(TimePoint aNow)
+{
+  for (const SuspectNews& news : this->crashes.TakeNews()) {
+    this->port.OnSuspect(news);
+    if (news.verdict != Verdict::kRefused) {
+      continue;
+    }
+    std::vector<CallNumber> waiting;
+    for (const auto& [number, call] : this->calls) {
+      if (call.stage == Stage::kQueued && call.spec.fingerprint == news.suspicion.fingerprint) {
+        waiting.push_back(number);
+      }
+    }
+    for (const CallNumber number : waiting) {
+      this->GiveUp(aNow, number, GiveUpReason::kSuspect);
+    }
+  }
+}
+
 void Dispatcher::OnOffer(TimePoint aNow, const std::string& aHost, CallNumber aCall)
 {
   Target* target = this->FindByHost(aHost);
@@ -297,6 +402,7 @@
       this->Schedule(call);
     }
   }
+  this->TakeSuspectNews(aNow);
   this->DrainLocalOffers(aNow);
 }
 
@@ -392,8 +498,11 @@
   if (call.attempts == 0 && aReason == GiveUpReason::kOverload) {
     this->admission.OnGivenUp(aNow, call.spec);
   }
-  const Duration retryAfter = this->RetryAfter(aNow, call.spec.service, call.spec.rank);
+  const Duration retryAfter = aReason == GiveUpReason::kSuspect
+                                ? this->crashes.ForgetAfter(aNow, call.spec.fingerprint)
+                                : this->RetryAfter(aNow, call.spec.service, call.spec.rank);
   this->WithdrawAll(aNow, call, "");
+  this->NoteLost(aNow, call);
   this->LeaveEndpoint(aNow, call);
   this->calls.erase(found);
   this->port.GiveUp(aCall, aReason, retryAfter);
--- a/src/direct/dispatcher.h
+++ b/src/direct/dispatcher.h
@@ -7,6 +7,7 @@
 #include "core/random.h"
 #include "direct/admission.h"
 #include "direct/contacts.h"
+#include "direct/crash_watch.h"
 #include "direct/endpoint_health.h"
 #include "direct/endpoint_table.h"
 #include "direct/leaving_table.h"
@@ -48,6 +49,7 @@
   SlotQueueOptions queue;
   PatienceOptions patience;
   AdmissionOptions admission;
+  CrashWatchOptions crashes;
 };
 
 // What the dispatcher asks of its host. Calls must not call back into the dispatcher.
@@ -67,6 +69,12 @@
   // for aSilence.
   virtual void OnQueueChange(const EndpointInfo& aEndpoint, std::string_view aKind, bool aIsLive,
                              Duration aSilence) = 0;
+  // Asks whether the endpoint's process still listens; OnProbe follows.
+  virtual void ProbeEndpoint(const EndpointInfo& aEndpoint) = 0;
+  // The endpoint's process ended, and aLost attempts that it had not answered with it.
+  virtual void OnEndpointDied(const EndpointInfo& aEndpoint, std::string_view aEvidence,
+                              std::size_t aLost) = 0;
+  virtual void OnSuspect(const SuspectNews& aNews) = 0;
 };
 
 class Dispatcher
@@ -99,6 +107,17 @@
 
   // An answer of the endpoint came with a notice. True if it says something new.
   bool OnNotice(TimePoint aNow, const std::string& aEndpoint, const EndpointNotice& aNotice);
+  // The endpoint's process that started at aBornMs was probed.
+  void OnProbe(TimePoint aNow, const std::string& aEndpoint, std::int64_t aBornMs,
+               bool aIsListening);
+  // Other entries, or the platform's store, know of requests under which endpoints died.
+  void OnSuspicions(TimePoint aNow, const std::vector<Suspicion>& aSuspicions);
+  std::vector<Suspicion> SuspicionsToTell(TimePoint aNow) const
+  {
+    return this->crashes.ToTell(aNow);
+  }
+  std::size_t SuspectCount() const { return this->crashes.Size(); }
+
   // Another entry was told that these endpoints leave.
   void OnLeaving(TimePoint aNow, const std::vector<EndpointLife>& aLives);
   // What endpoints said of their leaving, for the other entries.
@@ -219,6 +238,11 @@
   ReserveSlot ReservationOf(TimePoint aNow, const Target& aTarget, const Call& aCall) const;
   void Start(TimePoint aNow, Target& aTarget, Call& aCall);
   void LeaveEndpoint(TimePoint aNow, Call& aCall);
+  bool MayGoOn(TimePoint aNow, const Call& aCall, AttemptEnd aEnd) const;
+  void NoteEnd(TimePoint aNow, const Call& aCall, AttemptEnd aEnd);
+  void NoteLost(TimePoint aNow, const Call& aCall);
+  void NoteDied(TimePoint aNow, const EndpointInfo& aEndpoint, std::string_view aEvidence);
+  void TakeSuspectNews(TimePoint aNow);
   void GiveUp(TimePoint aNow, CallNumber aCall, GiveUpReason aReason);
   void TakeOffer(TimePoint aNow, Target& aTarget, CallNumber aCall);
   void DrainLocalOffers(TimePoint aNow);
@@ -259,6 +283,7 @@
   std::uint32_t holdRound = 0;
   std::map<std::string, std::string> bannedVersions; // by service
   LeavingTable leaving;
+  CrashWatch crashes;
   std::map<std::string, Duration, std::less<>> runTimes; // usual time of a run by service
   std::vector<std::pair<std::string, CallNumber>> localOffers;
 };
--- a/src/direct/dispatcher_agents.cpp
+++ b/src/direct/dispatcher_agents.cpp
@@ -74,6 +74,13 @@
   if (aState.isReachable && !aRemote.state.isReachable) {
     aTarget.health.OnRecovered();
   }
+  // An owner of a queue does not watch the endpoint.
+  const bool isAgent = &aRemote == &aTarget.agent;
+  const bool isReborn = aTarget.info.bornMs != 0 && aState.endpointBornMs > aTarget.info.bornMs;
+  if (isAgent && (!aState.isReachable || isReborn)) {
+    this->NoteDied(aNow, aTarget.info, "agent");
+    this->TakeSuspectNews(aNow);
+  }
   aRemote.state = aState;
   aRemote.heardAt = aNow;
   aRemote.sentPrefill = 0;
--- a/src/direct/messages.h
+++ b/src/direct/messages.h
@@ -187,12 +187,13 @@
   std::vector<AccountUse> windowUses;
   std::vector<MoveState> moves;      // of versions, that are under way or have just ended
   std::vector<EndpointLife> leaving; // that said so to the sender a short while ago
+  std::vector<Suspicion> suspicions; // of requests under which endpoints died
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
     aArchive(sentAtUs, echoUs, configOffset, configAgeMs, endpointsHash, endpointsAgeMs, readsStore,
-             useSavedAgeMs, uses, windowUses, moves, leaving);
+             useSavedAgeMs, uses, windowUses, moves, leaving, suspicions);
   }
 
   friend bool operator==(const EntryState&, const EntryState&) = default;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -18,6 +18,9 @@
 using std::chrono::seconds;
 
 constexpr Duration kDefaultDeadline = seconds(60); // where neither caller nor route names one
+// Crashes under one request from which on it is kept in the platform's store. Bystanders of one
+// crash are many and soon cleared.
+constexpr std::size_t kCrashesToKeep = 2;
 
 std::string_view ReasonPhrase(std::uint16_t aStatus)
 {
@@ -57,8 +60,7 @@
 std::uint64_t FingerprintOf(const CallerRequest& aRequest, const direct::AccountSpec* aAccount,
                             std::string_view aBody)
 {
-  const std::uint64_t caller =
-    aAccount == nullptr ? HashOf(aRequest.host) : HashOf(aAccount->name);
+  const std::uint64_t caller = aAccount == nullptr ? HashOf(aRequest.host) : HashOf(aAccount->name);
   return HashOf(aBody, HashOf(aRequest.target, HashOf(aRequest.method, caller)));
 }
 
@@ -68,6 +70,7 @@
                  const Clock& aClock, Random& aRandom, const Dialect& aDialect)
   : settings(aSettings)
   , self(aSelf)
+  , poller(aPoller)
   , clock(aClock)
   , random(aRandom)
   , dialect(aDialect)
@@ -413,6 +416,53 @@
              { "silent_ms", aIsLive ? "" : MillisecondsText(aSilence) } });
 }
 
+void Gateway::ProbeEndpoint(const direct::EndpointInfo& aEndpoint)
+{
+  const auto [place, isNew] = this->probes.try_emplace(aEndpoint.id);
+  if (!isNew) {
+    return;
+  }
+  place->second = std::make_unique<ConnectProbe>(
+    this->poller, [this, id = aEndpoint.id, bornMs = aEndpoint.bornMs](bool aIsListening) {
+      this->probes.erase(id);
+      this->dispatcher.OnProbe(this->Now(), id, bornMs, aIsListening);
+      this->AfterInput();
+    });
+  place->second->Start({ aEndpoint.host, aEndpoint.port }, this->settings.probeTimeout);
+}
+
+void Gateway::OnEndpointDied(const direct::EndpointInfo& aEndpoint, std::string_view aEvidence,
+                             std::size_t aLost)
+{
+  LogEvent(LogLevel::kWarning, "endpoint_died",
+           { { "endpoint", aEndpoint.id },
+             { "born_ms", std::to_string(aEndpoint.bornMs) },
+             { "evidence", std::string(aEvidence) },
+             { "lost", std::to_string(aLost) } });
+}
+
+// What this entry refuses from now on is told to all entries at once, and kept beyond their lives.
+void Gateway::OnSuspect(const direct::SuspectNews& aNews)
+{
+  const bool isRefused = aNews.verdict == Verdict::kRefused;
+  if (aNews.isOwn || isRefused) {
+    LogEvent(isRefused ? LogLevel::kWarning : LogLevel::kInfo, "suspect",
+             { { "fingerprint", std::to_string(aNews.suspicion.fingerprint) },
+               { "crashes", std::to_string(aNews.suspicion.crashes.size()) },
+               { "refused", isRefused ? "true" : "false" },
+               { "source", aNews.isOwn ? "own" : "told" },
+               { "forget_ms", MillisecondsText(aNews.suspicion.forgetAfter) } });
+  }
+  if (!aNews.isOwn || aNews.suspicion.crashes.size() < kCrashesToKeep) {
+    return;
+  }
+  this->hasUrgentState = true;
+  if (this->suspectStore != nullptr) {
+    this->suspectStore->SaveSuspicion(
+      { this->clock.Read().wall.time_since_epoch().count(), aNews.suspicion });
+  }
+}
+
 // Answers a request with a status of the gateway's own.
 void Gateway::Refuse(Flow& aFlow, std::uint16_t aStatus, std::string_view aCause,
                      Duration aRetryAfter)
@@ -477,6 +527,9 @@
 // Follows every input: sends what was collected, arms the timer, frees what has ended.
 void Gateway::AfterInput()
 {
+  if (this->hasUrgentState) {
+    this->SendStates();
+  }
   this->net.Flush();
   const TimePoint next = std::min(this->dispatcher.NextTimer(), this->owned.NextTimer());
   if (next < this->armedFor) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -12,6 +12,7 @@
 #include "gateway/gateway_metrics.h"
 #include "gateway/owned_queues.h"
 #include "gateway/peer_net.h"
+#include "runtime/connect_probe.h"
 #include "runtime/endpoint_pool.h"
 #include "runtime/ingress_server.h"
 #include "runtime/timer.h"
@@ -48,6 +49,7 @@
   // Unready before the listener closes: the balancer asks each second and takes an entry out after
   // two misses. What is taken later than three seconds after the signal must not be cut.
   Duration leaveNotice = std::chrono::milliseconds(2800);
+  Duration probeTimeout = std::chrono::milliseconds(500); // of an endpoint that broke off
   direct::DispatchOptions dispatch;
   QueueServerOptions ownedQueues;
   direct::RetryBudgetOptions budget;
@@ -63,6 +65,15 @@
   virtual void SaveUse(const std::string& aBytes, const std::function<void()>& aOnSaved) = 0;
 };
 
+// Where a gateway keeps which requests crash endpoints, beyond the life of all entries.
+class SuspectStore
+{
+public:
+  virtual ~SuspectStore() = default;
+  // Replaces what was saved of the same fingerprint.
+  virtual void SaveSuspicion(const direct::SavedSuspicion& aSaved) = 0;
+};
+
 class Gateway final
   : private IngressHandler
   , private direct::DispatchPort
@@ -104,6 +115,10 @@
   void SetUseBefore(const std::string& aBytes);
   void SetQuotaStore(QuotaStore& aStore) { this->quotaStore = &aStore; }
 
+  // Requests under which endpoints died before the start, as they were saved.
+  void SetSuspectsBefore(const std::vector<direct::SavedSuspicion>& aSaved);
+  void SetSuspectStore(SuspectStore& aStore) { this->suspectStore = &aStore; }
+
   // An order to move a service to another version (see direct::MoveTable::SetOrder).
   void SetMoveOrder(const direct::MoveOrder& aOrder, bool aIsFresh);
   void SetMoveLog(direct::MoveLog& aLog) { this->moves.SetLog(aLog); }
@@ -140,6 +155,10 @@
   void SendToOwner(const std::string& aHost, const direct::ForEndpoint& aMessage) override;
   void OnQueueChange(const direct::EndpointInfo& aEndpoint, std::string_view aKind, bool aIsLive,
                      Duration aSilence) override;
+  void ProbeEndpoint(const direct::EndpointInfo& aEndpoint) override;
+  void OnEndpointDied(const direct::EndpointInfo& aEndpoint, std::string_view aEvidence,
+                      std::size_t aLost) override;
+  void OnSuspect(const direct::SuspectNews& aNews) override;
   void SendFromOwned(const Address& aEntry, const direct::ForEndpoint& aMessage) override;
 
   void OnPeerMessage(const Address& aFrom, const Peer& aPeer,
@@ -173,6 +192,7 @@
 
   GatewaySettings settings;
   Peer self;
+  Poller& poller;
   const Clock& clock;
   Random& random;
   const Dialect& dialect;
@@ -202,6 +222,9 @@
   std::uint64_t endpointsHash = 0;
   TimePoint endpointsReadAt{};
   std::size_t stateRound = 0;
+  std::map<std::string, std::unique_ptr<ConnectProbe>> probes; // by endpoint id
+  SuspectStore* suspectStore = nullptr;
+  bool hasUrgentState = false; // all entries must hear the next state at once
   QuotaStore* quotaStore = nullptr;
   bool hasSavedUse = false;
   GatewayMetrics metrics;
--- a/src/gateway/gateway_peers.cpp
+++ b/src/gateway/gateway_peers.cpp
@@ -121,6 +121,7 @@
   }
   this->dispatcher.SetBannedVersions(now, this->moves.Banned());
   this->dispatcher.OnLeaving(now, aState.leaving);
+  this->dispatcher.OnSuspicions(now, aState.suspicions);
   TimePoint notBefore{ Duration(aState.echoUs) };
   if (notBefore > now) {
     // The echo of an earlier life: a VM that lost power counts its time anew. It shows nothing.
@@ -162,6 +163,19 @@
   this->quota.SetUseBefore(std::move(saved.accounts), gap);
 }
 
+void Gateway::SetSuspectsBefore(const std::vector<direct::SavedSuspicion>& aSaved)
+{
+  const std::int64_t wallMs = this->clock.Read().wall.time_since_epoch().count();
+  std::vector<Suspicion> suspicions;
+  for (const direct::SavedSuspicion& saved : aSaved) {
+    suspicions.push_back(saved.suspicion);
+    suspicions.back().forgetAfter -=
+      milliseconds(std::max<std::int64_t>(wallMs - saved.savedAtMs, 0));
+  }
+  this->dispatcher.OnSuspicions(this->Now(), suspicions);
+  this->AfterInput();
+}
+
 // One entry saves for all.
 void Gateway::SaveHotUse()
 {
@@ -241,6 +255,7 @@
     return this->dispatcher.RunningElsewhere(aService, aVersion);
   });
   state.leaving = this->dispatcher.RecentlyLeaving(now);
+  state.suspicions = this->dispatcher.SuspicionsToTell(now);
   state.useSavedAgeMs = static_cast<std::uint32_t>(
     std::clamp<std::int64_t>(this->quota.SinceSaved(now) / milliseconds(1), 0, 3600000));
   state.uses = this->quota.OwnUse();
@@ -258,7 +273,8 @@
       // The reader and the others hear each other in every round: its word keeps theirs fresh.
       const bool isItsTurn = index++ % this->StateRounds() == 0;
       const bool isToReader = reader != this->peerEntries.end() && host == reader->first;
-      const bool isDue = isReader || isToReader || isItsTurn || !peer.isGreeted;
+      const bool isDue =
+        this->hasUrgentState || isReader || isToReader || isItsTurn || !peer.isGreeted;
       if (isDue) {
         peer.isGreeted = true;
         state.echoUs = peer.sentAtUs;
@@ -266,6 +282,7 @@
       }
     }
   }
+  this->hasUrgentState = false;
   this->StepMoves();
   this->UpdateOwners();
   this->owned.SendStates(now);
--- /dev/null
+++ b/src/runtime/connect_probe.h
@@ -0,0 +1,32 @@
+// Asks whether a process listens at an address, by opening a connection and closing it again.
+#pragma once
+
+#include "runtime/tcp_socket.h"
+#include "runtime/timer.h"
+
+#include <functional>
+
+namespace caraway {
+
+class ConnectProbe final : private TcpOwner
+{
+public:
+  // aDone runs once, on the main loop and not before Start returns. It may destroy the probe.
+  ConnectProbe(Poller& aPoller, std::function<void(bool aIsListening)> aDone);
+
+  // Without an answer within aTimeout nobody listens.
+  void Start(const Address& aAddress, Duration aTimeout);
+
+private:
+  void OnConnected() override { this->End(true); }
+  void OnInput() override {}
+  void OnInputEnd(bool aReset) override;
+  void End(bool aIsListening);
+
+  std::function<void(bool aIsListening)> done;
+  TcpSocket socket;
+  Timer timer;
+  bool isListening = false;
+};
+
+} // namespace caraway
--- a/tests/core/entry_test.cpp
+++ b/tests/core/entry_test.cpp
@@ -226,7 +226,7 @@
 {
   const Peer first = AddAgent("agent-1");
   const Peer second = AddAgent("agent-2");
-  entry.OnMessage(now, first, Suspicion{ 0, 1, seconds(60) });
+  entry.OnMessage(now, first, Suspicion{ 0, { { 1, false } }, seconds(60) });
   Submit(1);
   const std::size_t reservations =
     port.SentTo<Reserve>(first.node).size() + port.SentTo<Reserve>(second.node).size();
--- a/tests/core/suspect_test.cpp
+++ b/tests/core/suspect_test.cpp
@@ -35,9 +35,9 @@
   SuspectTable table(10, minutes(10));
   TimePoint now{ seconds(1) };
   BOOST_TEST((table.Judge(now, 1) == Verdict::kClear));
-  table.OnCrash(now, 1);
+  table.OnCrash(now, 1, 100);
   BOOST_TEST((table.Judge(now, 1) == Verdict::kAlone));
-  table.OnCrash(now, 1);
+  table.OnCrash(now, 1, 101);
   BOOST_TEST((table.Judge(now, 1) == Verdict::kRefused));
   BOOST_TEST((table.Judge(now + minutes(11), 1) == Verdict::kClear));
 }
@@ -46,7 +46,7 @@
 {
   SuspectTable table(3, minutes(10));
   for (std::uint64_t i = 1; i <= 100; i++) {
-    table.OnCrash(TimePoint{ seconds(1) }, i);
+    table.OnCrash(TimePoint{ seconds(1) }, i, 100);
   }
   BOOST_TEST(table.Size() == 3U);
   BOOST_TEST((table.Judge(TimePoint{ seconds(2) }, 100) == Verdict::kAlone));
@@ -56,12 +56,38 @@
 {
   SuspectTable table(3, minutes(10));
   const TimePoint now{ seconds(1) };
-  BOOST_TEST(table.OnSuspicion(now, 1, 1, minutes(5)));
-  BOOST_TEST(!table.OnSuspicion(now, 1, 1, minutes(5)));
-  BOOST_TEST(table.OnSuspicion(now, 1, 2, minutes(5)));
+  const Suspicion first{ 1, { { 100, false } }, minutes(5) };
+  BOOST_TEST(table.OnSuspicion(now, first));
+  BOOST_TEST(!table.OnSuspicion(now, first));
+  BOOST_TEST(!table.OnCrash(now, 1, 100));
+  BOOST_TEST((table.Judge(now, 1) == Verdict::kAlone));
+  BOOST_TEST(table.OnSuspicion(now, { 1, { { 100, false }, { 101, false } }, minutes(5) }));
+  BOOST_TEST((table.Judge(now, 1) == Verdict::kRefused));
+}
+
+// Two processes see one crash each at the same moment; neither knows of the other's.
+BOOST_AUTO_TEST_CASE(crashes_seen_by_different_processes_add_up)
+{
+  SuspectTable table(3, minutes(10));
+  const TimePoint now{ seconds(1) };
+  table.OnCrash(now, 1, 100);
+  BOOST_TEST(table.OnSuspicion(now, { 1, { { 101, false } }, minutes(5) }));
   BOOST_TEST((table.Judge(now, 1) == Verdict::kRefused));
 }
 
+BOOST_AUTO_TEST_CASE(late_reports_of_cleared_crashes_count_no_more)
+{
+  SuspectTable table(3, minutes(10));
+  const TimePoint now{ seconds(1) };
+  const Suspicion report{ 1, { { 100, false } }, minutes(5) };
+  table.OnSuspicion(now, report);
+  BOOST_TEST(table.Clear(1));
+  BOOST_TEST(!table.OnSuspicion(now, report));
+  BOOST_TEST((table.Judge(now, 1) == Verdict::kClear));
+  table.OnCrash(now, 1, 101);
+  BOOST_TEST((table.Judge(now, 1) == Verdict::kAlone));
+}
+
 BOOST_FIXTURE_TEST_CASE(crash_makes_all_that_ran_suspect_and_tells_the_entries, AgentFixture)
 {
   const Reserve first = this->MakeReserve();
--- a/tests/direct/admission_test.cpp
+++ b/tests/direct/admission_test.cpp
@@ -47,6 +47,9 @@
   void SendToAgent(const std::string&, const DirectMessage&) override {}
   void SendToOwner(const std::string&, const ForEndpoint&) override {}
   void OnQueueChange(const EndpointInfo&, std::string_view, bool, Duration) override {}
+  void ProbeEndpoint(const EndpointInfo&) override {}
+  void OnEndpointDied(const EndpointInfo&, std::string_view, std::size_t) override {}
+  void OnSuspect(const SuspectNews&) override {}
 
   // Plays calls of two ranks, each aPerSecond times a second for aFor.
   void Play(const std::map<Tier, int>& aPerSecond, Duration aFor)
--- a/tests/direct/dispatcher_test.cpp
+++ b/tests/direct/dispatcher_test.cpp
@@ -34,6 +34,12 @@
     this->sentToOwners.emplace_back(aHost, aMessage);
   }
   void OnQueueChange(const EndpointInfo&, std::string_view, bool, Duration) override {}
+  void ProbeEndpoint(const EndpointInfo& aEndpoint) override
+  {
+    this->probed.push_back(aEndpoint.id);
+  }
+  void OnEndpointDied(const EndpointInfo&, std::string_view, std::size_t) override {}
+  void OnSuspect(const SuspectNews&) override {}
 
   template<class Message>
   std::vector<std::string> HostsOf() const
@@ -47,6 +53,7 @@
     return hosts;
   }
 
+  std::vector<std::string> probed;
   std::vector<std::pair<CallNumber, std::string>> started;
   std::vector<std::pair<CallNumber, GiveUpReason>> givenUp;
   Duration retryAfter{};
@@ -427,6 +434,57 @@
   BOOST_TEST(found);
 }
 
+BOOST_AUTO_TEST_CASE(calls_that_wait_end_when_their_request_is_refused)
+{
+  this->List(1, false, 1);
+  this->dispatcher->Submit(this->now, this->Spec(1));
+  this->dispatcher->Submit(this->now, this->Spec(2));
+  CallSpec waiting = this->Spec(3);
+  waiting.fingerprint = 7;
+  this->dispatcher->Submit(this->now, waiting);
+  this->dispatcher->OnSuspicions(this->now, { { 7, { { 1, false }, { 2, false } }, seconds(60) } });
+  BOOST_REQUIRE(this->port.givenUp.size() == 1U);
+  BOOST_TEST((this->port.givenUp[0].second == GiveUpReason::kSuspect));
+  BOOST_TEST((this->port.retryAfter == seconds(60)));
+  BOOST_TEST(this->dispatcher->CallCount() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(a_suspect_that_broke_off_is_not_sent_on_by_itself)
+{
+  this->List(3, false);
+  CallSpec spec = this->Spec(1, CallKind::kSafe);
+  spec.fingerprint = 7;
+  spec.maxRuns = 3;
+  this->dispatcher->Submit(this->now, spec);
+  BOOST_TEST(this->dispatcher->OnAttemptEnd(this->now, 1, AttemptEnd::kBroken));
+  this->dispatcher->OnProbe(this->now, this->port.probed.at(0), 1000, false);
+  this->Advance(milliseconds(20));
+  BOOST_REQUIRE(this->port.started.size() == 2U);
+  BOOST_TEST(!this->dispatcher->OnAttemptEnd(this->now, 1, AttemptEnd::kBroken));
+}
+
+BOOST_AUTO_TEST_CASE(an_agents_word_that_its_endpoint_is_down_is_enough)
+{
+  this->List(2, true);
+  this->AgentsAlive();
+  CallSpec spec = this->Spec(1);
+  spec.fingerprint = 7;
+  for (CallNumber number = 1; number <= 2; number++) {
+    spec.number = number;
+    this->dispatcher->Submit(this->now, spec);
+    const std::string id = "e" + std::to_string(number);
+    const std::string& host = this->all.at(id).host;
+    this->dispatcher->OnOffer(this->now, host, number);
+    this->dispatcher->OnAttemptEnd(this->now, number, AttemptEnd::kBroken);
+    this->dispatcher->OnAgentState(this->now, host, AgentState{});
+  }
+  BOOST_TEST(this->port.probed.empty());
+  spec.number = 3;
+  this->dispatcher->Submit(this->now, spec);
+  BOOST_REQUIRE(this->port.givenUp.size() == 1U);
+  BOOST_TEST((this->port.givenUp[0].second == GiveUpReason::kSuspect));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace caraway::direct
--- a/tests/gateway/suspect_test.cpp
+++ b/tests/gateway/suspect_test.cpp
@@ -103,6 +103,53 @@
   BOOST_TEST(Has(this->AskAt(*this->second, "/once/x", "good", "body"), "fine"));
 }
 
+// All entries were killed: only the platform's store remembers.
+BOOST_AUTO_TEST_CASE(a_restart_of_all_entries_forgets_no_request_that_crashes_endpoints)
+{
+  struct Store : SuspectStore
+  {
+    void SaveSuspicion(const direct::SavedSuspicion& aSaved) override
+    {
+      this->saved.push_back(aSaved);
+    }
+    std::vector<direct::SavedSuspicion> saved;
+  } store;
+  this->gateway->SetSuspectStore(store);
+  this->AskAt(*this->gateway, "/safe/x", "r1", "poison");
+  this->PlayUntil([&] { return !store.saved.empty(); });
+  const int crashes = this->Crashes();
+  this->gateway.reset();
+  this->second.reset();
+  this->gateway = std::make_unique<Gateway>(this->settings, Peer{ NodeId{ 1 }, Incarnation{ 2 } },
+                                            this->poller, this->clock, this->random, this->dialect);
+  BOOST_REQUIRE(!this->gateway->Start());
+  this->Configure();
+  this->gateway->SetEndpoints(this->listed);
+  this->gateway->SetSuspectsBefore(store.saved);
+  const std::string answer = this->Ask(Request("/safe/x", "r2", "poison"), "\r\n\r\n");
+  BOOST_TEST(Has(answer, "HTTP/1.1 503 "));
+  BOOST_TEST(this->Crashes() == crashes);
+}
+
+BOOST_AUTO_TEST_CASE(a_request_beside_one_that_crashes_endpoints_is_served)
+{
+  this->listed["e1"].slots = 8;
+  ScriptedEndpoint& first = *this->endpoints.front();
+  const auto script = first.script;
+  first.script = [](Connection&, const RequestHead&) {}; // no answer yet
+  this->listed = { *this->listed.find("e1") };
+  this->gateway->SetEndpoints(this->listed);
+  BareClient bystander(this->gateway->Port());
+  bystander.Send(Request("/safe/x", "b1", "body"));
+  this->PlayUntil([&] { return first.requests.size() == 1; });
+  first.script = script;
+  this->AskAt(*this->gateway, "/once/x", "r1", "poison");
+  BOOST_TEST(first.isDown);
+  this->AddCrashing();
+  BOOST_TEST(this->PlayUntil([&] { return Has(bystander.Received(), "fine"); }));
+  BOOST_TEST(Has(this->AskAt(*this->gateway, "/safe/x", "b2", "body"), "fine"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace caraway::gateway
