Let a restart open no second budget of repeats

When all entries are killed in the middle of a window, the service may get nearly twice that number.

Change: in the first window after its start an entry uses a quarter of its part; with the four fifths that a full life uses at the most, the sum stays within the bound.

Ruled out: sharing the use of budgets between entries, which would cost a field in each state for a number that the four fifths already cover while no entry restarts.

--- a/src/direct/retry_budget.cpp
+++ b/src/direct/retry_budget.cpp
@@ -4,8 +4,9 @@
 
 namespace caraway::direct {
 
-RetryBudget::RetryBudget(const RetryBudgetOptions& aOptions)
+RetryBudget::RetryBudget(const RetryBudgetOptions& aOptions, TimePoint aStart)
   : options(aOptions)
+  , start(aStart)
 {
 }
 
@@ -36,9 +37,11 @@
   this->Expire(aNow, row.requests);
   this->Expire(aNow, row.repeats);
   const double entries = std::max(aEntries, this->options.minEntries);
+  const bool isFirstWindow = aNow - this->start <= this->options.window;
+  const double extra = this->options.extra * (isFirstWindow ? this->options.startShare : 1);
   const double bound =
-    this->options.useShare * (this->options.ratio * static_cast<double>(row.requests.size()) +
-                              this->options.extra / entries);
+    this->options.useShare *
+    (this->options.ratio * static_cast<double>(row.requests.size()) + extra / entries);
   if (static_cast<double>(row.repeats.size()) + 1 > bound) {
     return false;
   }
--- a/src/direct/retry_budget.h
+++ b/src/direct/retry_budget.h
@@ -1,6 +1,7 @@
 // Budget for sending a request to a further endpoint, kept by each entry for itself: a share of the
 // requests that it took, and its part of a fixed number, so that the sum over all entries stays
-// within the bound without agreement.
+// within the bound without agreement. A process that starts does not know what its earlier life
+// took from the fixed number, so it uses a small part of it until that is out of the window.
 #pragma once
 
 #include "core/types.h"
@@ -21,12 +22,15 @@
   double useShare = 0.8;
   // Entries that share the extra repeats, at the least: some may not be heard.
   std::uint32_t minEntries = 5;
+  // Part of its extra repeats that an entry uses in the first window after its start.
+  double startShare = 0.25;
 };
 
 class RetryBudget
 {
 public:
-  explicit RetryBudget(const RetryBudgetOptions& aOptions);
+  // aStart: start of the process.
+  RetryBudget(const RetryBudgetOptions& aOptions, TimePoint aStart);
 
   // A caller's request for the service was taken.
   void OnRequest(TimePoint aNow, std::string_view aService);
@@ -43,6 +47,7 @@
   void Expire(TimePoint aNow, std::deque<TimePoint>& aTimes) const;
 
   RetryBudgetOptions options;
+  TimePoint start;
   std::map<std::string, Row, std::less<>> services;
 };
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -74,7 +74,7 @@
   , clock(aClock)
   , random(aRandom)
   , dialect(aDialect)
-  , budget(aSettings.budget)
+  , budget(aSettings.budget, aClock.Read().steady)
   , quota(aSettings.quota, aClock.Read().steady)
   , dispatcher(aSettings.dispatch, aSelf, aSettings.failureDomain, aRandom, this->budget, *this)
   , pool(aPoller, aClock)
--- a/tests/direct/admission_test.cpp
+++ b/tests/direct/admission_test.cpp
@@ -94,7 +94,7 @@
   }
 
   Random random{ 1 };
-  RetryBudget budget{ RetryBudgetOptions() };
+  RetryBudget budget{ RetryBudgetOptions(), TimePoint{} };
   TimePoint now{ seconds(100) };
   std::unique_ptr<Dispatcher> dispatcher;
   std::map<CallNumber, TimePoint> started;
--- a/tests/direct/dispatcher_test.cpp
+++ b/tests/direct/dispatcher_test.cpp
@@ -66,7 +66,7 @@
   Fixture()
   {
     this->budgetOptions.extra = 1000;
-    this->budget = std::make_unique<RetryBudget>(this->budgetOptions);
+    this->budget = std::make_unique<RetryBudget>(this->budgetOptions, TimePoint{});
     this->dispatcher =
       std::make_unique<Dispatcher>(this->options, Peer{ NodeId{ 1 }, Incarnation{ 1 } }, "here",
                                    this->random, *this->budget, this->port);
@@ -363,7 +363,7 @@
   this->budgetOptions.extra = 0;
   this->budgetOptions.ratio = 0.1;
   this->budgetOptions.useShare = 1;
-  this->budget = std::make_unique<RetryBudget>(this->budgetOptions);
+  this->budget = std::make_unique<RetryBudget>(this->budgetOptions, TimePoint{});
   this->dispatcher =
     std::make_unique<Dispatcher>(this->options, Peer{ NodeId{ 1 }, Incarnation{ 1 } }, "here",
                                  this->random, *this->budget, this->port);
--- a/tests/direct/small_test.cpp
+++ b/tests/direct/small_test.cpp
@@ -37,8 +37,8 @@
   RetryBudgetOptions options;
   options.extra = 50;
   options.useShare = 1;
-  RetryBudget budget(options);
-  TimePoint now{ seconds(10) };
+  RetryBudget budget(options, TimePoint{});
+  TimePoint now{ seconds(11) };
   for (int request = 0; request < 100; request++) {
     budget.OnRequest(now, "pool");
   }
@@ -52,9 +52,35 @@
   BOOST_TEST(budget.Take(now, "pool", 5));
 }
 
+// Load: every request fails, and all entries are killed in the middle of a window.
+BOOST_AUTO_TEST_CASE(a_restart_of_all_entries_opens_no_second_budget)
+{
+  constexpr std::uint32_t kEntries = 5;
+  constexpr int kRequests = 20; // of each life of an entry, in half a window
+  RetryBudgetOptions options;
+  const TimePoint killedAt{ seconds(100) };
+  int repeats = 0;
+  const auto playHalfWindow = [&](RetryBudget& aBudget, TimePoint aFrom) {
+    for (int request = 0; request < kRequests; request++) {
+      const TimePoint now = aFrom + options.window / 2 / kRequests * request;
+      aBudget.OnRequest(now, "pool");
+      while (aBudget.Take(now, "pool", kEntries)) {
+        repeats++;
+      }
+    }
+  };
+  for (std::uint32_t entry = 0; entry < kEntries; entry++) {
+    RetryBudget before(options, TimePoint{});
+    playHalfWindow(before, killedAt - options.window / 2);
+    RetryBudget after(options, killedAt);
+    playHalfWindow(after, killedAt);
+  }
+  BOOST_TEST(repeats <= options.ratio * 2 * kRequests * kEntries + options.extra);
+}
+
 BOOST_AUTO_TEST_CASE(a_service_without_requests_has_no_budget)
 {
-  RetryBudget budget({});
+  RetryBudget budget({}, TimePoint{});
   BOOST_TEST(!budget.Take(TimePoint{ seconds(1) }, "pool", 5));
 }
 
