Take a new process at an endpoint's address for the end of the one before

Cause: endpoints there stand behind a proxy, as they may behind any load balancer: a probe finds the proxy listening and says that the endpoint lives, and the process that comes back has a new id, which the check of registrations did not connect with the one before.

Change: a registration at the same address with a later start shows that the earlier process ended.

Evidence: dispatcher/a_new_process_at_the_address_shows_that_the_one_before_died failed before.

--- a/src/direct/dispatcher.cpp
+++ b/src/direct/dispatcher.cpp
@@ -41,6 +41,7 @@
 {
   const std::set<std::string> contacts = ChooseContacts(
     this->options.contacts, static_cast<std::uint64_t>(this->self.node), this->failureDomain, aAll);
+  this->NoteReplaced(aNow, aAll);
   for (auto& [id, target] : this->targets) {
     target.isListed = aAll.contains(id);
   }
@@ -53,9 +54,6 @@
       target.localPort->endpoint = id;
       target.local = std::make_unique<SlotQueue>(this->options.queue, *target.localPort);
     } else if (target.info.bornMs != info.bornMs || target.info.sequence < info.sequence) {
-      if (target.info.bornMs < info.bornMs) {
-        this->NoteDied(aNow, target.info, "registration");
-      }
       target.health.OnRecovered();
       target.restsUntil = target.info.bornMs != info.bornMs ? TimePoint{} : target.restsUntil;
     }
@@ -81,6 +79,22 @@
   this->DrainLocalOffers(aNow);
 }
 
+// A process that registers at an address has taken the place of the one that was listed there.
+void Dispatcher::NoteReplaced(TimePoint aNow, const std::map<std::string, EndpointInfo>& aAll)
+{
+  std::map<std::pair<std::string_view, std::uint16_t>, std::int64_t> bornAt;
+  for (const auto& [id, info] : aAll) {
+    std::int64_t& born = bornAt[{ info.host, info.port }];
+    born = std::max(born, info.bornMs);
+  }
+  for (const auto& [id, target] : this->targets) {
+    const auto found = bornAt.find({ target.info.host, target.info.port });
+    if (found != bornAt.end() && found->second > target.info.bornMs) {
+      this->NoteDied(aNow, target.info, "registration");
+    }
+  }
+}
+
 void Dispatcher::DropUnusableCalls(TimePoint aNow)
 {
   for (auto& row : this->calls) {
--- a/src/direct/dispatcher.h
+++ b/src/direct/dispatcher.h
@@ -263,6 +263,7 @@
   void LiftProbe(Call& aCall);
   bool MayUse(TimePoint aNow, const Target& aTarget, const CallSpec& aSpec) const;
   void DropUnusableCalls(TimePoint aNow);
+  void NoteReplaced(TimePoint aNow, const std::map<std::string, EndpointInfo>& aAll);
   Target* FindByHost(const std::string& aHost);
 
   DispatchOptions options;
--- a/tests/direct/dispatcher_test.cpp
+++ b/tests/direct/dispatcher_test.cpp
@@ -463,6 +463,32 @@
   BOOST_TEST(!this->dispatcher->OnAttemptEnd(this->now, 1, AttemptEnd::kBroken));
 }
 
+// Where a proxy stands before the endpoints, connections to a dead one still open.
+BOOST_AUTO_TEST_CASE(a_new_process_at_the_address_shows_that_the_one_before_died)
+{
+  this->List(2, false);
+  CallSpec spec = this->Spec(1);
+  spec.fingerprint = 7;
+  for (CallNumber number = 1; number <= 2; number++) {
+    spec.number = number;
+    this->dispatcher->Submit(this->now, spec);
+    this->Advance(milliseconds(20));
+    const std::string id = this->port.started.back().second;
+    this->dispatcher->OnAttemptEnd(this->now, number, AttemptEnd::kBroken);
+    this->dispatcher->OnProbe(this->now, id, 1000, true);
+    EndpointInfo next = this->all.at(id);
+    this->all.erase(id);
+    next.id += "-reborn";
+    next.bornMs = 2000;
+    this->all[next.id] = next;
+    this->Apply();
+  }
+  spec.number = 3;
+  this->dispatcher->Submit(this->now, spec);
+  BOOST_REQUIRE(this->port.givenUp.size() == 1U);
+  BOOST_TEST((this->port.givenUp[0].second == GiveUpReason::kSuspect));
+}
+
 BOOST_AUTO_TEST_CASE(an_agents_word_that_its_endpoint_is_down_is_enough)
 {
   this->List(2, true);
