Let the soak have callers whose request crashes endpoints

The ledger checks the rule: later than three seconds after the third crash, at most three more sends.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -56,17 +56,20 @@
         self.connection = h11.Connection(h11.CLIENT)
         return True
 
+    def content(self, kind):
+        return str(self.count), b"" if kind == "safe" else f"{self.name} asks {self.count}".encode()
+
     async def ask(self, route, prefix, time_left):
         """One request; the time to wait before the next where it was refused."""
         if self.connection is None and not await self.connect():
             return 0.2
         self.count += 1
         kind = route.split("-")[0]
-        body = b"" if kind == "safe" else f"{self.name} asks {self.count}".encode()
+        suffix, body = self.content(kind)
         request = ledger.Request(
             id=f"{self.name}-{self.count}",
             method="GET" if kind == "safe" else "POST",
-            path=f"{prefix}{self.count}",
+            path=prefix + suffix,
             body=body,
             route=route,
             key=self.key,
@@ -139,3 +142,22 @@
                 return
             elif isinstance(event, h11.ConnectionClosed):
                 raise EOFError("closed without an answer")
+
+
+class CrashingCaller(Caller):
+    """Repeats one request that crashes each endpoint that runs it, at any entry."""
+
+    def __init__(self, name, key, world, route):
+        super().__init__(name, key, world)
+        self.route = route
+
+    def content(self, kind):
+        return "crash", ledger.CRASH_BODY
+
+    async def run(self):
+        while not self.world.is_over:
+            await asyncio.sleep(self.world.random.uniform(0.2, 0.8))
+            for route in self.world.config["routes"]:
+                if route["name"] == self.route:
+                    await self.ask(self.route, route["path-prefix"], 3.0)
+            self.drop()
--- a/tests/soak/endpoints.py
+++ b/tests/soak/endpoints.py
@@ -8,12 +8,14 @@
 import time
 
 import http1
+import ledger
 import proxy
 
 HEARTBEAT = 1.2  # seconds between writes of its registration
 LAPSE = 3 * HEARTBEAT  # of silence until the store drops the registration
 PREFILL_PER_MS = 40.0  # prompt tokens
 EVENT_PAUSE = 0.012  # seconds
+CRASHED = 2.5  # seconds until an endpoint that a request crashed is back
 MOST_WAITING = 4  # requests beyond the slots
 
 
@@ -97,6 +99,17 @@
         lost = self.id
         self.world.background(self.lapse(lost))
 
+    async def crash_under(self, call):
+        """A request ends the endpoint; one that leaves anyway only breaks off."""
+        if self.state == "ready":
+            await self.crash()
+            self.world.background(self.return_after(CRASHED))
+        call.reset()
+
+    async def return_after(self, seconds):
+        await asyncio.sleep(seconds)
+        await self.come_back()
+
     async def lapse(self, lost):
         await asyncio.sleep(LAPSE)
         await self.world.store.put("keyed.servers", lost, None)
@@ -156,6 +169,9 @@
         head = {"Request-Id": call.head["request-id"], "Response-Stamp": stamp}
         run.broken = True
         try:
+            if call.body == ledger.CRASH_BODY:
+                self.world.ledger.on_crash(call.target, self.id)
+                return await self.crash_under(call)
             if self.world.random.random() < self.failure_share:
                 run.status = 500
                 await asyncio.sleep(0.01)
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -17,6 +17,9 @@
 BUDGET_RATIO, BUDGET_EXTRA, BUDGET_WINDOW = 0.2, 56, 10.0
 QUOTA_WINDOW, QUOTA_OVERAGE, QUOTA_SLACK = 8.0, 0.1, 40
 DENIED_SLACK = 0.3  # seconds for a request's way and the timers of a busy machine
+MOST_CRASHES = 3  # of endpoints under one request, and of its sends later than STABLE after that
+CRASH_BODY = b"crash"
+CRASH_UNDER = "crash under a request"
 PROMISES = (408, 421, 429, 503)  # statuses that say "not run"
 MOST_FINDINGS = 40
 
@@ -61,6 +64,8 @@
 class Ledger:
     def __init__(self, log, begun):
         self.log = log
+        self.crashes = collections.defaultdict(list)  # times, by path
+        self.late_sends = collections.Counter()  # by path
         self.begun = begun
         self.requests = {}
         self.findings = []
@@ -156,6 +161,8 @@
         is_long = int(head.get("deadline-ms", "0")) > (request.deadline - now) * 1000 + 500
         if is_long and self.in_touch(request.entry, request.sent or now, now):
             self.find("BUDGET", f"{request.id} has {head.get('deadline-ms')} ms at {endpoint}, more than is left")
+        if body == CRASH_BODY:
+            self.check_crashing(request, endpoint, now)
         self.arrivals[service].append((now, request.arrivals > 0))
         request.arrivals += 1
         left = self.left.get(endpoint)
@@ -169,6 +176,24 @@
         request.runs.append(run)
         return run
 
+    def on_crash(self, path, endpoint):
+        self.crashes[path].append(time.monotonic())
+        self.counts[f"crashes under {path}"] += 1
+        self.end(self.begin("all", CRASH_UNDER))
+        self.log(f"{path} crashes {endpoint}")
+
+    def check_crashing(self, request, endpoint, now):
+        """A request under which endpoints crashed reaches hardly any more of them."""
+        crashes = self.crashes[request.path]
+        if len(crashes) < MOST_CRASHES:
+            return
+        since = crashes[MOST_CRASHES - 1] + STABLE
+        names = (request.entry, "store", "all")
+        if (request.sent or now) > since and self.is_calm(names, now, now, (CRASH_UNDER,)):
+            self.late_sends[request.path] += 1
+            if self.late_sends[request.path] > MOST_CRASHES:
+                self.find("BUDGET", f"{request.path} reached {endpoint} after {len(crashes)} crashes")
+
     def check_run(self, request, endpoint, service, head, now):
         kind = request.route.split("-")[0]
         if request.runs and kind != "safe":
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -62,6 +62,10 @@
             callers.Caller(f"c{number}", self.keys[number % len(self.keys)], self)
             for number in range(sizes["callers"])
         ]
+        self.callers += [
+            callers.CrashingCaller(f"x{number}", self.keys[-1], self, ("stream-chat", "unsafe-order")[number % 2])
+            for number in range(sizes["crashers"])
+        ]
 
     def build(self, sizes, program):
         self.program = program
