--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -520,6 +520,7 @@
   this->metrics.SetConfig(this->config == nullptr ? 0 : this->config->version, this->ConfigAge());
   this->metrics.SetEndpoints(this->endpoints.size(), this->EndpointsAge());
   this->metrics.SetOpenRequests(this->flows.size());
+  this->metrics.SetSuspects(this->dispatcher.SuspectCount());
   this->metrics.SetLogLinesDropped(DroppedLogLines());
   return this->metrics.Text();
 }
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -54,6 +54,8 @@
                          "Since the list of endpoints was read"))
   , openRequests(
       GaugeOf(this->registry, "caraway_entry_open_requests", "Requests not yet answered"))
+  , suspects(
+      GaugeOf(this->registry, "caraway_entry_suspects", "Requests under which endpoints died"))
   , logLinesDropped(GaugeOf(this->registry, "caraway_log_lines_dropped",
                             "Log lines beyond the bound, since the start"))
 {
@@ -111,6 +113,11 @@
   this->openRequests.Set(static_cast<double>(aCount));
 }
 
+void GatewayMetrics::SetSuspects(std::size_t aCount)
+{
+  this->suspects.Set(static_cast<double>(aCount));
+}
+
 void GatewayMetrics::SetLogLinesDropped(std::uint64_t aCount)
 {
   this->logLinesDropped.Set(static_cast<double>(aCount));
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -36,6 +36,8 @@
   void SetConfig(std::uint64_t aVersion, Duration aAge);
   void SetEndpoints(std::size_t aCount, Duration aAge);
   void SetOpenRequests(std::size_t aCount);
+  // Requests under which endpoints died.
+  void SetSuspects(std::size_t aCount);
   void SetLogLinesDropped(std::uint64_t aCount);
 
   std::string Text() const;
@@ -53,6 +55,7 @@
   prometheus::Gauge& endpoints;
   prometheus::Gauge& endpointsAge;
   prometheus::Gauge& openRequests;
+  prometheus::Gauge& suspects;
   prometheus::Gauge& logLinesDropped;
   std::array<prometheus::Histogram*, kTierCount> waits{};
   std::array<prometheus::Histogram*, kTierCount> firsts{};
