Keep what two entries found out together

Two entries that see one crash each at the same moment learn of the other's by message; then neither had seen both itself, and nobody saved the request in the store. Now an entry that saw a part of it a short while ago takes it for its own news: it saves it and tells all entries at once.

crash_watch/crashes_seen_at_the_same_moment_are_news_of_both_entries failed before.

--- a/src/direct/crash_watch.cpp
+++ b/src/direct/crash_watch.cpp
@@ -123,8 +123,8 @@
   if (aIsOwn) {
     this->seenAt[aFingerprint] = aNow;
   }
-  this->news.push_back(
-    { this->suspects.Of(aNow, aFingerprint), this->Judge(aNow, aFingerprint), aIsOwn });
+  this->news.push_back({ this->suspects.Of(aNow, aFingerprint), this->Judge(aNow, aFingerprint),
+                         this->seenAt.contains(aFingerprint) });
 }
 
 } // namespace caraway::direct
--- a/src/direct/crash_watch.h
+++ b/src/direct/crash_watch.h
@@ -37,7 +37,7 @@
 {
   Suspicion suspicion;
   Verdict verdict = Verdict::kClear;
-  bool isOwn = false; // seen by this entry
+  bool isOwn = false; // this entry saw a part of it itself, a short while ago
 };
 
 // A suspicion as it is kept beyond the life of all entries.
--- a/tests/direct/crash_watch_test.cpp
+++ b/tests/direct/crash_watch_test.cpp
@@ -115,6 +115,18 @@
   BOOST_TEST(this->watch.TakeNews().empty());
 }
 
+// Otherwise nobody would save it: each entry saw one crash and was told of the other.
+BOOST_AUTO_TEST_CASE(crashes_seen_at_the_same_moment_are_news_of_both_entries)
+{
+  this->Crash(this->watch, kFirst, 7);
+  this->watch.TakeNews();
+  this->watch.OnSuspicions(this->now, { { 7, { { 2, false } }, minutes(1) } });
+  const std::vector<SuspectNews> news = this->watch.TakeNews();
+  BOOST_REQUIRE(news.size() == 1U);
+  BOOST_TEST((news[0].verdict == Verdict::kRefused));
+  BOOST_TEST(news[0].isOwn);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace caraway::direct
