Log which parts of prompts the requests sent to endpoints have

Change: the adapter reads the IDs of the parts but the last; `sent` and `attempt_failed` show them.

No functional change

--- a/src/direct/call.h
+++ b/src/direct/call.h
@@ -6,6 +6,7 @@
 #include "core/types.h"
 
 #include <string>
+#include <vector>
 
 namespace caraway::direct {
 
@@ -44,6 +45,7 @@
   // Hash of account, path and body, so that a request repeated under a new id has the same value;
   // 0: unknown.
   std::uint64_t fingerprint = 0;
+  std::vector<std::uint64_t> promptParts; // IDs of the prompt's parts, except its own last one
 
   bool MayRepeat() const
   {
--- a/src/gateway/flow.cpp
+++ b/src/gateway/flow.cpp
@@ -207,6 +207,7 @@
     LogEvent(LogLevel::kInfo, "attempt_failed",
              { { "request", this->request.id },
                { "fingerprint", std::to_string(this->spec.fingerprint) },
+               { "parts", HexList(this->spec.promptParts) },
                { "endpoint", endpoint == nullptr ? "" : endpoint->id },
                { "born_ms", std::to_string(endpoint == nullptr ? 0 : endpoint->bornMs) },
                { "end", std::string(ToString(aEnd)) },
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -298,6 +298,7 @@
   spec.promptTokens = aFlow.request.promptTokens;
   spec.outputTokens = aFlow.request.outputTokens;
   spec.subject = aFlow.request.subject;
+  spec.promptParts = aFlow.request.promptParts;
   spec.fingerprint = FingerprintOf(aFlow.request, aFlow.account, aFlow.ingress.body);
   const Duration byRoute = route.timeout > Duration::zero() ? route.timeout : kDefaultDeadline;
   const Duration byCaller = aFlow.request.timeLeft.value_or(kDefaultDeadline);
@@ -346,6 +347,7 @@
              { { "request", flow.request.id },
                { "call", std::to_string(aCall) },
                { "fingerprint", std::to_string(flow.spec.fingerprint) },
+               { "parts", HexList(flow.spec.promptParts) },
                { "attempt", std::to_string(this->dispatcher.AttemptsOf(aCall)) },
                { "endpoint", aEndpoint.id },
                { "born_ms", std::to_string(aEndpoint.bornMs) },
--- a/src/gateway/protocol_adapter.h
+++ b/src/gateway/protocol_adapter.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace caraway::gateway {
 
@@ -26,6 +27,7 @@
   std::uint32_t outputTokens = 0;           // maximum number of generated tokens
   bool hasTokenCounts = false;              // the caller sent both token counts
   std::uint64_t subject = 0;                // hash of the longest shared prompt prefix; 0 if none
+  std::vector<std::uint64_t> promptParts;   // IDs of the prompt's parts, except its own last one
   std::optional<std::uint64_t> resumeAfter; // ID of the last event that the caller received
   HeaderFields forwarded; // header fields for the endpoint, without those set by the gateway
 };
--- a/src/runtime/log.cpp
+++ b/src/runtime/log.cpp
@@ -7,7 +7,9 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cinttypes>
 #include <climits>
+#include <cstdio>
 
 INITIALIZE_EASYLOGGINGPP
 
@@ -200,4 +202,16 @@
   aLine.push_back('"');
 }
 
+std::string HexList(const std::vector<std::uint64_t>& aIds)
+{
+  std::string text;
+  char digits[17];
+  for (const std::uint64_t id : aIds) {
+    std::snprintf(digits, sizeof(digits), "%" PRIx64, id);
+    text += text.empty() ? "" : ",";
+    text += digits;
+  }
+  return text;
+}
+
 } // namespace caraway
--- a/src/runtime/log.h
+++ b/src/runtime/log.h
@@ -4,6 +4,7 @@
 
 #include "core/event.h"
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -36,4 +37,7 @@
 // Appends " key=value"; values with spaces, quotes or control characters are quoted and escaped.
 void AppendField(std::string& aLine, std::string_view aKey, std::string_view aValue);
 
+// Formats IDs as hexadecimal numbers separated by commas.
+std::string HexList(const std::vector<std::uint64_t>& aIds);
+
 } // namespace caraway
--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -219,6 +219,26 @@
        .has_value());
 }
 
+BOOST_AUTO_TEST_CASE(reads_all_parts_of_a_prompt_but_the_last)
+{
+  const PlatformDialect dialect;
+  const auto partsOf = [&](const std::string& aPrefix) {
+    const auto request = dialect.ReadRequest(
+      MakeHead({ { "Request-Id", "r1" }, { "Host", "h" }, { "Prompt-Prefix", aPrefix } }));
+    return request.value().promptParts;
+  };
+  using Parts = std::vector<std::uint64_t>;
+  BOOST_TEST(
+    (partsOf("5c1e07a2:800, 91BD3F06:410,e4402b7d:250") == Parts{ 0x5c1e07a2, 0x91bd3f06 }));
+  BOOST_TEST((partsOf("91bd3f06,5c1e07a2:800,e4402b7d:250") == Parts{ 0x91bd3f06, 0x5c1e07a2 }));
+  BOOST_TEST(partsOf("e4402b7d:250").empty());
+  BOOST_TEST(partsOf("").empty());
+  // An ID that cannot be parsed still identifies its part.
+  const Parts odd = partsOf("x y:1,11112222333344445555:2,7:1");
+  BOOST_TEST(odd.size() == 2U);
+  BOOST_TEST((odd == partsOf("x y:3,11112222333344445555:4,8:1")));
+}
+
 BOOST_AUTO_TEST_CASE(endpoint_request_has_one_content_length_and_remaining_time)
 {
   const PlatformDialect dialect;
