--- a/tests/gateway/fixture.h
+++ b/tests/gateway/fixture.h
@@ -11,7 +11,7 @@
 
 namespace caraway::gateway {
 
-// A minimal protocol with the header fields Id, Key, Left, Proof, Not-Run.
+// A minimal protocol with the header fields Id, Key, Left, Part, Proof, Not-Run.
 class TestProtocol final : public ProtocolAdapter
 {
 public:
@@ -29,6 +29,8 @@
         request.key = field.value;
       } else if (field.name == "Left") {
         request.timeLeft = std::chrono::milliseconds(std::stoi(field.value));
+      } else if (field.name == "Part") {
+        request.promptParts.push_back(std::stoull(field.value, nullptr, 16));
       }
     }
     return request.id.empty() ? std::nullopt : std::optional(request);
