Refuse parts of prompts that crash endpoints

Cause: CrashWatch bounds the crashes of one request, known by account, path and body. Requests with a part in common are many requests, and nothing counted what they have in common. Class: a bound kept on one identity, while what must be bounded has another one.

Change: a lost attempt makes each shared part of its prompt a suspect as well as the request. Evidence adds up over entries as for requests. A part that was at three crashes without a complete answer in between is refused, in queued calls and in running ones without a first event too. A complete answer with the part clears it, at all entries. A refused part may have been a bystander each time, so it is tried: about one request in two seconds over all entries, however often the part is asked for, and only a request without another refused part. At five crashes the trials end, unless another refused part was at all of its crashes, so that of a pair that always comes together the sound one is cleared.

Ruled out: deaths that entries don't notice (each is noticed, 4 to 300 ms later); evidence lost between entries.

--- a/src/core/suspect.cpp
+++ b/src/core/suspect.cpp
@@ -6,8 +6,7 @@
 
 namespace {
 
-constexpr std::uint32_t kRefuseAfterCrashes = 2; // crashes
-constexpr std::size_t kMaxCrashes = 16;          // kept for one fingerprint
+constexpr std::size_t kMaxCrashes = 16; // kept for one fingerprint
 
 // Merges one crash into the suspect; returns whether it changed anything.
 bool Merge(Suspect& aSuspect, const SuspectedCrash& aCrash)
@@ -29,9 +28,10 @@
 
 } // namespace
 
-SuspectTable::SuspectTable(std::uint32_t aCapacity, Duration aRetention)
+SuspectTable::SuspectTable(std::uint32_t aCapacity, Duration aRetention, std::uint32_t aRefuseAfter)
   : capacity(aCapacity)
   , retention(aRetention)
+  , refuseAfter(aRefuseAfter)
 {
 }
 
@@ -42,6 +42,17 @@
                   [](const SuspectedCrash& aCrash) { return !aCrash.isCleared; }));
 }
 
+bool Suspect::WasAtAllCrashesOf(const Suspect& aOther) const
+{
+  return std::all_of(
+    aOther.crashes.begin(), aOther.crashes.end(), [this](const SuspectedCrash& aCrash) {
+      return aCrash.isCleared || std::any_of(this->crashes.begin(), this->crashes.end(),
+                                             [&](const SuspectedCrash& aOwn) {
+                                               return aOwn.id == aCrash.id && !aOwn.isCleared;
+                                             });
+    });
+}
+
 bool SuspectTable::OnCrash(TimePoint aNow, std::uint64_t aFingerprint, std::uint64_t aCrash)
 {
   Suspect& suspect = this->FindOrAdd(aNow, aFingerprint);
@@ -82,15 +93,31 @@
 }
 
 Verdict SuspectTable::Judge(TimePoint aNow, std::uint64_t aFingerprint) const
+{
+  const std::uint32_t crashes = this->UnclearedCrashes(aNow, aFingerprint);
+  return crashes >= this->refuseAfter ? Verdict::kRefused
+         : crashes > 0                ? Verdict::kExclusive
+                                      : Verdict::kClear;
+}
+
+std::uint32_t SuspectTable::UnclearedCrashes(TimePoint aNow, std::uint64_t aFingerprint) const
 {
   const auto found = this->suspects.find(aFingerprint);
-  if (found == this->suspects.end() || found->second.forgetAt <= aNow) {
-    return Verdict::kClear;
+  return found == this->suspects.end() || found->second.forgetAt <= aNow
+           ? 0
+           : found->second.UnclearedCrashes();
+}
+
+bool SuspectTable::IsExplainedByOther(TimePoint aNow, std::uint64_t aFingerprint) const
+{
+  const auto found = this->suspects.find(aFingerprint);
+  if (found == this->suspects.end()) {
+    return false;
   }
-  const std::uint32_t crashes = found->second.UnclearedCrashes();
-  return crashes >= kRefuseAfterCrashes ? Verdict::kRefused
-         : crashes > 0                  ? Verdict::kExclusive
-                                        : Verdict::kClear;
+  return std::any_of(this->suspects.begin(), this->suspects.end(), [&](const auto& aRow) {
+    return aRow.first != aFingerprint && this->Judge(aNow, aRow.first) == Verdict::kRefused &&
+           aRow.second.WasAtAllCrashesOf(found->second);
+  });
 }
 
 Duration SuspectTable::ForgetAfter(TimePoint aNow, std::uint64_t aFingerprint) const
--- a/src/core/suspect.h
+++ b/src/core/suspect.h
@@ -1,6 +1,6 @@
-// Fingerprints of requests that were running when an endpoint crashed. Any of them may crash every
-// endpoint that runs it, so each runs exclusively until it has completed or has been present at a
-// second crash.
+// Fingerprints of requests, or of what requests have in common, that were running when an endpoint
+// crashed. Any of them may crash every endpoint that runs it. A suspect request runs exclusively
+// until it has completed or has been present at enough crashes to be refused.
 #pragma once
 
 #include "core/messages.h"
@@ -16,7 +16,7 @@
 {
   kClear,     // not suspect
   kExclusive, // was running at one crash: runs with no other request on the endpoint
-  kRefused,   // was running at a second crash: refused until expiry
+  kRefused,   // was running at a further crash: refused until expiry
 };
 
 // State of one fingerprint.
@@ -27,12 +27,15 @@
 
   // Crashes after which the request has not completed.
   std::uint32_t UnclearedCrashes() const;
+  // True if this one was at each crash after which the other has not completed.
+  bool WasAtAllCrashesOf(const Suspect& aOther) const;
 };
 
 class SuspectTable
 {
 public:
-  SuspectTable(std::uint32_t aCapacity, Duration aRetention);
+  // aRefuseAfter: crashes without a completion in between after which a fingerprint is refused.
+  SuspectTable(std::uint32_t aCapacity, Duration aRetention, std::uint32_t aRefuseAfter = 2);
 
   // Records that a request was running when an endpoint crashed. aCrash identifies the incarnation
   // of the endpoint that ended. Returns whether the crash was unknown.
@@ -43,6 +46,11 @@
   bool Clear(std::uint64_t aFingerprint);
 
   Verdict Judge(TimePoint aNow, std::uint64_t aFingerprint) const;
+  // Crashes since the fingerprint last completed.
+  std::uint32_t UnclearedCrashes(TimePoint aNow, std::uint64_t aFingerprint) const;
+  // True if another refused fingerprint was at all crashes that count against this one, so that
+  // this one may have been a bystander at each.
+  bool IsExplainedByOther(TimePoint aNow, std::uint64_t aFingerprint) const;
   // Time until the fingerprint expires; zero if it is not suspect.
   Duration ForgetAfter(TimePoint aNow, std::uint64_t aFingerprint) const;
   // Report of the fingerprint with its remaining time.
@@ -57,6 +65,7 @@
 
   std::uint32_t capacity;
   Duration retention;
+  std::uint32_t refuseAfter;
   std::unordered_map<std::uint64_t, Suspect> suspects;
   std::deque<std::uint64_t> insertionOrder; // oldest first; may contain removed ones
 };
--- a/src/direct/crash_watch.cpp
+++ b/src/direct/crash_watch.cpp
@@ -3,6 +3,8 @@
 #include "core/cereal_bytes.h"
 
 #include <algorithm>
+#include <iterator>
+#include <tuple>
 
 namespace caraway::direct {
 
@@ -27,78 +29,148 @@
 
 CrashWatch::CrashWatch(const CrashWatchOptions& aOptions)
   : options(aOptions)
-  , suspects(aOptions.maxSuspects, aOptions.suspectTime)
+  , ledgers{
+    Ledger{ { aOptions.maxSuspects, aOptions.suspectTime, aOptions.refuseRequestAfter }, {} },
+    Ledger{ { aOptions.maxSuspects, aOptions.suspectTime, aOptions.refusePartAfter }, {} }
+  }
 {
 }
 
 // Connections to a dead endpoint may break after its death was detected.
 void CrashWatch::OnAttemptLost(TimePoint aNow, const EndpointIncarnation& aIncarnation,
-                               std::uint64_t aFingerprint)
+                               std::uint64_t aFingerprint, const PartIds& aParts)
 {
-  if (aFingerprint == 0) {
-    return; // the host provides no fingerprints
-  }
   this->Expire(aNow);
+  const LostAttempt lost{ aNow, aIncarnation, aFingerprint, aParts };
   if (this->deadSince.contains(aIncarnation)) {
-    this->AddCrash(aNow, aIncarnation, aFingerprint);
+    this->AddCrash(aNow, lost);
     return;
   }
   if (this->lostAttempts.size() >= this->options.maxLostAttempts) {
     this->lostAttempts.pop_front();
   }
-  this->lostAttempts.push_back({ aNow, aIncarnation, aFingerprint });
+  this->lostAttempts.push_back(lost);
 }
 
 std::size_t CrashWatch::OnDied(TimePoint aNow, const EndpointIncarnation& aIncarnation)
 {
   this->Expire(aNow);
   this->deadSince[aIncarnation] = aNow;
-  std::vector<std::uint64_t> fingerprints;
-  std::erase_if(this->lostAttempts, [&](const LostAttempt& aLost) {
+  std::vector<LostAttempt> lost;
+  std::erase_if(this->lostAttempts, [&](LostAttempt& aLost) {
     if (aLost.incarnation != aIncarnation) {
       return false;
     }
-    fingerprints.push_back(aLost.fingerprint);
+    lost.push_back(std::move(aLost));
     return true;
   });
-  for (const std::uint64_t fingerprint : fingerprints) {
-    this->AddCrash(aNow, aIncarnation, fingerprint);
+  for (const LostAttempt& attempt : lost) {
+    this->AddCrash(aNow, attempt);
   }
-  return fingerprints.size();
+  return lost.size();
 }
 
-void CrashWatch::OnAnswered(TimePoint aNow, std::uint64_t aFingerprint)
+void CrashWatch::OnAnswered(TimePoint aNow, std::uint64_t aFingerprint, const PartIds& aParts)
 {
-  if (this->suspects.Clear(aFingerprint)) {
-    this->AddUpdate(aNow, aFingerprint, true);
+  this->Clear(aNow, SuspectKind::kRequest, aFingerprint);
+  for (const std::uint64_t part : aParts) {
+    this->Clear(aNow, SuspectKind::kPromptPart, part);
   }
 }
 
-void CrashWatch::OnSuspicions(TimePoint aNow, const std::vector<Suspicion>& aSuspicions)
+void CrashWatch::OnSuspicions(TimePoint aNow, const std::vector<Suspicion>& aSuspicions,
+                              SuspectKind aKind)
 {
   for (const Suspicion& suspicion : aSuspicions) {
-    if (this->suspects.OnSuspicion(aNow, suspicion)) {
-      this->AddUpdate(aNow, suspicion.fingerprint, false);
+    const bool wasRefused = this->IsRefused(aNow, aKind, suspicion.fingerprint);
+    if (this->LedgerOf(aKind).table.OnSuspicion(aNow, suspicion)) {
+      this->AddUpdate(aNow, aKind, suspicion.fingerprint, wasRefused);
     }
   }
 }
 
-std::vector<Suspicion> CrashWatch::ToShare(TimePoint aNow) const
+Verdict CrashWatch::Judge(TimePoint aNow, std::uint64_t aFingerprint, const PartIds& aParts) const
+{
+  Verdict verdict = this->LedgerOf(SuspectKind::kRequest).table.Judge(aNow, aFingerprint);
+  for (const std::uint64_t part : aParts) {
+    verdict = std::max(verdict, this->LedgerOf(SuspectKind::kPromptPart).table.Judge(aNow, part));
+  }
+  return verdict;
+}
+
+// The longer nobody has asked for the part at this entry, the likelier the trial: however often the
+// part is asked for, there is about one trial per trialPeriod over all entries.
+bool CrashWatch::TakeTrial(TimePoint aNow, std::uint64_t aFingerprint, const PartIds& aParts,
+                           std::uint32_t aEntryCount, Random& aRandom)
+{
+  const PartIds refused = this->RefusedParts(aNow, aParts);
+  // A crash of a request with two refused parts would count against both.
+  if (refused.size() != 1 || this->IsRefused(aNow, SuspectKind::kRequest, aFingerprint) ||
+      !this->MayTry(aNow, refused.front())) {
+    return false;
+  }
+  TimePoint& last = this->askedAt.try_emplace(refused.front(), aNow).first->second;
+  const Duration pause = aNow - std::exchange(last, aNow);
+  const Duration period = this->options.trialPeriod * std::max(aEntryCount, 1U);
+  return aRandom.Unit() * static_cast<double>(period.count()) < static_cast<double>(pause.count());
+}
+
+Duration CrashWatch::RefusedFor(TimePoint aNow, std::uint64_t aFingerprint,
+                                const PartIds& aParts) const
+{
+  Duration time{};
+  if (this->IsRefused(aNow, SuspectKind::kRequest, aFingerprint)) {
+    time = this->LedgerOf(SuspectKind::kRequest).table.ForgetAfter(aNow, aFingerprint);
+  }
+  for (const std::uint64_t part : this->RefusedParts(aNow, aParts)) {
+    const Duration forgetAfter =
+      this->LedgerOf(SuspectKind::kPromptPart).table.ForgetAfter(aNow, part);
+    time = std::max(time, this->MayTry(aNow, part) ? this->options.trialPeriod : forgetAfter);
+  }
+  return time;
+}
+
+std::vector<Suspicion> CrashWatch::ToShare(TimePoint aNow, SuspectKind aKind) const
 {
-  std::vector<Suspicion> shared = this->suspects.All(aNow);
-  std::erase_if(shared, [&](const Suspicion& aSuspicion) {
-    const auto observed = this->observedAt.find(aSuspicion.fingerprint);
+  struct Shared
+  {
+    bool isRefused = false;
+    TimePoint observedAt{};
+    Suspicion suspicion;
+  };
+  const Ledger& ledger = this->LedgerOf(aKind);
+  std::vector<Shared> shared;
+  for (Suspicion& suspicion : ledger.table.All(aNow)) {
+    const auto found = ledger.observedAt.find(suspicion.fingerprint);
+    const TimePoint observedAt = found == ledger.observedAt.end() ? TimePoint{} : found->second;
     const bool isRecent =
-      observed != this->observedAt.end() && aNow - observed->second <= this->options.shareTime;
-    return !isRecent && this->Judge(aNow, aSuspicion.fingerprint) != Verdict::kRefused;
-  });
+      found != ledger.observedAt.end() && aNow - observedAt <= this->options.shareTime;
+    const bool isRefused = this->IsRefused(aNow, aKind, suspicion.fingerprint);
+    if (isRecent || isRefused) {
+      shared.push_back({ isRefused, observedAt, std::move(suspicion) });
+    }
+  }
   if (shared.size() > this->options.maxShared) {
-    std::sort(shared.begin(), shared.end(), [](const Suspicion& aLeft, const Suspicion& aRight) {
-      return aLeft.forgetAfter > aRight.forgetAfter;
+    std::sort(shared.begin(), shared.end(), [](const Shared& aLeft, const Shared& aRight) {
+      return std::tie(aLeft.isRefused, aLeft.observedAt, aLeft.suspicion.forgetAfter) >
+             std::tie(aRight.isRefused, aRight.observedAt, aRight.suspicion.forgetAfter);
     });
     shared.resize(this->options.maxShared);
   }
-  return shared;
+  std::vector<Suspicion> result;
+  for (Shared& row : shared) {
+    result.push_back(std::move(row.suspicion));
+  }
+  return result;
+}
+
+std::size_t CrashWatch::Size() const
+{
+  std::size_t size = 0;
+  for (const Ledger& ledger : this->ledgers) {
+    size += ledger.table.Size();
+  }
+  return size;
 }
 
 void CrashWatch::Expire(TimePoint aNow)
@@ -109,26 +181,74 @@
   }
   std::erase_if(this->deadSince,
                 [&](const auto& aRow) { return aNow - aRow.second > this->options.maxLossAge; });
-  std::erase_if(this->observedAt,
-                [&](const auto& aRow) { return aNow - aRow.second > this->options.shareTime; });
+  for (Ledger& ledger : this->ledgers) {
+    std::erase_if(ledger.observedAt,
+                  [&](const auto& aRow) { return aNow - aRow.second > this->options.shareTime; });
+  }
+  std::erase_if(this->askedAt, [&](const auto& aRow) {
+    return !this->IsRefused(aNow, SuspectKind::kPromptPart, aRow.first);
+  });
 }
 
-void CrashWatch::AddCrash(TimePoint aNow, const EndpointIncarnation& aIncarnation,
-                          std::uint64_t aFingerprint)
+void CrashWatch::AddCrash(TimePoint aNow, const LostAttempt& aLost)
 {
-  if (this->suspects.OnCrash(aNow, aFingerprint, CrashId(aIncarnation))) {
-    this->AddUpdate(aNow, aFingerprint, true);
+  const std::uint64_t crash = CrashId(aLost.incarnation);
+  if (aLost.fingerprint != 0) { // 0: the host provides no fingerprints
+    this->AddCrash(aNow, SuspectKind::kRequest, aLost.fingerprint, crash);
+  }
+  for (const std::uint64_t part : aLost.parts) {
+    this->AddCrash(aNow, SuspectKind::kPromptPart, part, crash);
   }
 }
 
-void CrashWatch::AddUpdate(TimePoint aNow, std::uint64_t aFingerprint, bool aIsLocal)
+void CrashWatch::AddCrash(TimePoint aNow, SuspectKind aKind, std::uint64_t aKey,
+                          std::uint64_t aCrash)
 {
-  if (aIsLocal) {
-    this->observedAt[aFingerprint] = aNow;
+  const bool wasRefused = this->IsRefused(aNow, aKind, aKey);
+  Ledger& ledger = this->LedgerOf(aKind);
+  if (ledger.table.OnCrash(aNow, aKey, aCrash)) {
+    ledger.observedAt[aKey] = aNow;
+    this->AddUpdate(aNow, aKind, aKey, wasRefused);
   }
-  this->updates.push_back({ this->suspects.SuspicionOf(aNow, aFingerprint),
-                            this->Judge(aNow, aFingerprint),
-                            this->observedAt.contains(aFingerprint) });
+}
+
+void CrashWatch::Clear(TimePoint aNow, SuspectKind aKind, std::uint64_t aKey)
+{
+  const bool wasRefused = this->IsRefused(aNow, aKind, aKey);
+  Ledger& ledger = this->LedgerOf(aKind);
+  if (ledger.table.Clear(aKey)) {
+    ledger.observedAt[aKey] = aNow;
+    this->AddUpdate(aNow, aKind, aKey, wasRefused);
+  }
+}
+
+void CrashWatch::AddUpdate(TimePoint aNow, SuspectKind aKind, std::uint64_t aKey, bool aWasRefused)
+{
+  const Ledger& ledger = this->LedgerOf(aKind);
+  this->updates.push_back({ aKind, ledger.table.SuspicionOf(aNow, aKey),
+                            ledger.table.Judge(aNow, aKey), aWasRefused,
+                            ledger.observedAt.contains(aKey) });
+}
+
+bool CrashWatch::IsRefused(TimePoint aNow, SuspectKind aKind, std::uint64_t aKey) const
+{
+  return this->LedgerOf(aKind).table.Judge(aNow, aKey) == Verdict::kRefused;
+}
+
+bool CrashWatch::MayTry(TimePoint aNow, std::uint64_t aPart) const
+{
+  const SuspectTable& table = this->LedgerOf(SuspectKind::kPromptPart).table;
+  return table.UnclearedCrashes(aNow, aPart) < this->options.maxTriedPartCrashes ||
+         table.IsExplainedByOther(aNow, aPart);
+}
+
+CrashWatch::PartIds CrashWatch::RefusedParts(TimePoint aNow, const PartIds& aParts) const
+{
+  PartIds refused;
+  std::copy_if(aParts.begin(), aParts.end(), std::back_inserter(refused), [&](std::uint64_t aPart) {
+    return this->IsRefused(aNow, SuspectKind::kPromptPart, aPart);
+  });
+  return refused;
 }
 
 } // namespace caraway::direct
--- a/src/direct/dispatcher.cpp
+++ b/src/direct/dispatcher.cpp
@@ -170,9 +170,12 @@
 void Dispatcher::Submit(TimePoint aNow, const CallSpec& aSpec)
 {
   this->budget.OnRequest(aNow, aSpec.service);
-  if (this->crashes.Judge(aNow, aSpec.fingerprint) == Verdict::kRefused) {
+  const bool isSuspect =
+    this->crashes.Judge(aNow, aSpec.fingerprint, aSpec.promptParts) == Verdict::kRefused;
+  if (isSuspect && !this->crashes.TakeTrial(aNow, aSpec.fingerprint, aSpec.promptParts,
+                                            this->entryCount, this->random)) {
     this->port.GiveUp(aSpec.number, GiveUpReason::kSuspect,
-                      this->crashes.ForgetAfter(aNow, aSpec.fingerprint));
+                      this->crashes.RefusedFor(aNow, aSpec.fingerprint, aSpec.promptParts));
     return;
   }
   if (!this->admission.Admit(aNow, aSpec)) {
@@ -183,6 +186,7 @@
   }
   Call& call = this->calls[aSpec.number];
   call.spec = aSpec;
+  call.isTrial = isSuspect;
   call.giveUpAt = WaitDeadline(this->options.patience, aSpec);
   this->Place(aNow, call);
   this->Schedule(call);
@@ -276,9 +280,9 @@
       aCall.attempts >= kMaxAttempts) {
     return false;
   }
-  const Verdict verdict = this->crashes.Judge(aNow, aCall.spec.fingerprint);
+  const Verdict verdict = this->crashes.Judge(aNow, aCall.spec.fingerprint, aCall.spec.promptParts);
   if (HasNotRun(aEnd)) {
-    return verdict != Verdict::kRefused;
+    return verdict != Verdict::kRefused || aCall.isTrial;
   }
   // It is not known yet whether this endpoint died too, so a suspect request is not repeated.
   return verdict == Verdict::kClear && aCall.spec.MayRepeat() && aCall.runs < aCall.spec.maxRuns;
@@ -353,6 +357,12 @@
   return found == this->calls.end() ? 0 : found->second.attempts;
 }
 
+bool Dispatcher::IsTrial(CallNumber aCall) const
+{
+  const auto found = this->calls.find(aCall);
+  return found != this->calls.end() && found->second.isTrial;
+}
+
 // Accepts the offer if the call is still queued and may use the endpoint, and declines it
 // otherwise.
 void Dispatcher::HandleOffer(TimePoint aNow, Target& aTarget, CallNumber aCall)
@@ -424,9 +434,10 @@
   if (call.attempts == 0 && aReason == GiveUpReason::kOverload) {
     this->admission.OnGivenUp(aNow, call.spec);
   }
-  const Duration retryAfter = aReason == GiveUpReason::kSuspect
-                                ? this->crashes.ForgetAfter(aNow, call.spec.fingerprint)
-                                : this->RetryAfter(aNow, call.spec.service, call.spec.rank);
+  const Duration retryAfter =
+    aReason == GiveUpReason::kSuspect
+      ? this->crashes.RefusedFor(aNow, call.spec.fingerprint, call.spec.promptParts)
+      : this->RetryAfter(aNow, call.spec.service, call.spec.rank);
   this->WithdrawAll(aNow, call, "");
   this->RecordLostAttempt(aNow, call);
   this->ReleaseEndpoint(aNow, call);
--- a/src/direct/dispatcher.h
+++ b/src/direct/dispatcher.h
@@ -118,11 +118,12 @@
   // Result of a probe of the endpoint's process that started at aBornMs.
   void OnProbe(TimePoint aNow, const std::string& aEndpoint, std::int64_t aBornMs,
                bool aIsListening);
-  // Suspicions that other entries or the platform's store have of requests that crash endpoints.
-  void OnSuspicions(TimePoint aNow, const std::vector<Suspicion>& aSuspicions);
-  std::vector<Suspicion> SuspicionsToShare(TimePoint aNow) const
+  // Suspicions that other entries or the platform's store have of what crashes endpoints.
+  void OnSuspicions(TimePoint aNow, const std::vector<Suspicion>& aSuspicions,
+                    SuspectKind aKind = SuspectKind::kRequest);
+  std::vector<Suspicion> SuspicionsToShare(TimePoint aNow, SuspectKind aKind) const
   {
-    return this->crashes.ToShare(aNow);
+    return this->crashes.ToShare(aNow, aKind);
   }
   std::size_t SuspectCount() const { return this->crashes.Size(); }
 
@@ -150,6 +151,8 @@
   const EndpointInfo* EndpointOf(CallNumber aCall) const;
   // Returns how often the call was sent to an endpoint.
   std::uint32_t AttemptsOf(CallNumber aCall) const;
+  // Returns whether the call is a trial of a refused part of its prompt.
+  bool IsTrial(CallNumber aCall) const;
   std::size_t CallCount() const { return this->calls.size(); }
   // Returns the inputs of a placement decision for logs: the queue in use, slots taken and their
   // limit, pending prefill tokens, the failure rate of attempts, and the age of the queue's last
@@ -219,6 +222,7 @@
     std::uint32_t attempts = 0;
     bool hasFirstEvent = false; // of the current attempt
     bool isWidened = false;
+    bool isTrial = false; // of a refused part of its prompt
     TimePoint sentAt{};
     std::uint32_t sentTokens = 0; // to prefill before the first event, including earlier prompts
     TimePoint widenAt = kNever;
--- a/src/direct/dispatcher_crashes.cpp
+++ b/src/direct/dispatcher_crashes.cpp
@@ -7,6 +7,20 @@
 
 namespace caraway::direct {
 
+namespace {
+
+bool IsAbout(const SuspectUpdate& aNews, const CallSpec& aSpec)
+{
+  const std::uint64_t key = aNews.suspicion.fingerprint;
+  if (aNews.kind == SuspectKind::kRequest) {
+    return aSpec.fingerprint == key;
+  }
+  return std::find(aSpec.promptParts.begin(), aSpec.promptParts.end(), key) !=
+         aSpec.promptParts.end();
+}
+
+} // namespace
+
 // Records what the end of an attempt shows about the request and the endpoint's process.
 void Dispatcher::RecordAttemptEnd(TimePoint aNow, const Call& aCall, AttemptEnd aEnd)
 {
@@ -16,7 +30,7 @@
   }
   const Target& target = found->second;
   if (aEnd == AttemptEnd::kAnswered) {
-    this->crashes.OnAnswered(aNow, aCall.spec.fingerprint);
+    this->crashes.OnAnswered(aNow, aCall.spec.fingerprint, aCall.spec.promptParts);
   } else if (aEnd == AttemptEnd::kUnsent || aEnd == AttemptEnd::kMisdirected) {
     this->RecordEndpointDeath(aNow, target.info, ToString(aEnd));
   } else if (aEnd == AttemptEnd::kBroken || aEnd == AttemptEnd::kStalled) {
@@ -33,7 +47,7 @@
   const auto found = this->targets.find(aCall.endpoint);
   if (aCall.stage == Stage::kRunning && found != this->targets.end()) {
     this->crashes.OnAttemptLost(aNow, IncarnationOf(aCall.endpoint, found->second.info.bornMs),
-                                aCall.spec.fingerprint);
+                                aCall.spec.fingerprint, aCall.spec.promptParts);
   }
 }
 
@@ -59,14 +73,16 @@
   this->DrainLocalOffers(aNow);
 }
 
-void Dispatcher::OnSuspicions(TimePoint aNow, const std::vector<Suspicion>& aSuspicions)
+void Dispatcher::OnSuspicions(TimePoint aNow, const std::vector<Suspicion>& aSuspicions,
+                              SuspectKind aKind)
 {
-  this->crashes.OnSuspicions(aNow, aSuspicions);
+  this->crashes.OnSuspicions(aNow, aSuspicions, aKind);
   this->ApplyVerdicts(aNow);
   this->DrainLocalOffers(aNow);
 }
 
-// Reports new suspicions and gives up queued calls whose requests are now refused.
+// Reports new suspicions and gives up calls whose requests are now refused: queued ones, and
+// running ones with a refused part, as an endpoint crashes when it begins the answer.
 void Dispatcher::ApplyVerdicts(TimePoint aNow)
 {
   for (const SuspectUpdate& news : this->crashes.TakeUpdates()) {
@@ -74,14 +90,18 @@
     if (news.verdict != Verdict::kRefused) {
       continue;
     }
-    std::vector<CallNumber> waiting;
+    std::vector<CallNumber> refused;
     for (const auto& [number, call] : this->calls) {
-      if (call.stage == Stage::kQueued && call.spec.fingerprint == news.suspicion.fingerprint) {
-        waiting.push_back(number);
+      const bool hasBegun =
+        call.stage == Stage::kRunning && (call.hasFirstEvent || news.kind == SuspectKind::kRequest);
+      if (!hasBegun && !call.isTrial && IsAbout(news, call.spec)) {
+        refused.push_back(number);
       }
     }
-    for (const CallNumber number : waiting) {
-      this->GiveUp(aNow, number, GiveUpReason::kSuspect);
+    for (const CallNumber number : refused) {
+      if (this->calls.contains(number)) {
+        this->GiveUp(aNow, number, GiveUpReason::kSuspect);
+      }
     }
   }
 }
--- a/src/direct/messages.h
+++ b/src/direct/messages.h
@@ -190,12 +190,13 @@
   std::vector<MoveState> moves;             // version moves in progress or recently ended
   std::vector<EndpointIncarnation> leaving; // recently announced to the sender
   std::vector<Suspicion> suspicions;        // requests during which endpoints crashed
+  std::vector<Suspicion> partSuspicions;    // parts of prompts in such requests
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
     aArchive(sentAtUs, echoUs, configOffset, configAgeMs, endpointsHash, endpointsAgeMs, readsStore,
-             usageSavedAgeMs, usages, windowUsages, moves, leaving, suspicions);
+             usageSavedAgeMs, usages, windowUsages, moves, leaving, suspicions, partSuspicions);
   }
 
   friend bool operator==(const EntryState&, const EntryState&) = default;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -18,8 +18,8 @@
 using std::chrono::seconds;
 
 constexpr Duration kDefaultDeadline = seconds(60); // if neither caller nor route sets one
-// Crashes during one request before it is saved in the platform's store. A single crash has many
-// bystanders, which are soon cleared.
+// Crashes during one request before it is told at once and saved in the platform's store. A single
+// crash has many bystanders, which are soon cleared.
 constexpr std::size_t kMinCrashesToPersist = 2;
 
 std::string_view ReasonPhrase(std::uint16_t aStatus)
@@ -57,6 +57,13 @@
   return std::to_string(aTime / milliseconds(1));
 }
 
+std::size_t UnclearedCrashes(const Suspicion& aSuspicion)
+{
+  return static_cast<std::size_t>(
+    std::count_if(aSuspicion.crashes.begin(), aSuspicion.crashes.end(),
+                  [](const SuspectedCrash& aCrash) { return !aCrash.isCleared; }));
+}
+
 std::uint64_t FingerprintOf(const CallerRequest& aRequest, const direct::AccountSpec* aAccount,
                             std::string_view aBody)
 {
@@ -348,6 +355,7 @@
                { "call", std::to_string(aCall) },
                { "fingerprint", std::to_string(flow.spec.fingerprint) },
                { "parts", HexList(flow.spec.promptParts) },
+               { "trial", this->dispatcher.IsTrial(aCall) ? "true" : "false" },
                { "attempt", std::to_string(this->dispatcher.AttemptsOf(aCall)) },
                { "endpoint", aEndpoint.id },
                { "born_ms", std::to_string(aEndpoint.bornMs) },
@@ -448,21 +456,28 @@
 void Gateway::OnSuspect(const direct::SuspectUpdate& aNews)
 {
   const bool isRefused = aNews.verdict == Verdict::kRefused;
+  const bool isPart = aNews.kind == direct::SuspectKind::kPromptPart;
   if (aNews.isLocal || isRefused) {
     LogEvent(isRefused ? LogLevel::kWarning : LogLevel::kInfo, "suspect",
-             { { "fingerprint", std::to_string(aNews.suspicion.fingerprint) },
+             { { "kind", isPart ? "part" : "request" },
+               { "fingerprint", isPart ? HexList({ aNews.suspicion.fingerprint })
+                                       : std::to_string(aNews.suspicion.fingerprint) },
                { "crashes", std::to_string(aNews.suspicion.crashes.size()) },
+               { "uncleared", std::to_string(UnclearedCrashes(aNews.suspicion)) },
                { "refused", isRefused ? "true" : "false" },
                { "source", aNews.isLocal ? "own" : "told" },
                { "forget_ms", MillisecondsText(aNews.suspicion.forgetAfter) } });
   }
-  if (!aNews.isLocal || aNews.suspicion.crashes.size() < kMinCrashesToPersist) {
+  // A part that is no longer refused is told too. Other parts are cleared by the next answer.
+  const bool isImportant =
+    isPart ? isRefused || aNews.wasRefused : aNews.suspicion.crashes.size() >= kMinCrashesToPersist;
+  if (!aNews.isLocal || !isImportant) {
     return;
   }
   this->hasUrgentState = true;
   if (this->suspectStore != nullptr) {
     this->suspectStore->SaveSuspicion(
-      { this->clock.Read().wall.time_since_epoch().count(), aNews.suspicion });
+      { aNews.kind, this->clock.Read().wall.time_since_epoch().count(), aNews.suspicion });
   }
 }
 
--- a/src/gateway/gateway_peers.cpp
+++ b/src/gateway/gateway_peers.cpp
@@ -121,7 +121,8 @@
   }
   this->dispatcher.SetBannedVersions(now, this->moves.RolledBackVersions());
   this->dispatcher.OnLeaving(now, aState.leaving);
-  this->dispatcher.OnSuspicions(now, aState.suspicions);
+  this->dispatcher.OnSuspicions(now, aState.suspicions, direct::SuspectKind::kRequest);
+  this->dispatcher.OnSuspicions(now, aState.partSuspicions, direct::SuspectKind::kPromptPart);
   TimePoint notBefore{ Duration(aState.echoUs) };
   if (notBefore > now) {
     // The echo predates a restart: after a power loss the VM's steady clock starts anew, so the age
@@ -168,13 +169,11 @@
 void Gateway::RestoreSuspects(const std::vector<direct::SavedSuspicion>& aSaved)
 {
   const std::int64_t wallMs = this->clock.Read().wall.time_since_epoch().count();
-  std::vector<Suspicion> suspicions;
   for (const direct::SavedSuspicion& saved : aSaved) {
-    suspicions.push_back(saved.suspicion);
-    suspicions.back().forgetAfter -=
-      milliseconds(std::max<std::int64_t>(wallMs - saved.savedAtMs, 0));
+    Suspicion suspicion = saved.suspicion;
+    suspicion.forgetAfter -= milliseconds(std::max<std::int64_t>(wallMs - saved.savedAtMs, 0));
+    this->dispatcher.OnSuspicions(this->Now(), { suspicion }, saved.kind);
   }
-  this->dispatcher.OnSuspicions(this->Now(), suspicions);
   this->AfterInput();
 }
 
@@ -257,7 +256,8 @@
     return this->dispatcher.RunningElsewhere(aService, aVersion);
   });
   state.leaving = this->dispatcher.RecentlyLeaving(now);
-  state.suspicions = this->dispatcher.SuspicionsToShare(now);
+  state.suspicions = this->dispatcher.SuspicionsToShare(now, direct::SuspectKind::kRequest);
+  state.partSuspicions = this->dispatcher.SuspicionsToShare(now, direct::SuspectKind::kPromptPart);
   state.usageSavedAgeMs = static_cast<std::uint32_t>(
     std::clamp<std::int64_t>(this->quota.TimeSinceSave(now) / milliseconds(1), 0, 3600000));
   state.usages = this->quota.LocalUsage();
--- a/tests/direct/crash_watch_test.cpp
+++ b/tests/direct/crash_watch_test.cpp
@@ -51,7 +51,7 @@
   this->Crash(this->watch, kSecond, 7);
   this->Crash(this->watch, kSecondRestarted, 7);
   BOOST_TEST((this->watch.Judge(this->now, 7) == Verdict::kRefused));
-  BOOST_TEST((this->watch.ForgetAfter(this->now, 7) == this->options.suspectTime));
+  BOOST_TEST((this->watch.RefusedFor(this->now, 7) == this->options.suspectTime));
 }
 
 BOOST_AUTO_TEST_CASE(attempt_lost_after_the_death_is_known_counts)
@@ -129,6 +129,94 @@
   BOOST_TEST(updates[0].isLocal);
 }
 
+constexpr std::uint64_t kBadPart = 0xbad;
+constexpr std::uint64_t kCompanion = 0xc0;
+
+// Requests of their own with a part that crashes endpoints and a part that sound requests share.
+struct PartFixture : Fixture
+{
+  void CrashWithPart(const std::vector<std::uint64_t>& aParts)
+  {
+    const EndpointIncarnation endpoint{ ++this->endpointCount, 1000 };
+    this->watch.OnAttemptLost(this->now, endpoint, this->endpointCount + 1000, aParts);
+    this->watch.OnDied(this->now, endpoint);
+  }
+  Verdict JudgePart(std::uint64_t aPart) const
+  {
+    return this->watch.Judge(this->now, 1, { aPart });
+  }
+  // Requests with the part over a minute; returns how many of them may run.
+  int Trials(std::uint64_t aPart)
+  {
+    int count = 0;
+    for (int request = 0; request < 600; request++) {
+      this->now += std::chrono::milliseconds(100);
+      count += this->watch.TakeTrial(this->now, 1, { aPart }, kEntryCount, this->random) ? 1 : 0;
+    }
+    return count;
+  }
+
+  static constexpr std::uint32_t kEntryCount = 3;
+  Random random{ 1 };
+  std::uint64_t endpointCount = 0;
+};
+
+BOOST_FIXTURE_TEST_CASE(a_part_is_refused_in_any_request, PartFixture)
+{
+  this->CrashWithPart({ kBadPart });
+  this->CrashWithPart({ 5, kBadPart });
+  BOOST_TEST((this->JudgePart(kBadPart) == Verdict::kExclusive));
+  this->CrashWithPart({ kBadPart, 6 });
+  BOOST_TEST((this->JudgePart(kBadPart) == Verdict::kRefused));
+  BOOST_TEST((this->JudgePart(5) == Verdict::kExclusive));
+  BOOST_TEST((this->JudgePart(7) == Verdict::kClear));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_complete_answer_clears_the_parts_of_its_request, PartFixture)
+{
+  for (int crash = 0; crash < 3; crash++) {
+    this->CrashWithPart({ kCompanion, kBadPart });
+  }
+  this->watch.OnAnswered(this->now, 1, { kCompanion, 9 });
+  BOOST_TEST((this->JudgePart(kCompanion) == Verdict::kClear));
+  BOOST_TEST((this->JudgePart(kBadPart) == Verdict::kRefused));
+  CrashWatch other(this->options);
+  for (const SuspectKind kind : kSuspectKinds) {
+    other.OnSuspicions(this->now, this->watch.ToShare(this->now, kind), kind);
+  }
+  BOOST_TEST((other.Judge(this->now, 1, { kCompanion }) == Verdict::kClear));
+  BOOST_TEST((other.Judge(this->now, 1, { kBadPart }) == Verdict::kRefused));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_refused_part_is_tried_until_it_has_crashed_enough_endpoints, PartFixture)
+{
+  for (int crash = 0; crash < 3; crash++) {
+    this->CrashWithPart({ kBadPart });
+  }
+  const int trials = this->Trials(kBadPart);
+  const auto expected = static_cast<int>(minutes(1) / (this->options.trialPeriod * kEntryCount));
+  BOOST_TEST(trials >= expected / 2);
+  BOOST_TEST(trials <= expected * 2);
+  this->CrashWithPart({ kBadPart });
+  this->CrashWithPart({ kBadPart });
+  BOOST_TEST(this->Trials(kBadPart) == 0);
+}
+
+// Without its own trial, the sound part of such a pair is refused until it expires.
+BOOST_FIXTURE_TEST_CASE(of_two_parts_at_the_same_crashes_each_is_tried_alone, PartFixture)
+{
+  for (int crash = 0; crash < 8; crash++) {
+    this->CrashWithPart({ kCompanion, kBadPart });
+  }
+  BOOST_TEST(
+    !this->watch.TakeTrial(this->now, 1, { kCompanion, kBadPart }, kEntryCount, this->random));
+  BOOST_TEST(this->Trials(kCompanion) > 0);
+  BOOST_TEST(this->Trials(kBadPart) > 0);
+  this->CrashWithPart({ kBadPart });
+  BOOST_TEST(this->Trials(kCompanion) > 0);
+  BOOST_TEST(this->Trials(kBadPart) == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace caraway::direct
--- a/tests/direct/dispatcher_test.cpp
+++ b/tests/direct/dispatcher_test.cpp
@@ -449,6 +449,27 @@
   BOOST_TEST(this->dispatcher->CallCount() == 2U);
 }
 
+BOOST_AUTO_TEST_CASE(calls_that_have_not_begun_end_when_a_part_of_their_prompt_is_refused)
+{
+  this->ListEndpoints(1, false, 1);
+  for (CallNumber number = 1; number <= 4; number++) {
+    CallSpec spec = this->Spec(number);
+    spec.promptParts = { 6, number == 4 ? 8U : 7U };
+    this->dispatcher->Submit(this->now, spec);
+  }
+  this->dispatcher->OnFirstEvent(this->now, 1);
+  BOOST_REQUIRE(this->dispatcher->EndpointOf(2) != nullptr);
+  BOOST_REQUIRE(this->dispatcher->EndpointOf(3) == nullptr);
+  this->dispatcher->OnSuspicions(
+    this->now, { { 7, { { 1, false }, { 2, false }, { 3, false } }, seconds(60) } },
+    SuspectKind::kPromptPart);
+  BOOST_REQUIRE(this->port.givenUp.size() == 2U);
+  BOOST_TEST((this->port.givenUp[0].second == GiveUpReason::kSuspect));
+  BOOST_TEST(this->dispatcher->EndpointOf(1) != nullptr);
+  BOOST_TEST(this->dispatcher->EndpointOf(2) == nullptr);
+  BOOST_TEST(this->dispatcher->EndpointOf(4) != nullptr);
+}
+
 BOOST_AUTO_TEST_CASE(a_broken_suspect_is_not_retried_automatically)
 {
   this->ListEndpoints(3, false);
