Keep refused suspects when the table of suspects is full

Cause: the table evicts its oldest fingerprint. Bystanders of later crashes displace one that is refused, and its requests crash endpoints again until it is found out anew. Change: refused suspects give way only to each other. Measured: suspect/a_full_table_keeps_refused_fingerprints, red before (the fingerprint is clear after 99 bystanders), green after.

--- a/src/core/suspect.cpp
+++ b/src/core/suspect.cpp
@@ -129,7 +129,25 @@
   return std::max(found->second.forgetAt - aNow, Duration::zero());
 }
 
-// Finds the suspect of a fingerprint or adds it, evicting the oldest ones if the table is full.
+// Evicts the oldest suspects while the table is full, refused ones only if there are no others.
+void SuspectTable::MakeRoom(TimePoint aNow)
+{
+  std::size_t sparedCount = 0;
+  while (this->suspects.size() >= this->capacity && !this->insertionOrder.empty()) {
+    const std::uint64_t oldest = this->insertionOrder.front();
+    this->insertionOrder.pop_front();
+    const bool isSpared =
+      sparedCount < this->insertionOrder.size() && this->Judge(aNow, oldest) == Verdict::kRefused;
+    if (isSpared) {
+      sparedCount++;
+      this->insertionOrder.push_back(oldest);
+    } else {
+      this->suspects.erase(oldest);
+    }
+  }
+}
+
+// Finds the suspect of a fingerprint or adds it.
 Suspect& SuspectTable::FindOrAdd(TimePoint aNow, std::uint64_t aFingerprint)
 {
   const auto found = this->suspects.find(aFingerprint);
@@ -137,10 +155,7 @@
     return found->second;
   }
   this->Expire(aNow);
-  while (this->suspects.size() >= this->capacity && !this->insertionOrder.empty()) {
-    this->suspects.erase(this->insertionOrder.front());
-    this->insertionOrder.pop_front();
-  }
+  this->MakeRoom(aNow);
   this->insertionOrder.push_back(aFingerprint);
   Suspect& suspect = this->suspects[aFingerprint];
   suspect = Suspect{ {}, aNow + this->retention };
--- a/src/core/suspect.h
+++ b/src/core/suspect.h
@@ -61,6 +61,7 @@
 
 private:
   Suspect& FindOrAdd(TimePoint aNow, std::uint64_t aFingerprint);
+  void MakeRoom(TimePoint aNow);
   void Expire(TimePoint aNow);
 
   std::uint32_t capacity;
--- a/tests/core/suspect_test.cpp
+++ b/tests/core/suspect_test.cpp
@@ -52,6 +52,26 @@
   BOOST_TEST((table.Judge(TimePoint{ seconds(2) }, 100) == Verdict::kExclusive));
 }
 
+// Bystanders of many crashes displaced a fingerprint that was refused before them.
+BOOST_AUTO_TEST_CASE(a_full_table_keeps_refused_fingerprints)
+{
+  SuspectTable table(10, minutes(10));
+  const TimePoint now{ seconds(1) };
+  table.OnCrash(now, 1, 100);
+  table.OnCrash(now, 1, 101);
+  for (std::uint64_t bystander = 2; bystander <= 100; bystander++) {
+    table.OnCrash(now, bystander, 102);
+  }
+  BOOST_TEST(table.Size() == 10U);
+  BOOST_TEST((table.Judge(now, 1) == Verdict::kRefused));
+  for (std::uint64_t refused = 101; refused <= 200; refused++) {
+    table.OnCrash(now, refused, 103);
+    table.OnCrash(now, refused, 104);
+  }
+  BOOST_TEST(table.Size() == 10U);
+  BOOST_TEST((table.Judge(now, 200) == Verdict::kRefused));
+}
+
 BOOST_AUTO_TEST_CASE(remote_reports_count_once)
 {
   SuspectTable table(3, minutes(10));
