Report the end of a connection whose last bytes fill the read buffer

Callers saw: nothing yet; an answer with neither length nor chunks whose last bytes fill the 64 KiB buffer hung until its deadline. Found by the test of such answers. Cause: a read loop that got data and then the end marked the input as ended and stopped watching for it before the end was reported, which is left to the next readiness event. That event never comes for a half-closed connection. Change: after data, the end is not marked, so the next event reads it again. A reset that follows data is still reported by its own event, as an error is read only once.

--- a/src/runtime/tcp_socket.cpp
+++ b/src/runtime/tcp_socket.cpp
@@ -182,7 +182,8 @@
       continue;
     }
     if (count == 0) {
-      this->hasInputEnded = true;
+      // After data the end is read again, because the socket would not signal it any more.
+      this->hasInputEnded = total == 0;
     } else if (errno == EINTR) {
       continue;
     } else if (errno != EAGAIN && errno != EWOULDBLOCK) {
