Treat a stream that ends inside an event as broken off

Callers saw: a stream whose endpoint ends it inside an event, with any framing that is complete by itself (end of the connection, last chunk, length), looked complete and ended with a part of an event. Cause: the end of a stream was judged by its framing alone; the rest after the last whole event was passed on. Change: a stream with a partial event at its end is a broken attempt. A resumable one goes on at another endpoint after its last whole event, others are cut. Blank lines after the last event are no partial event.

No functional change for streams that end between events

--- a/src/gateway/event_splitter.h
+++ b/src/gateway/event_splitter.h
@@ -16,6 +16,11 @@
   std::string Add(std::string_view aData);
   // Bytes after the last complete event.
   const std::string& PartialEvent() const { return this->partialEvent; }
+  // True if the partial event has more than blank lines: a body that ends here was broken off.
+  bool IsInsideEvent() const
+  {
+    return this->partialEvent.find_first_not_of("\r\n") != std::string::npos;
+  }
   void DropPartialEvent() { this->partialEvent.clear(); }
   // The last numeric event ID seen in a complete event.
   std::optional<std::uint64_t> LastId() const { return this->lastId; }
--- a/src/gateway/flow.cpp
+++ b/src/gateway/flow.cpp
@@ -196,6 +196,9 @@
   if (aEnd != ExchangeEnd::kComplete || this->kind == ResponseKind::kInvalid) {
     return AttemptEnd::kBroken;
   }
+  if (this->kind == ResponseKind::kSuccess && this->IsStream() && this->events.IsInsideEvent()) {
+    return AttemptEnd::kBroken;
+  }
   return this->kind == ResponseKind::kSuccess ? AttemptEnd::kAnswered : AttemptEnd::kFailed;
 }
 
--- a/tests/gateway/event_splitter_test.cpp
+++ b/tests/gateway/event_splitter_test.cpp
@@ -26,6 +26,20 @@
   BOOST_TEST(events.LastId().value() == 8U);
 }
 
+BOOST_AUTO_TEST_CASE(blank_lines_after_an_event_are_not_inside_an_event)
+{
+  EventSplitter events;
+  BOOST_TEST(!events.IsInsideEvent());
+  events.Add("data: a\n\n\r\n");
+  BOOST_TEST(!events.IsInsideEvent());
+  events.Add("d");
+  BOOST_TEST(events.IsInsideEvent());
+  events.Add("ata: b\n");
+  BOOST_TEST(events.IsInsideEvent());
+  events.Add("\n");
+  BOOST_TEST(!events.IsInsideEvent());
+}
+
 // However the input is split, the emitted events and the remainder add up to the input.
 BOOST_AUTO_TEST_CASE(output_and_remainder_equal_the_input)
 {
