--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -59,6 +59,13 @@
     def content(self, kind):
         return str(self.count), b"" if kind == "safe" else f"{self.name} asks {self.count}".encode()
 
+    def parts(self, request):
+        """The parts of the prompt, the last one its own; none where no part crashes endpoints."""
+        if not self.world.has_tainted:
+            return []
+        request.is_sound = True
+        return [("Prompt-Prefix", f"{ledger.SHARED_PART}:60,{ledger.digest(request.id.encode())}:40")]
+
     async def ask(self, route, prefix, time_left):
         """One request; the time to wait before the next where it was refused."""
         if self.connection is None and not await self.connect():
@@ -98,6 +105,7 @@
         if kind == "stream":
             prompt = self.world.random.randrange(50, 3000)
             headers += [("Token-Counts", f"{prompt},{self.world.random.randrange(1, 30)}")]
+            headers += self.parts(request)
         if request.body:
             headers += [("Content-Length", str(len(request.body)))]
         sent = self.connection.send(
@@ -154,6 +162,9 @@
     def content(self, kind):
         return "crash", ledger.CRASH_BODY
 
+    def parts(self, request):
+        return []
+
     async def run(self):
         while not self.world.is_over:
             await asyncio.sleep(self.world.random.uniform(0.2, 0.8))
@@ -161,3 +172,14 @@
                 if route["name"] == self.route:
                     await self.ask(self.route, route["path-prefix"], 3.0)
             self.drop()
+
+
+class TaintedCaller(CrashingCaller):
+    """Requests of their own that have a part of their prompts in common, which crashes endpoints."""
+
+    def content(self, kind):
+        return Caller.content(self, kind)
+
+    def parts(self, request):
+        parts = (ledger.SHARED_PART, ledger.CRASH_PART, ledger.digest(request.id.encode()))
+        return [("Prompt-Prefix", ",".join(f"{part}:50" for part in parts))]
--- a/tests/soak/endpoints.py
+++ b/tests/soak/endpoints.py
@@ -169,8 +169,9 @@
         head = {"Request-Id": call.head["request-id"], "Response-Stamp": stamp}
         run.broken = True
         try:
-            if call.body == ledger.CRASH_BODY:
-                self.world.ledger.on_crash(call.target, self.id)
+            culprit = self.world.ledger.culprit(call.head, call.target, call.body)
+            if culprit is not None:
+                self.world.ledger.on_crash(culprit, self.id)
                 return await self.crash_under(call)
             if self.world.random.random() < self.failure_share:
                 run.status = 500
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -17,8 +17,13 @@
 BUDGET_RATIO, BUDGET_EXTRA, BUDGET_WINDOW = 0.2, 56, 10.0
 QUOTA_WINDOW, QUOTA_OVERAGE, QUOTA_SLACK = 8.0, 0.1, 40
 DENIED_SLACK = 0.3  # seconds for a request's way and the timers of a busy machine
-MOST_CRASHES = 3  # of endpoints under one request, and of its sends later than STABLE after that
+MOST_CRASHES = 3  # of endpoints under one request
+MOST_PART_CRASHES = 5  # of endpoints under requests with one part of their prompts
+MOST_LATE_SENDS = 3  # later than STABLE after that
 CRASH_BODY = b"crash"
+CRASH_PART = "bad0bad0"
+SHARED_PART = "50a4ed"  # in crashing and sound requests
+FEWEST_SOUND = 20  # requests with the shared part before their refusals count
 CRASH_UNDER = "crash under a request"
 PROMISES = (408, 421, 429, 503)  # statuses that say "not run"
 MOST_FINDINGS = 40
@@ -40,6 +45,7 @@
     key: str
     entry: str
     deadline: float
+    is_sound: bool = False  # shares a part of its prompt with requests that crash endpoints
     sent: float = 0.0  # the last byte was written
     status: int = 0  # final answer; 0: none
     answered: float = 0.0
@@ -64,8 +70,9 @@
 class Ledger:
     def __init__(self, log, begun):
         self.log = log
-        self.crashes = collections.defaultdict(list)  # times, by path
-        self.late_sends = collections.Counter()  # by path
+        self.crashes = collections.defaultdict(list)  # times, by path or part
+        self.late_sends = collections.Counter()  # by path or part
+        self.sound = collections.Counter()  # requests with the shared part, by whether they are refused for it
         self.begun = begun
         self.requests = {}
         self.findings = []
@@ -161,8 +168,9 @@
         is_long = int(head.get("deadline-ms", "0")) > (request.deadline - now) * 1000 + 500
         if is_long and self.in_touch(request.entry, request.sent or now, now):
             self.find("BUDGET", f"{request.id} has {head.get('deadline-ms')} ms at {endpoint}, more than is left")
-        if body == CRASH_BODY:
-            self.check_crashing(request, endpoint, now)
+        culprit = self.culprit(head, path, body)
+        if culprit is not None:
+            self.check_crashing(request, culprit, endpoint, now)
         self.arrivals[service].append((now, request.arrivals > 0))
         request.arrivals += 1
         left = self.left.get(endpoint)
@@ -176,23 +184,42 @@
         request.runs.append(run)
         return run
 
-    def on_crash(self, path, endpoint):
-        self.crashes[path].append(time.monotonic())
-        self.counts[f"crashes under {path}"] += 1
+    @staticmethod
+    def culprit(head, path, body):
+        """What in a request crashes endpoints: the request itself, known by its path, or a part of its prompt."""
+        if body == CRASH_BODY:
+            return path
+        return CRASH_PART if CRASH_PART in head.get("prompt-prefix", "") else None
+
+    def on_crash(self, culprit, endpoint):
+        self.crashes[culprit].append(time.monotonic())
+        self.counts[f"crashes under {culprit}"] += 1
         self.end(self.begin("all", CRASH_UNDER))
-        self.log(f"{path} crashes {endpoint}")
+        self.log(f"{culprit} crashes {endpoint}")
 
-    def check_crashing(self, request, endpoint, now):
-        """A request under which endpoints crashed reaches hardly any more of them."""
-        crashes = self.crashes[request.path]
-        if len(crashes) < MOST_CRASHES:
-            return
-        since = crashes[MOST_CRASHES - 1] + STABLE
+    def bound_since(self, culprit):
+        """When hardly any more of the culprit may reach endpoints; None: not yet."""
+        crashes = self.crashes[culprit]
+        most = MOST_PART_CRASHES if culprit == CRASH_PART else MOST_CRASHES
+        return crashes[most - 1] + STABLE if len(crashes) >= most else None
+
+    def check_crashing(self, request, culprit, endpoint, now):
+        since = self.bound_since(culprit)
         names = (request.entry, "store", "all")
-        if (request.sent or now) > since and self.is_calm(names, now, now, (CRASH_UNDER,)):
-            self.late_sends[request.path] += 1
-            if self.late_sends[request.path] > MOST_CRASHES:
-                self.find("BUDGET", f"{request.path} reached {endpoint} after {len(crashes)} crashes")
+        if since is not None and (request.sent or now) > since and self.is_calm(names, now, now, (CRASH_UNDER,)):
+            self.late_sends[culprit] += 1
+            if self.late_sends[culprit] > MOST_LATE_SENDS:
+                self.find("BUDGET", f"{culprit} reached {endpoint} after {len(self.crashes[culprit])} crashes")
+
+    def check_sound(self, request, status, body):
+        """Sound requests are served though crashing ones share a part of their prompt."""
+        since = self.bound_since(CRASH_PART)
+        if not request.is_sound or since is None or request.sent < since + STABLE:
+            return
+        self.sound["refused" if status == 503 and b"suspect" in body else "other"] += 1
+        refused, total = self.sound["refused"], self.sound.total()
+        if total >= FEWEST_SOUND and 2 * refused > total:
+            self.find("LOST", f"{refused} of {total} sound requests refused for a part that crashing ones share")
 
     def check_run(self, request, endpoint, service, head, now):
         kind = request.route.split("-")[0]
@@ -230,6 +257,7 @@
         request.status = status
         request.answered = time.monotonic()
         self.counts[status] += 1
+        self.check_sound(request, status, body)
         echo = head.get("request-id")
         if echo is not None and echo != request.id:
             self.find("MIXED", f"{request.id} got the answer of {echo}")
--- a/tests/soak/main.py
+++ b/tests/soak/main.py
@@ -31,6 +31,7 @@
     parser.add_argument("--services", type=int, default=2, help="endpoints of each of the two services")
     parser.add_argument("--callers", type=int, default=40)
     parser.add_argument("--crashers", type=int, default=0, help="callers whose request crashes endpoints")
+    parser.add_argument("--tainted", type=int, default=0, help="callers whose prompts share a part that crashes endpoints")
     parser.add_argument("--series", type=int, default=3, help="of faults side by side")
     parser.add_argument("--generation", type=int, default=faults.GENERATION, help="of the kinds of fault; see faults.py")
     parser.add_argument("--logs", help="folder for the logs of runs with findings")
@@ -41,7 +42,7 @@
 def run_one(options):
     folder = options.logs
     os.makedirs(folder, exist_ok=True)
-    sizes = {name: getattr(options, name) for name in ("entries", "engines", "services", "callers", "crashers")}
+    sizes = {name: getattr(options, name) for name in ("entries", "engines", "services", "callers", "crashers", "tainted")}
 
     async def play():
         played = world.World(options.seed, sizes, os.path.abspath(options.program), folder)
@@ -65,7 +66,7 @@
 def play_all(options, seeds, logs):
     """Runs the seeds, some at a time, each in a process of its own; returns those with findings."""
     running, bad, started = {}, [], 0
-    passed = ["program", "seconds", "entries", "engines", "services", "callers", "crashers", "series", "generation"]
+    passed = ["program", "seconds", "entries", "engines", "services", "callers", "crashers", "tainted", "series", "generation"]
     try:
         while seeds or running:
             while seeds and len(running) < options.jobs:
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -66,6 +66,11 @@
             callers.CrashingCaller(f"x{number}", self.keys[-1], self, ("stream-chat", "unsafe-order")[number % 2])
             for number in range(sizes["crashers"])
         ]
+        self.has_tainted = sizes["tainted"] > 0
+        self.callers += [
+            callers.TaintedCaller(f"t{number}", self.keys[-1], self, "stream-chat")
+            for number in range(sizes["tainted"])
+        ]
 
     def build(self, sizes, program):
         self.program = program
