Log the evidence with each stage of a move

Change: each entry logs `move_stage` with the runs of both versions over all entries and how many were bad. Measured: version_move/a_stage_change_is_reported_with_its_evidence.

No functional change

--- a/src/direct/move_table.cpp
+++ b/src/direct/move_table.cpp
@@ -35,7 +35,7 @@
     found->second.isStagePending = false;
     found->second.writtenStage = aStage;
     if (aStage && found->second.move.Adopt(*aStage)) {
-      this->RecordStage(aNow, found->second);
+      this->RecordStage(aNow, found->second, false);
     }
   });
   return true;
@@ -113,7 +113,7 @@
     row->second.move.OnPeerState(aNow, aPeer, state);
     if (row->second.move.Adopt(state.stage)) {
       row->second.isStagePending = false;
-      this->RecordStage(aNow, row->second);
+      this->RecordStage(aNow, row->second, false);
     }
   }
   return hasUnknown;
@@ -139,7 +139,7 @@
     }
     const std::uint32_t running = aRunning(service, row.move.Order().version);
     if (row.move.Step(aNow, aIsCoordinator, running)) {
-      this->RecordStage(aNow, row);
+      this->RecordStage(aNow, row, true);
     }
     if (aIsCoordinator && this->log != nullptr && row.writtenStage != row.move.Stage()) {
       row.writtenStage = row.move.Stage();
@@ -148,8 +148,10 @@
   }
 }
 
-void MoveTable::RecordStage(TimePoint aNow, Row& aRow)
+void MoveTable::RecordStage(TimePoint aNow, Row& aRow, bool aIsOwn)
 {
+  const VersionMove& move = aRow.move;
+  this->changes.push_back({ move.Order(), move.Stage(), move.Total(), aIsOwn });
   if (aRow.move.IsOver()) {
     aRow.endedAt = aNow;
   }
--- a/src/direct/move_table.h
+++ b/src/direct/move_table.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace caraway::direct {
@@ -25,6 +26,15 @@
   virtual void WriteStage(const MoveOrder& aOrder, MoveStage aStage) = 0;
 };
 
+// A move entered a stage, by this entry's decision or another one's.
+struct StageChange
+{
+  MoveOrder order;
+  MoveStage stage = MoveStage::kCanary;
+  MoveEvidence evidence; // known to this entry at that moment
+  bool isOwn = false;
+};
+
 class MoveTable
 {
 public:
@@ -53,6 +63,9 @@
   // persists the stages.
   void Step(TimePoint aNow, bool aIsCoordinator, const OldRunningCounter& aRunning);
 
+  // Returns the changes since the last call.
+  std::vector<StageChange> TakeChanges() { return std::exchange(this->changes, {}); }
+
   // Rolled-back versions by service, which get no more calls.
   std::map<std::string, std::string> RolledBackVersions() const;
 
@@ -68,13 +81,14 @@
   };
 
   void FindVersions(const std::string& aService, Row& aRow) const;
-  void RecordStage(TimePoint aNow, Row& aRow);
+  void RecordStage(TimePoint aNow, Row& aRow, bool aIsOwn);
 
   VersionMoveOptions options;
   MoveLog* log = nullptr;
   std::map<std::string, EndpointInfo> endpoints;
   std::uint32_t entryCount = 1;
   std::map<std::string, Row> rows; // by service
+  std::vector<StageChange> changes;
 };
 
 } // namespace caraway::direct
--- a/src/direct/version_move.cpp
+++ b/src/direct/version_move.cpp
@@ -136,7 +136,7 @@
     return this->IsOldVersionIdle(aNow, aOldRunning) && this->Adopt(MoveStage::kCompleted);
   }
   if (aNow >= this->start + this->order.duration - shift &&
-      this->NewRuns() >= this->options.minNewRuns) {
+      this->Total().newRuns.ended >= this->options.minNewRuns) {
     return this->Adopt(MoveStage::kShift);
   }
   // Rolls back if there is too little evidence at the end of the duration.
@@ -162,9 +162,9 @@
 }
 
 // Evidence by route; key 0 holds the total of all routes.
-std::map<std::uint64_t, VersionMove::EvidencePair> VersionMove::Sum() const
+std::map<std::uint64_t, MoveEvidence> VersionMove::Sum() const
 {
-  std::map<std::uint64_t, EvidencePair> sum;
+  std::map<std::uint64_t, MoveEvidence> sum;
   const auto add = [&](const VersionEvidence& aRow) {
     for (const std::uint64_t route : { std::uint64_t{ 0 }, aRow.route }) {
       Accumulate(aRow.isNew ? sum[route].newRuns : sum[route].oldRuns, aRow);
@@ -184,18 +184,16 @@
 {
   const auto sum = this->Sum();
   return std::any_of(sum.begin(), sum.end(), [](const auto& aRow) {
-    const EvidencePair& pair = aRow.second;
+    const MoveEvidence& pair = aRow.second;
     // Times are compared per route only.
     return HasHigherFailureRate(pair.newRuns, pair.oldRuns) ||
            (aRow.first != 0 && IsSlower(pair.newRuns, pair.oldRuns));
   });
 }
 
-std::uint32_t VersionMove::NewRuns() const
+MoveEvidence VersionMove::Total() const
 {
-  const auto sum = this->Sum();
-  const auto all = sum.find(0);
-  return all == sum.end() ? 0 : all->second.newRuns.ended;
+  return this->Sum()[0];
 }
 
 // True if no entry has calls at the old version and none will start one.
--- a/src/direct/version_move.h
+++ b/src/direct/version_move.h
@@ -82,6 +82,13 @@
   Duration peerTimeout = std::chrono::milliseconds(1500); // after which an entry is ignored
 };
 
+// Evidence of both versions.
+struct MoveEvidence
+{
+  VersionEvidence oldRuns;
+  VersionEvidence newRuns;
+};
+
 // Version constraints of a call.
 struct VersionChoice
 {
@@ -108,6 +115,8 @@
   bool Adopt(MoveStage aStage);
 
   MoveState State(std::uint32_t aOldRunning) const;
+  // Evidence of all entries on all routes.
+  MoveEvidence Total() const;
   const MoveOrder& Order() const { return this->order; }
   MoveStage Stage() const { return this->stage; }
   bool IsOver() const { return this->stage >= MoveStage::kCompleted; }
@@ -119,16 +128,8 @@
     TimePoint heardAt{};
     MoveState state;
   };
-  // Evidence of both versions on one route.
-  struct EvidencePair
-  {
-    VersionEvidence oldRuns;
-    VersionEvidence newRuns;
-  };
-
-  std::map<std::uint64_t, EvidencePair> Sum() const;
+  std::map<std::uint64_t, MoveEvidence> Sum() const;
   bool IsBad() const;
-  std::uint32_t NewRuns() const;
   bool IsOldVersionIdle(TimePoint aNow, std::uint32_t aOldRunning) const;
 
   VersionMoveOptions options;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -192,6 +192,8 @@
   // Reports the end of a run at an endpoint of aVersion.
   void OnRunEnd(const Flow& aFlow, const std::string& aVersion, bool aIsBad, Duration aTime);
   void StepMoves();
+  // Logs the stages that moves have entered, with the evidence.
+  void LogMoveStages();
   void AfterInput();
   TimePoint Now() const { return this->clock.Read().steady; }
 
--- a/src/gateway/gateway_peers.cpp
+++ b/src/gateway/gateway_peers.cpp
@@ -220,6 +220,23 @@
   }
 }
 
+void Gateway::LogMoveStages()
+{
+  for (const direct::StageChange& change : this->moves.TakeChanges()) {
+    const direct::VersionEvidence& newRuns = change.evidence.newRuns;
+    const direct::VersionEvidence& oldRuns = change.evidence.oldRuns;
+    LogEvent(LogLevel::kInfo, "move_stage",
+             { { "service", change.order.service },
+               { "version", change.order.version },
+               { "stage", std::string(ToString(change.stage)) },
+               { "source", change.isOwn ? "own" : "told" },
+               { "new_runs", std::to_string(newRuns.ended) },
+               { "new_bad", std::to_string(newRuns.bad) },
+               { "old_runs", std::to_string(oldRuns.ended) },
+               { "old_bad", std::to_string(oldRuns.bad) } });
+  }
+}
+
 // Any entry stops a failing version; only the store reader decides the other steps and records them
 // in the log.
 void Gateway::StepMoves()
@@ -228,6 +245,7 @@
     return this->dispatcher.RunningElsewhere(aService, aVersion);
   };
   this->moves.Step(this->Now(), this->IsStoreReader(), running);
+  this->LogMoveStages();
   this->dispatcher.SetBannedVersions(this->Now(), this->moves.RolledBackVersions());
 }
 
--- a/tests/direct/version_move_test.cpp
+++ b/tests/direct/version_move_test.cpp
@@ -1,3 +1,4 @@
+#include "direct/move_table.h"
 #include "direct/version_move.h"
 
 #include <boost/test/unit_test.hpp>
@@ -196,6 +197,31 @@
   BOOST_TEST((coordinator.Stage() == MoveStage::kRolledBack));
 }
 
+BOOST_AUTO_TEST_CASE(a_stage_change_is_reported_with_its_evidence)
+{
+  constexpr std::uint32_t kRuns = 24;
+  constexpr std::uint32_t kBadRuns = 6;
+  MoveTable table;
+  const auto noneRunning = [](const auto&, const auto&) { return 0U; };
+  table.SetOrder(this->now, { "pool", "v2", seconds(12), 1 }, true);
+  for (std::uint32_t run = 0; run < kRuns; run++) {
+    const bool isBad = run < kBadRuns;
+    table.OnRunEnd("pool", kRoute, "v1", isBad, kRunTime);
+    table.OnRunEnd("pool", kRoute + run % 2, "v2", isBad, kRunTime);
+  }
+  table.Step(this->now + seconds(1), true, noneRunning);
+  BOOST_TEST(table.TakeChanges().empty());
+  table.Step(this->now + seconds(11), true, noneRunning);
+  const std::vector<StageChange> changes = table.TakeChanges();
+  BOOST_REQUIRE(changes.size() == 1U);
+  BOOST_TEST((changes[0].stage == MoveStage::kShift));
+  BOOST_TEST(changes[0].isOwn);
+  BOOST_TEST(changes[0].evidence.newRuns.ended == kRuns);
+  BOOST_TEST(changes[0].evidence.newRuns.bad == kBadRuns);
+  BOOST_TEST(changes[0].evidence.oldRuns.ended == kRuns);
+  BOOST_TEST(table.TakeChanges().empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace caraway::direct
