--- a/src/direct/crash_watch.cpp
+++ b/src/direct/crash_watch.cpp
@@ -158,6 +158,7 @@
     shared.resize(this->options.maxShared);
   }
   std::vector<Suspicion> result;
+  result.reserve(shared.size());
   for (Shared& row : shared) {
     result.push_back(std::move(row.suspicion));
   }
