Log the request rates that endpoints name

Change: the adapter reads the field into EndpointNotice, NamedRate combines answers that arrive out of order, and entries and agents log endpoint_rate with each change; the state in sent has the rate and its age; metrics caraway_agent_reports_total and caraway_agent_named_rate. Nothing is decided by it yet. Tests: named_rate/*, reads_endpoint_notices. No functional change.

--- a/src/direct/dispatcher.cpp
+++ b/src/direct/dispatcher.cpp
@@ -57,6 +57,7 @@
     } else if (target.info.bornMs != info.bornMs || target.info.sequence < info.sequence) {
       target.health.OnRecovered();
       target.pausedUntil = target.info.bornMs != info.bornMs ? TimePoint{} : target.pausedUntil;
+      target.namedRate = target.info.bornMs != info.bornMs ? NamedRate() : target.namedRate;
     }
     target.info = info;
     target.hasAnnouncedLeaving = this->leaving.Contains(IncarnationOf(id, info.bornMs));
@@ -91,13 +92,16 @@
 }
 
 bool Dispatcher::OnNotice(TimePoint aNow, const std::string& aEndpoint,
-                          const EndpointNotice& aNotice)
+                          const EndpointNotice& aNotice, TimePoint aSentAt)
 {
   const auto found = this->targets.find(aEndpoint);
   if (found == this->targets.end()) {
     return false;
   }
   Target& target = found->second;
+  if (aNotice.isRateKnown) {
+    this->AddRate(aNow, target, { aNotice.maxRate, aSentAt, aNow }, "answer");
+  }
   const bool isNew = (aNotice.isLeaving && !target.hasAnnouncedLeaving) ||
                      (aNotice.rest > Duration::zero() && aNow + aNotice.rest > target.pausedUntil);
   if (!isNew) {
--- a/src/direct/dispatcher.h
+++ b/src/direct/dispatcher.h
@@ -12,6 +12,7 @@
 #include "direct/endpoint_subset.h"
 #include "direct/endpoint_table.h"
 #include "direct/leaving_table.h"
+#include "direct/named_rate.h"
 #include "direct/retry_budget.h"
 #include "direct/slot_queue.h"
 #include "direct/wait_policy.h"
@@ -82,6 +83,9 @@
   virtual void OnEndpointDied(const EndpointInfo& aEndpoint, std::string_view aEvidence,
                               std::size_t aLost) = 0;
   virtual void OnSuspect(const SuspectUpdate& aNews) = 0;
+  // The request rate that the endpoint names has changed; aSource: "answer" or the kind of queue.
+  virtual void OnNamedRate(const EndpointInfo& aEndpoint, std::optional<double> aPerSecond,
+                           std::string_view aSource) = 0;
 };
 
 class Dispatcher
@@ -113,8 +117,10 @@
   // over and the host answers with the result of this attempt.
   bool OnAttemptEnd(TimePoint aNow, CallNumber aCall, AttemptEnd aEnd);
 
-  // An answer of the endpoint carried a notice. Returns whether the notice changed anything.
-  bool OnNotice(TimePoint aNow, const std::string& aEndpoint, const EndpointNotice& aNotice);
+  // An answer of the endpoint to a request sent at aSentAt carried a notice. Returns whether the
+  // endpoint leaves or asks for a pause that was not known.
+  bool OnNotice(TimePoint aNow, const std::string& aEndpoint, const EndpointNotice& aNotice,
+                TimePoint aSentAt);
   // Result of a probe of the endpoint's process that started at aBornMs.
   void OnProbe(TimePoint aNow, const std::string& aEndpoint, std::int64_t aBornMs,
                bool aIsListening);
@@ -187,6 +193,7 @@
     bool isInSubset = true;           // preferred to endpoints outside the entry's subset
     bool hasAnnouncedLeaving = false; // in an answer to this entry or to another one
     TimePoint pausedUntil{};          // the endpoint asked this process to pause
+    NamedRate namedRate;
     TimePoint listedAt{};
     RemoteQueue agent;
     RemoteQueue owner;
@@ -280,6 +287,8 @@
     this->SendTo(aTarget, aTarget.ActiveQueue(), aMessage);
   }
   std::uint32_t LocalLimit(const Target& aTarget) const;
+  void AddRate(TimePoint aNow, Target& aTarget, const RateObservation& aObservation,
+               std::string_view aSource);
   void SendHoldStates(TimePoint aNow);
   void Schedule(Call& aCall);
   void CancelCanary(Call& aCall);
--- a/src/direct/dispatcher_agents.cpp
+++ b/src/direct/dispatcher_agents.cpp
@@ -108,6 +108,11 @@
   if (remote != nullptr) {
     text += ",age:" + std::to_string((aNow - remote->heardAt) / milliseconds(1));
   }
+  if (const std::optional<double> rate = target.namedRate.PerSecond()) {
+    const Duration age = aNow - target.namedRate.Current()->latest;
+    text += ",rate:" + std::to_string(*rate);
+    text += ",rate_age:" + std::to_string(age / milliseconds(1));
+  }
   return text;
 }
 
--- a/src/direct/endpoint_table.h
+++ b/src/direct/endpoint_table.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 
 namespace caraway::direct {
@@ -31,6 +32,9 @@
 {
   bool isLeaving = false; // it stops soon; no new requests may be sent
   Duration rest{};        // back-off requested from this process; zero: none
+  // Requests per second that it accepts from all processes together; nullopt: no limit.
+  std::optional<double> maxRate;
+  bool isRateKnown = true; // false if the answer does not show whether there is a limit
 };
 
 class EndpointTable
--- a/src/gateway/endpoint_agent.cpp
+++ b/src/gateway/endpoint_agent.cpp
@@ -114,6 +114,7 @@
     request.connectTimeout = kReportTimeout;
     request.maxBodyBytes = kMaxReportBytes;
     this->reportRequestedAt = now;
+    this->reportCount++;
     this->reportHead = {};
     this->reportBody.clear();
     this->reportExchange = this->pool.Send(std::move(request), *this);
@@ -157,6 +158,7 @@
     const auto read = this->reports.ReadReport(this->reportHead, this->reportBody);
     if (read) {
       this->ApplyReport(*read);
+      this->ApplyRate(this->reports.ParseNotice(this->reportHead));
       this->AfterInput();
       return;
     }
@@ -175,6 +177,9 @@
 {
   const bool hasChanged = !this->isReachable || aReport.bornMs != this->report.bornMs ||
                           aReport.isLeaving != this->report.isLeaving;
+  if (aReport.bornMs != this->report.bornMs) {
+    this->namedRate = {};
+  }
   this->report = aReport;
   this->lastReportAt = this->Now();
   this->isReachable = true;
@@ -187,6 +192,21 @@
   }
 }
 
+// Applies the request rate that the report names.
+void EndpointAgent::ApplyRate(const direct::EndpointNotice& aNotice)
+{
+  if (!aNotice.isRateKnown ||
+      !this->namedRate.Add({ aNotice.maxRate, this->reportRequestedAt, this->Now() })) {
+    return;
+  }
+  LogEvent(LogLevel::kInfo, "endpoint_rate",
+           { { "endpoint", FormatAddress(this->settings.endpoint) },
+             { "born_ms", std::to_string(this->report.bornMs) },
+             { "per_s", aNotice.maxRate ? std::to_string(*aNotice.maxRate) : "none" },
+             { "source", "report" },
+             { "reports", std::to_string(this->reportCount) } });
+}
+
 void EndpointAgent::UpdateLimit()
 {
   const bool mayOffer = this->isReachable && !this->report.isLeaving;
@@ -209,6 +229,10 @@
       slotQueue.PendingPrefill());
   add("caraway_agent_offers_total", "Offers since the start",
       static_cast<double>(this->offerCount));
+  add("caraway_agent_reports_total", "Reports requested from the endpoint",
+      static_cast<double>(this->reportCount));
+  add("caraway_agent_named_rate", "Requests per second that the endpoint names; -1 if none",
+      this->namedRate.PerSecond().value_or(-1));
   add("caraway_agent_endpoint_reachable", "The endpoint answers", this->isReachable ? 1 : 0);
   add("caraway_agent_entries", "Entries heard", static_cast<double>(this->queue.EntryCount()));
   add("caraway_log_lines_dropped", "Log lines beyond the bound, since the start",
--- a/src/gateway/endpoint_agent.h
+++ b/src/gateway/endpoint_agent.h
@@ -3,6 +3,7 @@
 // agent, so its termination interrupts none.
 #pragma once
 
+#include "direct/named_rate.h"
 #include "gateway/peer_net.h"
 #include "gateway/protocol_adapter.h"
 #include "gateway/queue_server.h"
@@ -56,6 +57,7 @@
 
   void RequestReport();
   void ApplyReport(const EndpointReport& aReport);
+  void ApplyRate(const direct::EndpointNotice& aNotice);
   void UpdateLimit();
   void SendStates();
   void AfterInput();
@@ -77,6 +79,8 @@
   std::string reportBody;
   TimePoint reportRequestedAt{};
   std::uint64_t offerCount = 0;
+  std::uint64_t reportCount = 0; // reports requested
+  direct::NamedRate namedRate;
   TimePoint armedFor = kNever;
   Timer reportTimer;
   Timer stateTimer;
--- a/src/gateway/flow.cpp
+++ b/src/gateway/flow.cpp
@@ -106,7 +106,11 @@
   this->head = aHead;
   this->hasHead = true;
   this->kind = this->gateway.protocol.Classify(aHead);
-  this->gateway.ApplyNotice(this->number, this->gateway.protocol.ParseNotice(aHead));
+  direct::EndpointNotice notice = this->gateway.protocol.ParseNotice(aHead);
+  // Another endpoint's answer, or none of an endpoint, says nothing about this one's rate.
+  notice.isRateKnown = notice.isRateKnown && this->kind != ResponseKind::kMisdirected &&
+                       this->kind != ResponseKind::kInvalid;
+  this->gateway.ApplyNotice(this->number, notice, this->attemptStartedAt);
 }
 
 void Gateway::Flow::OnBody(std::string_view aData)
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -373,14 +373,15 @@
 }
 
 // Applies what a response says about its endpoint, and informs the other entries if it is leaving.
-void Gateway::ApplyNotice(CallNumber aCall, const direct::EndpointNotice& aNotice)
+void Gateway::ApplyNotice(CallNumber aCall, const direct::EndpointNotice& aNotice,
+                          TimePoint aSentAt)
 {
   const direct::EndpointInfo* found = this->dispatcher.EndpointOf(aCall);
   if (found == nullptr) {
     return;
   }
   const direct::EndpointInfo endpoint = *found;
-  if (!this->dispatcher.OnNotice(this->Now(), endpoint.id, aNotice)) {
+  if (!this->dispatcher.OnNotice(this->Now(), endpoint.id, aNotice, aSentAt)) {
     return;
   }
   LogEvent(LogLevel::kInfo, "endpoint_notice",
@@ -393,6 +394,17 @@
   }
 }
 
+void Gateway::OnNamedRate(const direct::EndpointInfo& aEndpoint, std::optional<double> aPerSecond,
+                          std::string_view aSource)
+{
+  LogEvent(LogLevel::kInfo, "endpoint_rate",
+           { { "endpoint", aEndpoint.id },
+             { "born_ms", std::to_string(aEndpoint.bornMs) },
+             { "per_s", aPerSecond ? std::to_string(*aPerSecond) : "none" },
+             { "source", std::string(aSource) },
+             { "state", this->dispatcher.StateOf(this->Now(), aEndpoint.id) } });
+}
+
 void Gateway::GiveUp(CallNumber aCall, direct::GiveUpReason aReason, Duration aRetryAfter)
 {
   const auto found = this->flows.find(aCall);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -164,6 +164,8 @@
   void OnEndpointDied(const direct::EndpointInfo& aEndpoint, std::string_view aEvidence,
                       std::size_t aLost) override;
   void OnSuspect(const direct::SuspectUpdate& aNews) override;
+  void OnNamedRate(const direct::EndpointInfo& aEndpoint, std::optional<double> aPerSecond,
+                   std::string_view aSource) override;
   void SendFromOwnedQueue(const Address& aEntry, const direct::QueueEnvelope& aMessage) override;
 
   void OnPeerMessage(const Address& aFrom, const Peer& aPeer,
@@ -181,7 +183,8 @@
   void Refuse(Flow& aFlow, std::uint16_t aStatus, std::string_view aCause, Duration aRetryAfter);
   void Remove(Flow& aFlow);
   void ReturnQuota(Flow& aFlow);
-  void ApplyNotice(direct::CallNumber aCall, const direct::EndpointNotice& aNotice);
+  void ApplyNotice(direct::CallNumber aCall, const direct::EndpointNotice& aNotice,
+                   TimePoint aSentAt);
   void SendStates();
   void UpdateOwners();
   Address AddressOf(const std::string& aHost) const;
--- a/tests/direct/admission_test.cpp
+++ b/tests/direct/admission_test.cpp
@@ -50,6 +50,7 @@
   void ProbeEndpoint(const EndpointInfo&) override {}
   void OnEndpointDied(const EndpointInfo&, std::string_view, std::size_t) override {}
   void OnSuspect(const SuspectUpdate&) override {}
+  void OnNamedRate(const EndpointInfo&, std::optional<double>, std::string_view) override {}
 
   // Submits calls of each rank at aPerSecond calls per second for aFor.
   void Play(const std::map<Tier, int>& aPerSecond, Duration aFor)
--- a/tests/direct/dispatcher_test.cpp
+++ b/tests/direct/dispatcher_test.cpp
@@ -40,6 +40,7 @@
   }
   void OnEndpointDied(const EndpointInfo&, std::string_view, std::size_t) override {}
   void OnSuspect(const SuspectUpdate&) override {}
+  void OnNamedRate(const EndpointInfo&, std::optional<double>, std::string_view) override {}
 
   template<class Message>
   std::vector<std::string> HostsOf() const
--- a/tests/gateway/fixture.h
+++ b/tests/gateway/fixture.h
@@ -11,7 +11,8 @@
 
 namespace caraway::gateway {
 
-// A minimal protocol with the header fields Id, Key, Left, Part, Proof, Not-Run.
+// A minimal protocol with the header fields Id, Key, Left, Part, Proof, Not-Run, Rest,
+// Rate.
 class TestProtocol final : public ProtocolAdapter
 {
 public:
@@ -66,9 +67,16 @@
   direct::EndpointNotice ParseNotice(const ResponseHead& aHead) const override
   {
     const HeaderField* rest = FindField(aHead.fields, "Rest");
-    return { FindField(aHead.fields, "Leaving") != nullptr,
-             rest == nullptr ? Duration::zero()
-                             : Duration(std::chrono::milliseconds(std::stoi(rest->value))) };
+    const HeaderField* rate = FindField(aHead.fields, "Rate");
+    direct::EndpointNotice notice;
+    notice.isLeaving = FindField(aHead.fields, "Leaving") != nullptr;
+    if (rest != nullptr) {
+      notice.rest = std::chrono::milliseconds(std::stoi(rest->value));
+    }
+    if (rate != nullptr) {
+      notice.maxRate = std::stod(rate->value);
+    }
+    return notice;
   }
   HeaderFields ForwardedFields(const ResponseHead& aHead) const override
   {
--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -286,6 +286,17 @@
   }
   BOOST_TEST((dialect.ParseNotice(MakeAnswer(503, { { "Retry-After", "1e300" } })).rest <=
               std::chrono::minutes(10)));
+  const auto rateOf = [&](const char* aText) {
+    return dialect.ParseNotice(MakeAnswer(200, { { "server-limit", aText } }));
+  };
+  BOOST_TEST(dialect.ParseNotice(MakeAnswer(200, {})).isRateKnown);
+  BOOST_TEST(!dialect.ParseNotice(MakeAnswer(200, {})).maxRate.has_value());
+  BOOST_TEST(rateOf("3.3").maxRate.value() == 3.3);
+  BOOST_TEST(rateOf("0").maxRate.value() == 0);
+  for (const char* text : { "", "-3", "inf", "nan", "1e999", "3,3", "3 a second" }) {
+    BOOST_TEST(!rateOf(text).isRateKnown, text);
+    BOOST_TEST(!rateOf(text).maxRate.has_value(), text);
+  }
   const auto leaving = PlatformReports("h").ReadReport(
     MakeAnswer(200, { { "Server-Leaving", "1" } }), R"({"born":7,"state":"ready"})");
   BOOST_TEST(leaving.has_value());
