--- /dev/null
+++ b/tests/gateway/repeated_refusal_test.cpp
@@ -0,0 +1,98 @@
+// Endpoints that write an earlier refusal once more on a kept connection.
+#include "fixture.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace caraway::gateway {
+
+namespace {
+
+using std::chrono::seconds;
+using Connection = ScriptedEndpoint::Connection;
+
+std::string Refusal(const std::string& aId)
+{
+  return "HTTP/1.1 503 X\r\n" + (aId.empty() ? "" : "Id: " + aId + "\r\n") +
+         "Not-Run: 1\r\nProof: p\r\nContent-Length: 4\r\n\r\nfull";
+}
+
+struct RepeatedRefusal : GatewayFixture
+{
+  RepeatedRefusal() { this->Configure(); }
+
+  // Returns the answer to a request that must run at most once.
+  std::string Send(const std::string& aId)
+  {
+    this->clock.Advance(seconds(15)); // the retry budget is full
+    this->gateway->ConfirmConfig(1, this->clock.Read().steady);
+    return this->SendAndWait(Request("/once/x", aId, "body"), "\r\n\r\n");
+  }
+
+  std::vector<std::string> runs; // ids of the requests that ran at any endpoint
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(repeated_refusal, RepeatedRefusal)
+
+// Without the id of a request, a refusal on a kept connection may belong to an earlier one.
+BOOST_AUTO_TEST_CASE(a_refusal_without_an_id_on_a_kept_connection_is_not_believed)
+{
+  for (int index = 0; index < 2; index++) {
+    this->AddEndpoint([this](Connection& aTo, const RequestHead& aHead) {
+      const std::string id = FindField(aHead.fields, "Id")->value;
+      if (id == "first") {
+        aTo.Write(CompleteResponse(aHead, "first"));
+        return;
+      }
+      this->runs.push_back(id);
+      aTo.Write(Refusal("") + CompleteResponse(aHead, "ran"));
+    });
+  }
+  this->settings.dispatch = {};
+  // Both endpoints get a kept connection.
+  for (int index = 0; index < 6; index++) {
+    this->Send("first");
+  }
+  this->clock.Advance(seconds(15));
+  this->gateway->ConfirmConfig(1, this->clock.Read().steady);
+  this->SendAndWait(Request("/safe/x", "first", "body"), "\r\n\r\n");
+  const std::string answer =
+    this->SendAndWait(Request("/once/x", "second", "body"), "\r\n\r\n");
+  BOOST_TEST(this->runs.size() == 1U);
+  BOOST_TEST(answer.find("HTTP/1.1 200 ") == 0U, answer);
+}
+
+// A retry has the id of the refused attempt, so the id does not tell the two refusals apart.
+BOOST_AUTO_TEST_CASE(a_retry_does_not_use_the_connection_on_which_its_attempt_was_refused)
+{
+  std::map<Connection*, int> refused;
+  ScriptedEndpoint& endpoint = this->AddEndpoint([&](Connection& aTo, const RequestHead& aHead) {
+    const std::string id = FindField(aHead.fields, "Id")->value;
+    if (refused.empty()) {
+      refused[&aTo]++;
+      aTo.Write(Refusal(id));
+      return;
+    }
+    this->runs.push_back(id);
+    aTo.Write((refused.contains(&aTo) ? Refusal(id) : "") + CompleteResponse(aHead, "ran"));
+  });
+  const std::string answer = this->Send("only");
+  BOOST_TEST(endpoint.requests.size() == 2U);
+  BOOST_TEST(this->runs.size() == 1U);
+  BOOST_TEST(answer.find("HTTP/1.1 200 ") == 0U, answer);
+}
+
+// An answer on a new connection can only be to the one request that was sent on it.
+BOOST_AUTO_TEST_CASE(a_refusal_without_an_id_on_a_new_connection_is_believed)
+{
+  int count = 0;
+  this->AddEndpoint([&](Connection& aTo, const RequestHead& aHead) {
+    aTo.Write(count++ == 0 ? Refusal("") : CompleteResponse(aHead, "ran"));
+  });
+  BOOST_TEST(this->Send("only").find("HTTP/1.1 200 ") == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace caraway::gateway
