Play named rates, repeated refusals and odd registrations in the soak

Generation 3 of the kinds of fault: an endpoint names a rate in all its answers and the ledger counts what machines that were told send it, status reports too; refusals are written again on kept connections, with and without the id; odd entries among the registrations. The stand-in echoes the id in refusals as well. No functional change.

--- a/tests/soak/endpoints.py
+++ b/tests/soak/endpoints.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import json
+import re
 import time
 
 import http1
@@ -17,6 +18,7 @@
 EVENT_PAUSE = 0.012  # seconds
 CRASHED = 2.5  # seconds until an endpoint that a request crashed is back
 MOST_WAITING = 4  # requests beyond the slots
+REFUSED_WHILE_REPEATING = 0.3  # of the requests, while refusals are written again
 
 
 class Endpoint:
@@ -42,6 +44,9 @@
         self.failure_share = 0.0
         self.slowness = 1.0
         self.agent = None  # process beside an engine
+        self.rate = None  # requests a second that it names in all its answers
+        self.repeats = None  # "with id", "without id": writes earlier refusals again
+        self.refusals = {}  # bytes of the last refusal, by the connection's writer
         self.is_moving = False  # started for a move of versions that is under way
         self.retired = False  # its version was moved away from: it does not come back
 
@@ -56,6 +61,7 @@
         self.running = 0
         self.places = asyncio.Semaphore(self.slots)
         self.writers = set()
+        self.refusals = {}
         self.server = await http1.serve(*self.address, self.on_call, self.writers.add)
         if self.link.server is None:
             await self.link.start(*self.seen_at)
@@ -86,6 +92,11 @@
         }
         await self.world.store.put("keyed.servers", self.id, json.dumps(record))
 
+    def name_rate(self, rate):
+        """Names a rate in all answers from now on; None: no longer."""
+        self.rate = rate
+        self.world.ledger.on_rate(self.id, rate)
+
     def stop_listening(self):
         self.heart.cancel()
         self.server.close()
@@ -130,11 +141,15 @@
         await self.crash()
 
     async def on_call(self, call):
+        if self.rate is not None:
+            self.world.ledger.on_limited(self.id, self.machine_of(call), call.target)
         if call.target in ("/health", "/v1/report"):
             return await self.on_question(call)
         running = self.running
         expected = call.head.get("expect-instance", self.id)
         is_full = self.places.locked() and running >= self.slots + MOST_WAITING
+        if self.repeats and self.world.random.random() < REFUSED_WHILE_REPEATING:
+            is_full = True
         refusal = 421 if expected != self.id else 503 if is_full else 0
         self.numbers += 1
         stamp = f"{self.id}.{self.numbers}"
@@ -148,7 +163,35 @@
             finally:
                 self.running -= 1
         self.note(call, False, stamp)
-        return await call.answer(refusal, {"Not-Executed": "1", "Response-Stamp": stamp}, b"full")
+        head = self.head(call, stamp)
+        self.refusals[call.writer] = await call.answer(refusal, {**head, "Not-Executed": "1"}, b"full")
+
+    def machine_of(self, call):
+        """The machine that sent the call: an entry, or the agent, which asks for reports."""
+        request = self.world.ledger.requests.get(call.head.get("request-id"))
+        return request.entry if request is not None else self.agent.name if self.agent is not None else None
+
+    def head(self, call, stamp=None):
+        """Fields of all answers."""
+        fields = {}
+        if "request-id" in call.head:
+            fields["Request-Id"] = call.head["request-id"]
+        if stamp is not None:
+            fields["Response-Stamp"] = stamp
+        if self.rate is not None:
+            fields["Server-Limit"] = str(self.rate)
+            self.world.ledger.on_rate_told(self.id, self.machine_of(call))
+        return fields
+
+    def repeat_refusal(self, call):
+        """Writes the last refusal on this connection once more, where the next answer is due."""
+        refusal = self.refusals.pop(call.writer, None)
+        if refusal is None or self.repeats is None:
+            return
+        if self.repeats == "without id":
+            refusal = re.sub(rb"(?i)request-id:[^\r]*\r\n", b"", refusal)
+        self.world.ledger.counts[f"refusals repeated {self.repeats}"] += 1
+        call.writer.write(refusal)
 
     def note(self, call, is_run, stamp):
         return self.world.ledger.on_arrival(
@@ -158,15 +201,17 @@
     async def on_question(self, call):
         if call.target == "/health":
             status = 200 if self.state == "ready" else 503
-            return await call.answer(status, {"Instance-Id": self.id}, b"")
+            return await call.answer(status, {**self.head(call), "Instance-Id": self.id}, b"")
         report = {"stage": "both", "born": self.born, "running": self.running, "queued": 0, "state": self.state}
-        return await call.answer(200, {"Content-Type": "application/json"}, json.dumps(report).encode())
+        head = {**self.head(call), "Content-Type": "application/json"}
+        return await call.answer(200, head, json.dumps(report).encode())
 
     async def run(self, call, stamp):
         run = self.note(call, True, stamp)
         if run is None:
             return await call.answer(400, {"Not-Executed": "1"}, b"")
-        head = {"Request-Id": call.head["request-id"], "Response-Stamp": stamp}
+        self.repeat_refusal(call)
+        head = self.head(call, stamp)
         run.broken = True
         try:
             culprit = self.world.ledger.culprit(call.head, call.target, call.body)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -1,6 +1,7 @@
 """Faults drawn from a seed: several series run side by side, so that faults overlap."""
 
 import asyncio
+import json
 import random
 import signal
 import time
@@ -11,8 +12,10 @@
 
 PLANNED_ONLY = 3  # each so many seeds play planned work alone, which excuses no lost answer
 # A new kind changes what all seeds play. The regressions name the generation that they failed with:
-# 1 has no moves of versions.
-GENERATION = 2
+# 1 has no moves of versions, 2 no named rates, repeated refusals and odd registrations.
+GENERATION = 3
+ODD_DEPTH = 200_000  # levels of a registration
+NAMED_RATES = (0.5, 1.5, 3.3, 6.0, 12.0)  # requests a second
 SHARE_OF_KINDS = 0.5  # of all kinds that one run plays
 
 
@@ -25,6 +28,9 @@
         self.until = 0.0
         planned = {self.terminate: 3, self.hang_up: 1, self.kill_agent: 2, self.leave: 2, self.change_config: 3}
         kinds = self.all_kinds()
+        if generation < 3:
+            for kind in (self.name_rate, self.repeat_refusals, self.register_odd):
+                del kinds[kind]
         if generation < 2:
             del kinds[self.move_version]
         else:
@@ -57,6 +63,9 @@
             self.withdraw_key: 1,
             self.move_version: 2,
             self.kill_many: 1,
+            self.name_rate: 3,
+            self.repeat_refusals: 2,
+            self.register_odd: 1,
         }
 
     async def play(self, world, seconds):
@@ -249,6 +258,49 @@
 
         await self.with_endpoint(world, "slowness", play)
 
+    async def name_rate(self, world):
+        """An endpoint in need names the rate that it takes, then another one, then none."""
+
+        async def play(endpoint):
+            if endpoint.rate is not None:
+                return
+            for _ in range(2):
+                endpoint.name_rate(self.random.choice(NAMED_RATES))
+                await asyncio.sleep(self.random.choice((2.0, 5.0, 7.0)))
+            endpoint.name_rate(None)
+
+        await self.with_endpoint(world, "named rate", play)
+
+    async def repeat_refusals(self, world):
+        async def play(endpoint):
+            endpoint.repeats = self.random.choice(("with id", "without id"))
+            await self.wait()
+            endpoint.repeats = None
+
+        await self.with_endpoint(world, "repeated refusals", play)
+
+    async def register_odd(self, world):
+        """Another writer leaves an odd entry among those of the endpoints."""
+        live = self.random.choice(world.endpoints)
+        record = {"service": live.service, "address": "%s:%d" % live.seen_at, "zone": "east", "version": "v1",
+                  "slots": 6, "state": "ready", "seq": 1, "born": int(time.time() * 1000)}  # fmt: skip
+        nested = '{"service":"pool","odd":' + "[" * ODD_DEPTH + "]" * ODD_DEPTH + "}"
+        odd = self.random.choice((
+            nested,
+            json.dumps({**record, "address": f"{live.seen_at[0]}:99999"}),
+            json.dumps({**record, "born": 10**18}),
+            json.dumps({**record, "born": -1}),
+            json.dumps(record).replace('"seq": 1', '"seq": 1e300'),
+            json.dumps(record).replace('"slots": 6', '"slots": 1e999'),
+            json.dumps({**record, "service": ["pool"]}),
+        ))  # fmt: skip
+        world.log(f"fault odd entry {odd[:200]}")
+        key = f"i-odd-{self.random.randrange(10**6)}"
+        await world.store.put("keyed.servers", key, odd)
+        await self.wait()
+        if self.random.random() < 0.5:
+            await world.store.put("keyed.servers", key, None)
+
     # The operator.
 
     async def change_config(self, world):
--- a/tests/soak/http1.py
+++ b/tests/soak/http1.py
@@ -38,23 +38,26 @@
 
     async def begin(self, status, headers):
         rows = [(name, value) for name, value in headers.items()]
-        await self.write(h11.Response(status_code=status, headers=rows))
+        return await self.write(h11.Response(status_code=status, headers=rows))
 
     async def data(self, data):
-        await self.write(h11.Data(data=data))
+        return await self.write(h11.Data(data=data))
 
     async def end(self):
-        await self.write(h11.EndOfMessage())
+        return await self.write(h11.EndOfMessage())
 
     async def write(self, event):
-        self.writer.write(self.connection.send(event) or b"")
+        data = self.connection.send(event) or b""
+        self.writer.write(data)
         await self.writer.drain()
+        return data
 
     async def answer(self, status, headers, body):
-        await self.begin(status, {**headers, "Content-Length": str(len(body))})
+        """Returns the bytes of the whole answer."""
+        sent = await self.begin(status, {**headers, "Content-Length": str(len(body))})
         if body:
-            await self.data(body)
-        await self.end()
+            sent += await self.data(body)
+        return sent + await self.end()
 
     def reset(self):
         set_reset(self.writer)
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -16,6 +16,7 @@
 SHUTDOWN = 4.0  # seconds from SIGTERM to SIGKILL
 BUDGET_RATIO, BUDGET_EXTRA, BUDGET_WINDOW = 0.2, 56, 10.0
 QUOTA_WINDOW, QUOTA_OVERAGE, QUOTA_SLACK = 8.0, 0.1, 40
+RATE_WINDOW, RATE_FACTOR, RATE_SLACK, RATE_NEWS = 4.0, 1.5, 5, 0.5
 DENIED_SLACK = 0.3  # seconds for a request's way and the timers of a busy machine
 MOST_CRASHES = 3  # of endpoints under one request
 MOST_PART_CRASHES = 5  # of endpoints under requests with one part of their prompts
@@ -68,6 +69,22 @@
     ended: float = 0.0
 
 
+@dataclasses.dataclass
+class NamedRate:
+    """The rates that an endpoint has named, and the requests from machines that it had told."""
+
+    since: float
+    rates: list = dataclasses.field(default_factory=list)  # (time, rate)
+    told: dict = dataclasses.field(default_factory=dict)  # machine -> time
+    arrivals: collections.deque = dataclasses.field(default_factory=collections.deque)  # (time, target)
+
+    def allowed(self, now):
+        """Requests in the window that ends now, by the highest rate named in it."""
+        before = [rate for at, rate in self.rates if at <= now - RATE_WINDOW - RATE_NEWS][-1:]
+        within = [rate for at, rate in self.rates if at > now - RATE_WINDOW - RATE_NEWS]
+        return RATE_FACTOR * RATE_WINDOW * max(before + within) + RATE_SLACK
+
+
 class Ledger:
     def __init__(self, log, begun):
         self.log = log
@@ -85,6 +102,7 @@
         self.arrivals = collections.defaultdict(list)  # service -> [(time, is a repeat)]
         self.demand = collections.defaultdict(list)  # service -> [time sent]
         self.quota_runs = collections.defaultdict(list)  # account -> [time run]
+        self.named_rates = {}  # endpoint id -> NamedRate
         self.denied = 0
 
     # Faults and what they excuse.
@@ -185,6 +203,37 @@
         request.runs.append(run)
         return run
 
+    def on_rate(self, endpoint, rate):
+        if rate is None:
+            self.named_rates.pop(endpoint, None)
+            return
+        now = time.monotonic()
+        self.named_rates.setdefault(endpoint, NamedRate(now)).rates.append((now, rate))
+        self.log(f"{endpoint} names {rate} requests a second")
+
+    def on_rate_told(self, endpoint, machine):
+        if endpoint in self.named_rates:
+            self.named_rates[endpoint].told.setdefault(machine, time.monotonic())
+
+    def on_limited(self, endpoint, machine, target):
+        """Any request, status reports too, at an endpoint that names a rate."""
+        now = time.monotonic()
+        named = self.named_rates.get(endpoint)
+        if named is None or now < named.told.get(machine, now) + RATE_NEWS:
+            return
+        if not self.is_calm((machine, "all"), now, now, ("config", "SIGHUP")):
+            return
+        named.arrivals.append((now, f"{target} from {machine}"))
+        while named.arrivals[0][0] < now - RATE_WINDOW:
+            named.arrivals.popleft()
+        self.counts["most at a named rate, in 100 of allowed"] = max(
+            self.counts["most at a named rate, in 100 of allowed"], int(100 * len(named.arrivals) / named.allowed(now))
+        )
+        if now >= named.since + STABLE and len(named.arrivals) > named.allowed(now):
+            reports = sum("/v1/report" in text for _, text in named.arrivals)
+            self.find("LIMIT", f"{endpoint} named {named.rates[-1][1]} a second and got {len(named.arrivals)} requests in "
+                      f"{RATE_WINDOW:.0f} s, {reports} of them reports; allowed {named.allowed(now):.1f}")
+
     @staticmethod
     def culprit(head, path, body):
         """What in a request crashes endpoints: the request itself, known by its path, or a part of its prompt."""
