Keep requests to an endpoint within the rate that it names

What callers saw: nothing; an endpoint in need got up to several times the rate that it named, and slowed for all. Cause: no process knew the rate. What bounds an endpoint's load is concurrency, which lets any rate of short requests through, and the status reports of the agent (20 in 4 s) were bounded by nothing. Class: a bound that belongs to one endpoint over all senders and all kinds of request, where the tree had bounds of other quantities. Change: the process that keeps an endpoint's queue spaces its offers with a token bucket (RateLimiter in SlotQueue), charged when a slot is used, so that declined offers cost nothing and sends through another queue put it into debt. Entries and queues tell each other the rate (RateNews) at once and with their states, only while one is named. Fallbacks while the agent or the owner is silent use half the rate, a local queue its entry's share of that. Agents ask for reports at a tenth of the rate, every 2.5 s at the least. Placement adds the wait for the rate to an endpoint's cost; Retry-After counts the slots that the rate keeps busy. Why it works: everything that reaches the endpoint is taken from one budget at one place, and told machines that use another place have a share that adds up to at most one and a half times the rate.

--- a/src/direct/dispatcher.cpp
+++ b/src/direct/dispatcher.cpp
@@ -57,7 +57,10 @@
     } else if (target.info.bornMs != info.bornMs || target.info.sequence < info.sequence) {
       target.health.OnRecovered();
       target.pausedUntil = target.info.bornMs != info.bornMs ? TimePoint{} : target.pausedUntil;
-      target.namedRate = target.info.bornMs != info.bornMs ? NamedRate() : target.namedRate;
+      if (target.info.bornMs != info.bornMs) {
+        target.namedRate = {};
+        this->UpdateLocalRate(aNow, target);
+      }
     }
     target.info = info;
     target.hasAnnouncedLeaving = this->leaving.Contains(IncarnationOf(id, info.bornMs));
@@ -101,6 +104,7 @@
   Target& target = found->second;
   if (aNotice.isRateKnown) {
     this->AddRate(aNow, target, { aNotice.maxRate, aSentAt, aNow }, "answer");
+    this->DrainLocalOffers(aNow);
   }
   const bool isNew = (aNotice.isLeaving && !target.hasAnnouncedLeaving) ||
                      (aNotice.rest > Duration::zero() && aNow + aNotice.rest > target.pausedUntil);
--- a/src/direct/dispatcher.h
+++ b/src/direct/dispatcher.h
@@ -142,6 +142,7 @@
   }
 
   void OnAgentState(TimePoint aNow, const std::string& aHost, const AgentState& aState);
+  void OnAgentRate(TimePoint aNow, const std::string& aHost, const RateNews& aNews);
   void OnOffer(TimePoint aNow, const std::string& aHost, CallNumber aCall);
   // Sets the hosts of the entries that own the endpoints' queues, by endpoint id.
   void SetOwners(TimePoint aNow, const std::map<std::string, std::string>& aHosts);
@@ -164,6 +165,8 @@
   // limit, pending prefill tokens, the failure rate of attempts, and the age of the queue's last
   // AgentState in milliseconds.
   std::string StateOf(TimePoint aNow, const std::string& aEndpoint) const;
+  // Returns how many endpoints name a request rate.
+  std::size_t LimitedEndpointCount() const;
   // Returns the state of all endpoints in one line for logs.
   std::string Summary(TimePoint aNow) const;
 
@@ -287,8 +290,16 @@
     this->SendTo(aTarget, aTarget.ActiveQueue(), aMessage);
   }
   std::uint32_t LocalLimit(const Target& aTarget) const;
+  // Applies a rate that the endpoint named; aSource: who received the answer.
   void AddRate(TimePoint aNow, Target& aTarget, const RateObservation& aObservation,
                std::string_view aSource);
+  void AddRateNews(TimePoint aNow, Target& aTarget, const RateNews& aNews,
+                   std::string_view aSource);
+  // Sets the share of the named rate that the local queue may use.
+  void UpdateLocalRate(TimePoint aNow, Target& aTarget);
+  void TellRate(TimePoint aNow, const Target& aTarget, const RemoteQueue* aRemote);
+  // Calls per second that the queue in use starts; infinite if the endpoint names no rate.
+  static double CallRate(const Target& aTarget);
   void SendHoldStates(TimePoint aNow);
   void Schedule(Call& aCall);
   void CancelCanary(Call& aCall);
--- a/src/direct/dispatcher_agents.cpp
+++ b/src/direct/dispatcher_agents.cpp
@@ -57,6 +57,9 @@
   Target& target = found->second;
   if (const auto* state = std::get_if<AgentState>(&aMessage.message)) {
     this->ApplyQueueState(aNow, target, target.owner, *state);
+  } else if (const auto* news = std::get_if<RateNews>(&aMessage.message)) {
+    this->AddRateNews(aNow, target, *news, "owner");
+    this->DrainLocalOffers(aNow);
   } else if (const auto* offer = std::get_if<OfferSlot>(&aMessage.message)) {
     // An offer from a queue that is no longer in use is ignored and times out there.
     if (target.ActiveQueue() == &target.owner) {
@@ -157,6 +160,7 @@
   if (before == after) {
     return;
   }
+  this->TellRate(aNow, aTarget, after); // before the reservations, so that it offers no more
   aTarget.localQueue->SetLimit(aNow, after != nullptr ? 0 : this->LocalLimit(aTarget));
   for (auto& [number, call] : this->calls) {
     const auto& reserved = call.reserved;
@@ -245,9 +249,13 @@
       const bool isRecipient = remote == &target.owner ? isOwnerNeeded : target.hasAgent;
       remote->activeSince = isIdle || !isRecipient ? kNever : std::min(remote->activeSince, aNow);
       if (isRecipient && (!isIdle || isItsTurn)) {
+        this->TellRate(aNow, target, remote);
         this->SendTo(target, remote, state);
       }
     }
+    if (target.namedRate.PerSecond()) {
+      this->UpdateLocalRate(aNow, target); // the number of entries may have changed
+    }
   }
 }
 
--- a/src/direct/dispatcher_place.cpp
+++ b/src/direct/dispatcher_place.cpp
@@ -22,6 +22,7 @@
 constexpr double kOtherDomainCost = 0.001; // seconds
 constexpr double kFailureCost = 1.0;       // seconds, at a failure rate of 1
 constexpr double kJitterCost = 0.002; // seconds; spreads calls of entries that see the same state
+constexpr double kMinCallRate = 0.25; // per second; bounds the cost of an endpoint that names zero
 // Transfer time of the request to the endpoint and of the first event to the caller.
 constexpr Duration kStartMargin = milliseconds(20);
 
@@ -61,7 +62,9 @@
     }
     earliestPauseEnd = std::min(earliestPauseEnd, target.pausedUntil);
     const RemoteQueue* remote = target.ActiveQueue();
-    slots += remote != nullptr ? remote->state.limit : this->LocalLimit(target);
+    const double limit = remote != nullptr ? remote->state.limit : this->LocalLimit(target);
+    // At a named rate, calls keep only so many slots busy.
+    slots += std::min(limit, CallRate(target) * SecondsOf(this->RunTime(aService)));
     double waiting = 0;
     for (Tier rank = 0; rank <= aRank; rank++) {
       waiting += remote != nullptr ? remote->state.waiting.at(rank) : 0;
@@ -173,6 +176,8 @@
   } else {
     cost += runTime * 0.1 * taken / limit;
   }
+  // Mean wait for the rate that the endpoint names; zero if it names none.
+  cost += (queued + 0.5) / std::max(CallRate(aTarget), kMinCallRate);
   const std::uint32_t prompt = this->PromptTokensAt(aNow, aTarget, aCall.spec);
   if (aTarget.hasAgent) {
     cost += SecondsOf(FirstEventTime(aTarget, PendingPrefillAt(aTarget) + prompt));
--- a/src/direct/messages.h
+++ b/src/direct/messages.h
@@ -155,6 +155,25 @@
   friend bool operator==(const AgentState&, const AgentState&) = default;
 };
 
+// Between an entry and a queue, while an endpoint names a request rate and for a while after: the
+// observation in force at the sender (see NamedRate).
+struct RateNews
+{
+  bool isFromQueue = false;        // from the process that keeps the queue, to an entry
+  std::int64_t endpointBornMs = 0; // start of the endpoint process, Unix time; 0: unknown
+  double perSecond = -1;           // negative: no limit
+  std::uint32_t earliestAgeMs = 0;
+  std::uint32_t latestAgeMs = 0;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(isFromQueue, endpointBornMs, perSecond, earliestAgeMs, latestAgeMs);
+  }
+
+  friend bool operator==(const RateNews&, const RateNews&) = default;
+};
+
 // Quota usage of one account at one entry since the entry started.
 struct AccountUsage
 {
@@ -203,7 +222,7 @@
 };
 
 using QueueMessage = std::variant<ReserveSlot, WithdrawSlot, OfferSlot, UseSlot, BeginAnswer,
-                                  ReleaseSlot, HoldState, AgentState>;
+                                  ReleaseSlot, HoldState, AgentState, RateNews>;
 
 // Exchanged with the entry that owns the queue of an endpoint without an agent.
 struct QueueEnvelope
@@ -221,7 +240,8 @@
 };
 
 using DirectMessage = std::variant<ReserveSlot, WithdrawSlot, OfferSlot, UseSlot, BeginAnswer,
-                                   ReleaseSlot, HoldState, AgentState, EntryState, QueueEnvelope>;
+                                   ReleaseSlot, HoldState, AgentState, EntryState, QueueEnvelope,
+                                   RateNews>; // last, as builds without it read all others
 
 DirectMessage ToDirectMessage(const QueueMessage& aMessage);
 // Returns nullopt if the message is not a queue message.
--- /dev/null
+++ b/src/direct/rate_limiter.cpp
@@ -0,0 +1,66 @@
+#include "direct/rate_limiter.h"
+
+#include <algorithm>
+
+namespace caraway::direct {
+
+namespace {
+
+// A lower rate, 0 too, is raised to this, so that a request now and then shows its end.
+constexpr double kMinPerSecond = 0.25;
+constexpr double kBurstSeconds = 0.5; // of the rate
+constexpr double kMaxDebtSeconds = 4; // of the rate; bounds how long the endpoint gets nothing
+// Covers the rounding of times to the clock's resolution.
+constexpr double kTolerance = 1e-3;
+
+} // namespace
+
+void RateLimiter::SetRate(TimePoint aNow, std::optional<double> aPerSecond)
+{
+  if (aPerSecond) {
+    aPerSecond = std::max(*aPerSecond, kMinPerSecond);
+  }
+  if (aPerSecond == this->rate) {
+    return;
+  }
+  const double before = this->rate && aPerSecond ? this->TokensAt(aNow) : 0;
+  this->rate = aPerSecond;
+  this->updatedAt = aNow;
+  this->tokens = this->rate ? std::min(before, this->Burst()) : 0;
+}
+
+void RateLimiter::Charge(TimePoint aNow)
+{
+  if (this->rate) {
+    this->tokens = std::max(this->TokensAt(aNow) - 1, -kMaxDebtSeconds * *this->rate);
+    this->updatedAt = aNow;
+  }
+}
+
+bool RateLimiter::Allows(TimePoint aNow, std::size_t aPending) const
+{
+  return !this->rate || this->TokensAt(aNow) >= 1 + static_cast<double>(aPending) - kTolerance;
+}
+
+TimePoint RateLimiter::NextAllowed(TimePoint aNow, std::size_t aPending) const
+{
+  if (this->Allows(aNow, aPending)) {
+    return aNow;
+  }
+  const double missing = 1 + static_cast<double>(aPending) - this->TokensAt(aNow);
+  const auto wait = std::chrono::duration<double>(missing / *this->rate);
+  return aNow + std::chrono::ceil<Duration>(wait);
+}
+
+// At least one, so that a request can be sent at any rate.
+double RateLimiter::Burst() const
+{
+  return std::max(1.0, kBurstSeconds * *this->rate);
+}
+
+double RateLimiter::TokensAt(TimePoint aNow) const
+{
+  return std::min(this->tokens + *this->rate * SecondsOf(aNow - this->updatedAt), this->Burst());
+}
+
+} // namespace caraway::direct
--- a/src/direct/slot_queue.cpp
+++ b/src/direct/slot_queue.cpp
@@ -28,6 +28,12 @@
   this->OfferFreeSlots(aNow);
 }
 
+void SlotQueue::SetRate(TimePoint aNow, std::optional<double> aPerSecond)
+{
+  this->rate.SetRate(aNow, aPerSecond);
+  this->OfferFreeSlots(aNow);
+}
+
 void SlotQueue::Reserve(TimePoint aNow, const Peer& aHolder, const ReserveSlot& aReserve)
 {
   if (!this->RenewLease(aNow, aHolder)) {
@@ -65,8 +71,11 @@
   this->waiting.erase(key);
   this->offers.erase(key);
   const std::uint32_t cumulativePrefill = this->PendingPrefill() + aUse.promptTokens;
-  this->running.insert_or_assign(
+  const auto [place, isNew] = this->running.insert_or_assign(
     key, OccupiedSlot{ aHolder, aUse.promptTokens, cumulativePrefill, aNow });
+  if (isNew) {
+    this->rate.Charge(aNow);
+  }
 }
 
 void SlotQueue::BeginAnswer(TimePoint aNow, const Peer& aHolder, CallNumber aCall)
@@ -91,13 +100,17 @@
   }
   const Key key{ aHolder.node, aCall };
   this->waiting.erase(key);
-  this->offers.erase(key);
+  if (this->offers.erase(key) > 0) {
+    this->rate.Charge(aNow); // the message that the offer was used was lost
+  }
   this->running.erase(key);
   this->OfferFreeSlots(aNow);
 }
 
 void SlotQueue::Reconcile(TimePoint aNow, const Peer& aHolder, const HoldState& aState)
 {
+  // What a holder brings along from another queue was charged there.
+  const bool isKnown = this->holders.contains(aHolder.node);
   if (!this->RenewLease(aNow, aHolder)) {
     return;
   }
@@ -124,6 +137,8 @@
       key, OccupiedSlot{ aHolder, row.promptTokens, row.promptTokens, aNow });
     if (!isNew) {
       place->second.prefill = row.promptTokens;
+    } else if (isKnown) {
+      this->rate.Charge(aNow);
     }
   }
   for (const ReserveSlot& row : aState.waiting) {
@@ -162,7 +177,7 @@
   this->OfferFreeSlots(aNow);
 }
 
-TimePoint SlotQueue::NextTimer() const
+TimePoint SlotQueue::NextTimer(TimePoint aNow) const
 {
   TimePoint next = kNever;
   for (const auto& [node, holder] : this->holders) {
@@ -171,6 +186,10 @@
   for (const auto& [key, offer] : this->offers) {
     next = std::min(next, offer.since + this->options.offerTimeout);
   }
+  const std::size_t pending = this->offers.size();
+  if (!this->waiting.empty() && !this->rate.Allows(aNow, pending)) {
+    next = std::min(next, this->rate.NextAllowed(aNow, pending));
+  }
   return next;
 }
 
@@ -215,7 +234,7 @@
 // Offers free slots to the reservations of highest priority.
 void SlotQueue::OfferFreeSlots(TimePoint aNow)
 {
-  while (this->Taken() < this->limit && !this->waiting.empty()) {
+  while (!this->waiting.empty() && this->MayOffer(aNow)) {
     const auto first = this->FindNext(aNow);
     if (first == this->waiting.end() || !this->HasPrefillCapacityFor(first->second)) {
       return;
--- a/src/direct/slot_queue.h
+++ b/src/direct/slot_queue.h
@@ -5,9 +5,11 @@
 
 #include "core/health.h"
 #include "direct/messages.h"
+#include "direct/rate_limiter.h"
 
 #include <array>
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace caraway::direct {
@@ -44,6 +46,9 @@
   // Sets the maximum number of concurrent requests at the endpoint; 0 while it cannot be used.
   void SetLimit(TimePoint aNow, std::uint32_t aLimit);
   std::uint32_t Limit() const { return this->limit; }
+  // Sets the maximum number of requests per second; nullopt: no limit.
+  void SetRate(TimePoint aNow, std::optional<double> aPerSecond);
+  std::optional<double> Rate() const { return this->rate.Rate(); }
 
   void Reserve(TimePoint aNow, const Peer& aHolder, const ReserveSlot& aReserve);
   void Withdraw(TimePoint aNow, const Peer& aHolder, CallNumber aCall);
@@ -58,7 +63,7 @@
   void KeepAlive(TimePoint aNow, const Peer& aHolder) { this->RenewLease(aNow, aHolder); }
 
   void OnTimer(TimePoint aNow);
-  TimePoint NextTimer() const;
+  TimePoint NextTimer(TimePoint aNow) const;
 
   std::uint32_t Taken() const
   {
@@ -102,6 +107,10 @@
 
   bool RenewLease(TimePoint aNow, const Peer& aHolder);
   void OfferFreeSlots(TimePoint aNow);
+  bool MayOffer(TimePoint aNow) const
+  {
+    return this->Taken() < this->limit && this->rate.Allows(aNow, this->offers.size());
+  }
   bool HasPrefillCapacityFor(const Reservation& aReservation) const;
   double MaxPendingPrefill() const;
   std::map<Key, Reservation>::iterator FindNext(TimePoint aNow);
@@ -110,6 +119,7 @@
   SlotQueueOptions options;
   SlotQueuePort& port;
   std::uint32_t limit = 0;
+  RateLimiter rate; // charged when an offered slot is used
   LatencyModel pace;
   std::map<Key, Reservation> waiting;
   std::map<Key, OccupiedSlot> offers;
--- a/src/direct/wait_policy.cpp
+++ b/src/direct/wait_policy.cpp
@@ -26,7 +26,7 @@
 Duration RetryDelay(const WaitPolicyOptions& aOptions, double aBacklog, double aSlots,
                     Duration aServiceTime)
 {
-  const Duration drain = Scaled(aServiceTime, (aBacklog + 1) / std::max(aSlots, 1.0));
+  const Duration drain = Scaled(aServiceTime, (aBacklog + 1) / (aSlots > 0 ? aSlots : 1.0));
   return std::clamp(drain, aOptions.minRetryDelay, aOptions.maxRetryDelay);
 }
 
--- a/src/gateway/endpoint_agent.cpp
+++ b/src/gateway/endpoint_agent.cpp
@@ -1,11 +1,13 @@
 #include "gateway/endpoint_agent.h"
 
+#include "direct/rate_news.h"
 #include "runtime/log.h"
 
 #include <prometheus/gauge.h>
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace caraway::gateway {
@@ -18,6 +20,12 @@
 constexpr Duration kReportTimeout = milliseconds(400);
 // A report lists each run: some hundred bytes for each of a few hundred runs.
 constexpr std::uint64_t kMaxReportBytes = 256 << 10;
+// Share of the request rate that the endpoint names for reports, and the longest report period: an
+// endpoint that names a rate of zero still gets one in this time.
+constexpr double kReportRateShare = 0.1;
+constexpr Duration kMaxReportPeriod = milliseconds(2500);
+// Calls get at least this share of the named rate, also where reports take more than theirs.
+constexpr double kMinCallShare = 0.5;
 
 } // namespace
 
@@ -88,6 +96,14 @@
   if (this->queue.OnMessage(this->Now(), aFrom, aPeer, *message)) {
     LogEvent(LogLevel::kInfo, "entry_heard", { { "entry", FormatAddress(aFrom) } });
     this->net.Send(aFrom, this->State());
+    if (const auto news = direct::NewsOf(this->Now(), this->namedRate, this->report.bornMs, true)) {
+      this->net.Send(aFrom, *news);
+    }
+  }
+  if (const auto* news = std::get_if<direct::RateNews>(&*message)) {
+    if (const auto read = direct::ReadNews(this->Now(), *news, this->report.bornMs)) {
+      this->AddRate(*read, aFrom.host);
+    }
   }
   if (this->queue.Slots() != this->slots) {
     this->slots = this->queue.Slots();
@@ -107,7 +123,7 @@
     this->reportTimer.ArmAfter(this->pausedUntil - now);
     return;
   }
-  if (this->reportExchange.expired()) {
+  if (this->reportExchange.expired() && now >= this->nextReportAt) {
     EndpointRequest request;
     request.address = this->settings.endpoint;
     request.bytes = this->reports.WriteReportRequest();
@@ -117,12 +133,15 @@
     this->reportCount++;
     this->reportHead = {};
     this->reportBody.clear();
+    this->nextReportAt = now + this->ReportPeriod();
     this->reportExchange = this->pool.Send(std::move(request), *this);
-  } else if (now - this->reportRequestedAt > kReportTimeout) {
+  } else if (!this->reportExchange.expired() && now - this->reportRequestedAt > kReportTimeout) {
     this->pool.Cancel(this->reportExchange);
     this->reportExchange.reset();
   }
-  if (this->isReachable && now - this->lastReportAt > this->settings.endpointTimeout) {
+  const Duration extraPeriod = this->ReportPeriod() - this->settings.reportPeriod;
+  if (this->isReachable &&
+      now - this->lastReportAt > this->settings.endpointTimeout + extraPeriod) {
     this->isReachable = false;
     LogEvent(LogLevel::kWarning, "endpoint_silent",
              { { "endpoint", FormatAddress(this->settings.endpoint) } });
@@ -158,7 +177,10 @@
     const auto read = this->reports.ReadReport(this->reportHead, this->reportBody);
     if (read) {
       this->ApplyReport(*read);
-      this->ApplyRate(this->reports.ParseNotice(this->reportHead));
+      const direct::EndpointNotice notice = this->reports.ParseNotice(this->reportHead);
+      if (notice.isRateKnown) {
+        this->AddRate({ notice.maxRate, this->reportRequestedAt, this->Now() }, "report");
+      }
       this->AfterInput();
       return;
     }
@@ -192,19 +214,36 @@
   }
 }
 
-// Applies the request rate that the report names.
-void EndpointAgent::ApplyRate(const direct::EndpointNotice& aNotice)
+// Applies a request rate that the endpoint named; aSource: who received the answer.
+void EndpointAgent::AddRate(const direct::RateObservation& aObservation, std::string_view aSource)
 {
-  if (!aNotice.isRateKnown ||
-      !this->namedRate.Add({ aNotice.maxRate, this->reportRequestedAt, this->Now() })) {
+  if (!this->namedRate.Add(aObservation)) {
     return;
   }
+  const std::optional<double> rate = this->namedRate.PerSecond();
   LogEvent(LogLevel::kInfo, "endpoint_rate",
            { { "endpoint", FormatAddress(this->settings.endpoint) },
              { "born_ms", std::to_string(this->report.bornMs) },
-             { "per_s", aNotice.maxRate ? std::to_string(*aNotice.maxRate) : "none" },
-             { "source", "report" },
+             { "per_s", rate ? std::to_string(*rate) : "none" },
+             { "source", std::string(aSource) },
+             { "report_ms", std::to_string(this->ReportPeriod() / milliseconds(1)) },
              { "reports", std::to_string(this->reportCount) } });
+  this->UpdateLimit();
+  if (const auto news = direct::NewsOf(this->Now(), this->namedRate, this->report.bornMs, true)) {
+    this->queue.SendToAll(*news);
+  }
+}
+
+// Reports are requests to the endpoint too: they take a small share of the rate that it names.
+Duration EndpointAgent::ReportPeriod() const
+{
+  const std::optional<double> rate = this->namedRate.PerSecond();
+  if (!rate) {
+    return this->settings.reportPeriod;
+  }
+  const auto byRate = std::chrono::duration<double>(1 / std::max(*rate * kReportRateShare, 1e-3));
+  return std::clamp(std::chrono::duration_cast<Duration>(byRate), this->settings.reportPeriod,
+                    kMaxReportPeriod);
 }
 
 void EndpointAgent::UpdateLimit()
@@ -212,6 +251,12 @@
   const bool mayOffer = this->isReachable && !this->report.isLeaving;
   this->queue.SetLimit(
     this->Now(), mayOffer && this->slots > 0 ? this->slots + this->settings.extraRequests : 0);
+  std::optional<double> callRate = this->namedRate.PerSecond();
+  if (callRate) {
+    const double reportRate = 1 / SecondsOf(this->ReportPeriod());
+    callRate = std::max(*callRate - reportRate, *callRate * kMinCallShare);
+  }
+  this->queue.SetRate(this->Now(), callRate);
 }
 
 std::string EndpointAgent::MetricsText() const
@@ -243,7 +288,8 @@
 void EndpointAgent::SendStates()
 {
   const TimePoint now = this->Now();
-  this->queue.SendStates(now, this->State());
+  this->queue.SendStates(now, this->State(),
+                         direct::NewsOf(now, this->namedRate, this->report.bornMs, true));
   this->net.Flush();
   this->stateTimer.ArmAfter(this->settings.statePeriod);
 }
@@ -251,7 +297,7 @@
 void EndpointAgent::AfterInput()
 {
   this->net.Flush();
-  const TimePoint next = this->queue.NextTimer();
+  const TimePoint next = this->queue.NextTimer(this->Now());
   if (next < this->armedFor) {
     this->armedFor = next;
     this->queueTimer.ArmAfter(next - this->Now());
--- a/src/gateway/endpoint_agent.h
+++ b/src/gateway/endpoint_agent.h
@@ -57,7 +57,8 @@
 
   void RequestReport();
   void ApplyReport(const EndpointReport& aReport);
-  void ApplyRate(const direct::EndpointNotice& aNotice);
+  void AddRate(const direct::RateObservation& aObservation, std::string_view aSource);
+  Duration ReportPeriod() const;
   void UpdateLimit();
   void SendStates();
   void AfterInput();
@@ -78,6 +79,7 @@
   TimePoint pausedUntil{}; // end of the Retry-After period that the engine requested
   std::string reportBody;
   TimePoint reportRequestedAt{};
+  TimePoint nextReportAt{};
   std::uint64_t offerCount = 0;
   std::uint64_t reportCount = 0; // reports requested
   direct::NamedRate namedRate;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -158,7 +158,7 @@
     return service != nullptr && service->engineSlots > 0;
   };
   this->moves.SetEndpoints(this->endpoints);
-  this->ownedQueues.SetEndpoints(this->Now(), this->endpoints);
+  this->ownedQueues.SetEndpoints(this->Now(), this->endpoints, hasAgents);
   this->dispatcher.SetEndpoints(this->Now(), this->endpoints, hasAgents);
   this->UpdateOwners();
   if (hasChanged) {
@@ -552,6 +552,7 @@
   this->metrics.SetEndpoints(this->endpoints.size(), this->EndpointsAge());
   this->metrics.SetOpenRequests(this->flows.size());
   this->metrics.SetSuspects(this->dispatcher.SuspectCount());
+  this->metrics.SetLimitedEndpoints(this->dispatcher.LimitedEndpointCount());
   this->metrics.SetLogLinesDropped(DroppedLogLines());
   return this->metrics.Text();
 }
@@ -563,7 +564,8 @@
     this->SendStates();
   }
   this->net.Flush();
-  const TimePoint next = std::min(this->dispatcher.NextTimer(), this->ownedQueues.NextTimer());
+  const TimePoint next =
+    std::min(this->dispatcher.NextTimer(), this->ownedQueues.NextTimer(this->Now()));
   if (next < this->armedFor) {
     this->armedFor = next;
     this->timer.ArmAfter(next - this->Now());
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -59,6 +59,8 @@
       AddGauge(this->registry, "caraway_entry_open_requests", "Requests not yet answered"))
   , suspects(
       AddGauge(this->registry, "caraway_entry_suspects", "Requests under which endpoints died"))
+  , limitedEndpoints(AddGauge(this->registry, "caraway_entry_limited_endpoints",
+                              "Endpoints that name a request rate"))
   , logLinesDropped(AddGauge(this->registry, "caraway_log_lines_dropped",
                              "Log lines beyond the bound, since the start"))
 {
@@ -122,6 +124,11 @@
   this->suspects.Set(static_cast<double>(aCount));
 }
 
+void GatewayMetrics::SetLimitedEndpoints(std::size_t aCount)
+{
+  this->limitedEndpoints.Set(static_cast<double>(aCount));
+}
+
 void GatewayMetrics::SetLogLinesDropped(std::uint64_t aCount)
 {
   this->logLinesDropped.Set(static_cast<double>(aCount));
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -38,6 +38,8 @@
   void SetOpenRequests(std::size_t aCount);
   // Number of requests suspected of crashing endpoints.
   void SetSuspects(std::size_t aCount);
+  // Number of endpoints that name a request rate.
+  void SetLimitedEndpoints(std::size_t aCount);
   void SetLogLinesDropped(std::uint64_t aCount);
 
   std::string Text() const;
@@ -56,6 +58,7 @@
   prometheus::Gauge& endpointsAge;
   prometheus::Gauge& openRequests;
   prometheus::Gauge& suspects;
+  prometheus::Gauge& limitedEndpoints;
   prometheus::Gauge& logLinesDropped;
   std::array<prometheus::Histogram*, kTierCount> waitHistograms{};
   std::array<prometheus::Histogram*, kTierCount> firstHistograms{};
--- a/src/gateway/gateway_peers.cpp
+++ b/src/gateway/gateway_peers.cpp
@@ -39,11 +39,15 @@
     for (const std::string& host : agent->entries) {
       this->AddEntry(host);
     }
+  } else if (const auto* news = std::get_if<direct::RateNews>(&aMessage)) {
+    this->dispatcher.OnAgentRate(now, aFrom.host, *news);
   } else if (const auto* state = std::get_if<direct::EntryState>(&aMessage)) {
     this->ApplyEntryState(aFrom, aPeer, *state);
   } else if (const auto* queue = std::get_if<direct::QueueEnvelope>(&aMessage)) {
+    const auto* rate = std::get_if<direct::RateNews>(&queue->message);
     const bool isFromOwner = std::holds_alternative<direct::AgentState>(queue->message) ||
-                             std::holds_alternative<direct::OfferSlot>(queue->message);
+                             std::holds_alternative<direct::OfferSlot>(queue->message) ||
+                             (rate != nullptr && rate->isFromQueue);
     if (isFromOwner) {
       this->dispatcher.OnOwnerMessage(now, aFrom.host, *queue);
     } else {
--- a/src/gateway/owned_queues.cpp
+++ b/src/gateway/owned_queues.cpp
@@ -1,5 +1,7 @@
 #include "gateway/owned_queues.h"
 
+#include "direct/rate_news.h"
+
 #include <algorithm>
 
 namespace caraway::gateway {
@@ -48,24 +50,44 @@
 {
 }
 
+std::optional<direct::RateNews> OwnedQueues::OwnedQueue::RateNews(TimePoint aNow) const
+{
+  return direct::NewsOf(aNow, this->namedRate, this->info.bornMs, true);
+}
+
 void OwnedQueues::SetEndpoints(TimePoint aNow,
-                               const std::map<std::string, direct::EndpointInfo>& aAll)
+                               const std::map<std::string, direct::EndpointInfo>& aAll,
+                               const std::function<bool(const std::string&)>& aHasAgents)
 {
   this->endpoints.clear();
   for (const auto& [id, info] : aAll) {
-    this->endpoints[HashOf(id)] = info;
+    this->endpoints[HashOf(id)] = { info, aHasAgents(info.service) };
   }
   std::erase_if(this->queues,
                 [this](const auto& aRow) { return !this->endpoints.contains(aRow.first); });
   for (auto& [endpoint, owned] : this->queues) {
-    owned->info = this->endpoints.at(endpoint);
-    UpdateLimit(aNow, *owned);
+    Update(aNow, *owned, this->endpoints.at(endpoint));
+  }
+}
+
+void OwnedQueues::Update(TimePoint aNow, OwnedQueue& aQueue, const Listed& aListed)
+{
+  if (aQueue.info.bornMs != aListed.info.bornMs) {
+    aQueue.namedRate = {};
   }
+  aQueue.info = aListed.info;
+  aQueue.hasAgent = aListed.hasAgent;
+  UpdateLimits(aNow, aQueue);
 }
 
-void OwnedQueues::UpdateLimit(TimePoint aNow, OwnedQueue& aQueue)
+void OwnedQueues::UpdateLimits(TimePoint aNow, OwnedQueue& aQueue)
 {
   aQueue.server.SetLimit(aNow, aQueue.info.isLeaving ? 0 : aQueue.info.slots);
+  std::optional<double> rate = aQueue.namedRate.PerSecond();
+  if (rate && aQueue.hasAgent) {
+    rate = *rate * direct::kFallbackRateShare;
+  }
+  aQueue.server.SetRate(aNow, rate);
 }
 
 void OwnedQueues::OnMessage(TimePoint aNow, const Address& aFrom, const Peer& aPeer,
@@ -78,18 +100,27 @@
   std::unique_ptr<OwnedQueue>& owned = this->queues[aMessage.endpoint];
   if (owned == nullptr) {
     owned = std::make_unique<OwnedQueue>(this->options, this->port, aMessage.endpoint);
-    owned->info = known->second;
-    UpdateLimit(aNow, *owned);
+    Update(aNow, *owned, known->second);
+  }
+  if (const auto* news = std::get_if<direct::RateNews>(&aMessage.message)) {
+    const auto read = direct::ReadNews(aNow, *news, owned->info.bornMs);
+    if (read && owned->namedRate.Add(*read)) {
+      UpdateLimits(aNow, *owned);
+      owned->server.SendToAll(*owned->RateNews(aNow));
+    }
   }
   if (owned->server.OnMessage(aNow, aFrom, aPeer, aMessage.message)) {
     owned->SendFromQueue(aFrom, owned->State());
+    if (const auto news = owned->RateNews(aNow)) {
+      owned->SendFromQueue(aFrom, *news);
+    }
   }
 }
 
 void OwnedQueues::SendStates(TimePoint aNow)
 {
   for (auto& [endpoint, owned] : this->queues) {
-    owned->server.SendStates(aNow, owned->State());
+    owned->server.SendStates(aNow, owned->State(), owned->RateNews(aNow));
   }
   // A queue without entries has moved to another owner.
   std::erase_if(this->queues,
@@ -103,11 +134,11 @@
   }
 }
 
-TimePoint OwnedQueues::NextTimer() const
+TimePoint OwnedQueues::NextTimer(TimePoint aNow) const
 {
   TimePoint next = kNever;
   for (const auto& [endpoint, owned] : this->queues) {
-    next = std::min(next, owned->server.NextTimer());
+    next = std::min(next, owned->server.NextTimer(aNow));
   }
   return next;
 }
--- a/src/gateway/owned_queues.h
+++ b/src/gateway/owned_queues.h
@@ -5,10 +5,13 @@
 #pragma once
 
 #include "direct/endpoint_table.h"
+#include "direct/named_rate.h"
 #include "gateway/queue_server.h"
 
+#include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -29,13 +32,15 @@
 public:
   OwnedQueues(const QueueServerOptions& aOptions, OwnedQueuesPort& aPort);
 
-  void SetEndpoints(TimePoint aNow, const std::map<std::string, direct::EndpointInfo>& aAll);
+  // aHasAgents returns whether the endpoints of a service have agents.
+  void SetEndpoints(TimePoint aNow, const std::map<std::string, direct::EndpointInfo>& aAll,
+                    const std::function<bool(const std::string&)>& aHasAgents);
   // Handles a message for the queue of an endpoint; its sender considers this entry the owner.
   void OnMessage(TimePoint aNow, const Address& aFrom, const Peer& aPeer,
                  const direct::QueueEnvelope& aMessage);
   void SendStates(TimePoint aNow);
   void OnTimer(TimePoint aNow);
-  TimePoint NextTimer() const;
+  TimePoint NextTimer(TimePoint aNow) const;
   std::size_t QueueCount() const { return this->queues.size(); }
 
 private:
@@ -44,18 +49,28 @@
     OwnedQueue(const QueueServerOptions& aOptions, OwnedQueuesPort& aPort, std::uint64_t aEndpoint);
     void SendFromQueue(const Address& aEntry, const direct::QueueMessage& aMessage) override;
     direct::AgentState State() const;
+    std::optional<direct::RateNews> RateNews(TimePoint aNow) const;
 
     OwnedQueuesPort& port;
     std::uint64_t endpoint;
     direct::EndpointInfo info;
+    bool hasAgent = false;
+    direct::NamedRate namedRate;
     QueueServer server;
   };
 
-  static void UpdateLimit(TimePoint aNow, OwnedQueue& aQueue);
+  struct Listed
+  {
+    direct::EndpointInfo info;
+    bool hasAgent = false;
+  };
+
+  static void Update(TimePoint aNow, OwnedQueue& aQueue, const Listed& aListed);
+  static void UpdateLimits(TimePoint aNow, OwnedQueue& aQueue);
 
   QueueServerOptions options;
   OwnedQueuesPort& port;
-  std::map<std::uint64_t, direct::EndpointInfo> endpoints; // by hash of the ID
+  std::map<std::uint64_t, Listed> endpoints; // by hash of the ID
   std::map<std::uint64_t, std::unique_ptr<OwnedQueue>> queues;
 };
 
--- a/src/gateway/queue_server.cpp
+++ b/src/gateway/queue_server.cpp
@@ -64,7 +64,15 @@
   return state;
 }
 
-void QueueServer::SendStates(TimePoint aNow, const direct::AgentState& aState)
+void QueueServer::SendToAll(const direct::QueueMessage& aMessage)
+{
+  for (const auto& [node, row] : this->entries) {
+    this->port.SendFromQueue(row.address, aMessage);
+  }
+}
+
+void QueueServer::SendStates(TimePoint aNow, const direct::AgentState& aState,
+                             const std::optional<direct::RateNews>& aRate)
 {
   std::erase_if(this->entries, [&](const auto& aRow) {
     return aNow - aRow.second.heardAt > this->options.entryTimeout;
@@ -74,6 +82,9 @@
     const bool isItsTurn = index++ % this->options.idleStatePeriods == 0;
     if (row.hasHolds || isItsTurn) {
       this->port.SendFromQueue(row.address, aState);
+      if (aRate) {
+        this->port.SendFromQueue(row.address, *aRate);
+      }
     }
   }
 }
--- a/src/gateway/queue_server.h
+++ b/src/gateway/queue_server.h
@@ -34,6 +34,10 @@
   QueueServer(const QueueServerOptions& aOptions, QueueServerPort& aPort);
 
   void SetLimit(TimePoint aNow, std::uint32_t aLimit) { this->queue.SetLimit(aNow, aLimit); }
+  void SetRate(TimePoint aNow, std::optional<double> aPerSecond)
+  {
+    this->queue.SetRate(aNow, aPerSecond);
+  }
   // Returns true if the entry was unknown before.
   bool OnMessage(TimePoint aNow, const Address& aFrom, const Peer& aPeer,
                  const direct::QueueMessage& aMessage);
@@ -42,11 +46,14 @@
 
   // The queue's part of an AgentState; the caller fills in the fields about the endpoint.
   direct::AgentState State() const;
-  // Sends aState to the entries that are due, and removes entries that timed out.
-  void SendStates(TimePoint aNow, const direct::AgentState& aState);
+  // Sends aState, and aRate if there is one, to the entries that are due, and removes entries that
+  // timed out.
+  void SendStates(TimePoint aNow, const direct::AgentState& aState,
+                  const std::optional<direct::RateNews>& aRate);
+  void SendToAll(const direct::QueueMessage& aMessage);
 
   void OnTimer(TimePoint aNow) { this->queue.OnTimer(aNow); }
-  TimePoint NextTimer() const { return this->queue.NextTimer(); }
+  TimePoint NextTimer(TimePoint aNow) const { return this->queue.NextTimer(aNow); }
   const direct::SlotQueue& Queue() const { return this->queue; }
   std::size_t EntryCount() const { return this->entries.size(); }
 
--- a/tests/direct/slot_queue_test.cpp
+++ b/tests/direct/slot_queue_test.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
+#include <utility>
 #include <vector>
 
 namespace caraway::direct {
@@ -217,6 +219,87 @@
   BOOST_TEST(this->port.offers.empty());
 }
 
+// Short calls, so that slots are always free: only the rate bounds them.
+BOOST_AUTO_TEST_CASE(offers_follow_the_rate_and_use_all_of_it)
+{
+  this->queue.SetLimit(this->now, 6);
+  this->queue.SetRate(this->now, 3.3);
+  CallNumber last = 0;
+  std::vector<TimePoint> starts;
+  for (const TimePoint end = this->now + seconds(20); this->now < end;
+       this->now += milliseconds(10)) {
+    while (this->queue.WaitingCount() < 5) {
+      this->queue.Reserve(this->now, kFirst, this->Reservation(++last, 0, 500, 0));
+    }
+    this->queue.OnTimer(this->now);
+    for (const auto& [node, call] : std::exchange(this->port.offers, {})) {
+      this->queue.Use(this->now, kFirst, UseSlot{ call, 0 });
+      this->queue.Release(this->now, kFirst, call);
+      starts.push_back(this->now);
+    }
+  }
+  BOOST_TEST(starts.size() >= 62U); // 66 in 20 s
+  for (const TimePoint from : starts) {
+    const auto count = std::count_if(starts.begin(), starts.end(), [&](TimePoint aAt) {
+      return aAt >= from && aAt < from + seconds(4);
+    });
+    BOOST_TEST(count <= 15);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(the_highest_tier_gets_the_rate)
+{
+  this->queue.SetLimit(this->now, 6);
+  this->queue.SetRate(this->now, 2);
+  this->queue.Reserve(this->now, kFirst, this->Reservation(1, 0, 500, 0, 2));
+  this->queue.Reserve(this->now, kFirst, this->Reservation(2, 0, 500, 0, 0));
+  BOOST_TEST(this->port.offers.empty());
+  this->now = this->queue.NextTimer(this->now);
+  this->queue.OnTimer(this->now);
+  BOOST_TEST(this->port.offers.size() == 1U);
+  BOOST_TEST(this->LastOffer() == 2U);
+}
+
+// Calls reserve at several endpoints, so most offers are declined.
+BOOST_AUTO_TEST_CASE(a_declined_offer_costs_no_rate)
+{
+  this->queue.SetLimit(this->now, 6);
+  this->queue.SetRate(this->now, 1);
+  this->now += seconds(1);
+  for (CallNumber call = 1; call <= 20; call++) {
+    this->queue.Reserve(this->now, kFirst, this->Reservation(call, 0, 500, 0));
+    BOOST_TEST(this->LastOffer() == call);
+    this->queue.Withdraw(this->now, kFirst, call);
+  }
+}
+
+// Messages may be lost: the first that shows the use of an offer charges it.
+BOOST_AUTO_TEST_CASE(a_use_whose_message_was_lost_is_charged)
+{
+  this->queue.SetLimit(this->now, 6);
+  this->queue.SetRate(this->now, 1);
+  this->now += seconds(1);
+  this->queue.Reserve(this->now, kFirst, this->Reservation(1, 0, 500, 0));
+  this->queue.Release(this->now, kFirst, 1);
+  this->queue.Reserve(this->now, kFirst, this->Reservation(2, 0, 500, 0));
+  BOOST_TEST(this->LastOffer() == 1U);
+  HoldState held;
+  held.running.push_back(UseSlot{ 3, 0 });
+  this->now += seconds(1);
+  this->queue.Reconcile(this->now, kFirst, held);
+  BOOST_TEST(this->port.offers.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(without_a_rate_offers_are_not_held_back)
+{
+  this->queue.SetLimit(this->now, 6);
+  this->queue.SetRate(this->now, 1);
+  this->queue.Reserve(this->now, kFirst, this->Reservation(1, 0, 500, 0));
+  BOOST_TEST(this->port.offers.empty());
+  this->queue.SetRate(this->now, std::nullopt);
+  BOOST_TEST(this->LastOffer() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace caraway::direct
--- a/tests/gateway/named_rate_test.cpp
+++ b/tests/gateway/named_rate_test.cpp
@@ -19,12 +19,12 @@
 constexpr double kFactor = 1.5;
 constexpr double kSlack = 5;
 
-// Returns the highest number of arrivals in kWindow, of those that come kNamedBefore after the first.
+// Returns the highest number of arrivals in kWindow, of those that come kNamedBefore after the
+// first.
 std::size_t MostInWindow(const std::vector<TimePoint>& aTimes)
 {
   std::vector<TimePoint> times(aTimes);
-  std::erase_if(times,
-                [&](TimePoint aTime) { return aTime < aTimes.front() + milliseconds(500); });
+  std::erase_if(times, [&](TimePoint aTime) { return aTime < aTimes.front() + milliseconds(500); });
   std::size_t most = 0;
   for (auto last = times.begin(); last != times.end(); ++last) {
     if (*last >= aTimes.front() + kNamedBefore) {
@@ -51,6 +51,7 @@
   void SendSteadily(Duration aTime)
   {
     constexpr Duration kPeriod = milliseconds(50);
+    constexpr int kTurns = 20; // of the main loop, enough for a call that need not wait
     const TimePoint end = this->clock.Read().steady + aTime;
     while (this->clock.Read().steady < end) {
       this->clock.Advance(kPeriod);
@@ -58,7 +59,9 @@
       this->clients.emplace_back(this->gateway->Port());
       this->clients.back().Send(
         Request("/safe/x", "r" + std::to_string(this->clients.size()), "body"));
-      RunUntil([this, turns = 0]() mutable { return ++turns > 20 || this->OpenCalls() == 0; });
+      for (int turn = 0; turn<kTurns&& this->OpenCalls()> 0; turn++) {
+        g_main_context_iteration(nullptr, FALSE);
+      }
     }
   }
 
@@ -75,7 +78,10 @@
 
 struct Reports final : ReportReader
 {
-  std::string WriteReportRequest() const override { return "GET /report HTTP/1.1\r\nId: r\r\n\r\n"; }
+  std::string WriteReportRequest() const override
+  {
+    return "GET /report HTTP/1.1\r\nId: r\r\n\r\n";
+  }
   std::optional<EndpointReport> ReadReport(const ResponseHead&, std::string_view) const override
   {
     return EndpointReport{ 1, false };
