--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -25,6 +25,8 @@
   "tenants":[{"name":"t","api-keys":["k1","k2"],"priority":1,"unit":"tokens","plain-tokens":200,
    "rate-per-s":85589,"burst":85590}]})";
 
+const milliseconds kNow(1000000);
+
 const std::string kSettings = R"({"node":"front-1","role":"entry","ip":"10.1.0.25","zone":"brno-a",
   "listen":{"front":"10.1.0.25:8221","ready":"10.1.0.25:8224"},"internal-ports":[7600,7615],
   "bounds":{"revoke-ms":5000,"grace-s":8,"retry-budget-ratio":0.2,"budget-extra":56,"quota-slack":110000},
@@ -110,7 +112,7 @@
 {
   const std::string good =
     R"({"service":"pool","address":"10.128.0.9:8080","zone":"z","version":"v1","slots":6,"state":"ready","seq":4,"born":123})";
-  const auto info = ReadEndpoint("i-1", good);
+  const auto info = ReadEndpoint("i-1", good, kNow);
   BOOST_REQUIRE(info.has_value());
   BOOST_TEST(info->host == "10.128.0.9");
   BOOST_TEST(info->bornMs == 123);
@@ -119,7 +121,7 @@
        { "", "[]", "{}", "\xff\xfe", R"({"service":3,"address":"10.0.0.1:1","state":"ready"})",
          R"({"service":"a","address":"nowhere","state":"ready"})",
          R"({"service":"a","address":"10.0.0.1:1","state":"resting"})" }) {
-    BOOST_TEST(!ReadEndpoint("i-2", bad).has_value());
+    BOOST_TEST(!ReadEndpoint("i-2", bad, kNow).has_value());
   }
 }
 
@@ -145,7 +147,7 @@
       std::string error;
       std::vector<Finding> findings;
       ReadConfig(text, error);
-      ReadEndpoint("i", text);
+      ReadEndpoint("i", text, kNow);
       ReadNodeSettings(text, findings);
       DecodeReadResponse(text, 3);
       PlatformReports("h").ReadReport(MakeAnswer(200, {}), text);
