--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -22,7 +22,7 @@
 class Faults:
     """The kinds that a run plays are drawn too: few of them meet more often than all do."""
 
-    def __init__(self, seed, series, generation):
+    def __init__(self, seed, series, generation, only=()):
         self.random = random.Random(f"faults {seed}")
         self.series = series
         self.until = 0.0
@@ -40,6 +40,8 @@
         else:
             drawn = [kind for kind in kinds if self.random.random() < SHARE_OF_KINDS]
             self.kinds = {kind: kinds[kind] for kind in drawn or kinds}
+        if only:
+            self.kinds = {kind: weight for kind, weight in self.all_kinds().items() if kind.__name__ in only}
 
     def all_kinds(self):
         return {
--- a/tests/soak/main.py
+++ b/tests/soak/main.py
@@ -34,6 +34,8 @@
     parser.add_argument("--tainted", type=int, default=0, help="callers whose prompts share a part that crashes endpoints")
     parser.add_argument("--series", type=int, default=3, help="of faults side by side")
     parser.add_argument("--generation", type=int, default=faults.GENERATION, help="of the kinds of fault; see faults.py")
+    parser.add_argument("--kinds", default="", help="kinds of fault, separated by commas; all that the seed draws if empty")
+    parser.add_argument("--no-agents", action="store_true", help="no agents run beside the engines")
     parser.add_argument("--logs", help="folder for the logs of runs with findings")
     parser.add_argument("--one", action="store_true", help=argparse.SUPPRESS)
     return parser.parse_args()
@@ -42,12 +44,13 @@
 def run_one(options):
     folder = options.logs
     os.makedirs(folder, exist_ok=True)
-    sizes = {name: getattr(options, name) for name in ("entries", "engines", "services", "callers", "crashers", "tainted")}
+    kinds = [name for name in options.kinds.split(",") if name]
+    sizes = {name: getattr(options, name) for name in ("entries", "engines", "services", "callers", "crashers", "tainted", "no_agents")}
 
     async def play():
         played = world.World(options.seed, sizes, os.path.abspath(options.program), folder)
         try:
-            await played.play(faults.Faults(options.seed, options.series, options.generation), options.seconds)
+            await played.play(faults.Faults(options.seed, options.series, options.generation, kinds), options.seconds)
         finally:
             played.kill_all()
         return played
@@ -66,7 +69,7 @@
 def play_all(options, seeds, logs):
     """Runs the seeds, some at a time, each in a process of its own; returns those with findings."""
     running, bad, started = {}, [], 0
-    passed = ["program", "seconds", "entries", "engines", "services", "callers", "crashers", "tainted", "series", "generation"]
+    passed = ["program", "seconds", "entries", "engines", "services", "callers", "crashers", "tainted", "series", "generation", "kinds"]
     try:
         while seeds or running:
             while seeds and len(running) < options.jobs:
@@ -76,6 +79,7 @@
                 command = [sys.executable, __file__, "--one", "--seed", str(seed), "--logs", folder]
                 for name in passed:
                     command += [f"--{name}", str(getattr(options, name))]
+                command += ["--no-agents"] if options.no_agents else []
                 running[folder] = (subprocess.Popen(command), seed)
             for folder, (process, seed) in list(running.items()):
                 if process.poll() is None:
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -57,6 +57,7 @@
         self.next_version = 2
         self.entries = []
         self.agents = []
+        self.has_agents = not sizes["no_agents"]
         self.build(sizes, program)
         self.callers = [
             callers.Caller(f"c{number}", self.keys[number % len(self.keys)], self)
@@ -92,7 +93,7 @@
         seen = (f"127.{self.net}.{40 + number // 200}.{1 + number % 200}", APP_PORT)
         endpoint = endpoints.Endpoint(f"e{number}", service, service == "pool", 6, own, seen, self)
         self.endpoints.append(endpoint)
-        if endpoint.is_engine:
+        if endpoint.is_engine and self.has_agents:
             endpoint.agent = nodes.Node(
                 f"agent{number}", "agent", seen[0], self.folder, self.program, self.store_address, own
             )
