--- a/src/direct/named_rate.h
+++ b/src/direct/named_rate.h
@@ -17,8 +17,8 @@
 };
 
 // Combines observations that arrive out of order, from this process and from others. Where two may
-// have been written in either order, the lower rate holds, so that only an answer to a later request
-// raises or ends a limit.
+// have been written in either order, the lower rate holds, so that only an answer to a later
+// request raises or ends a limit.
 class NamedRate
 {
 public:
