Keep many entries without an owner within a named rate

Found by reading the change: local queues of many entries, each with a small share of the rate, could send one request each at the same moment, and each share was raised to the least rate on its own. Change: the least rate belongs to the endpoint (NamedRate::EnforcedRate), shares are taken of it; where a share is below one request in 4 s, entries are chosen by hash, as many as the rate allows, and the others use other endpoints. A debt may always be one request, so that low shares are charged in full.

--- a/src/direct/dispatcher_rates.cpp
+++ b/src/direct/dispatcher_rates.cpp
@@ -8,6 +8,20 @@
 
 namespace caraway::direct {
 
+namespace {
+
+constexpr Duration kShareTime = std::chrono::seconds(4);
+
+// Hash between 0 and 1, the same for one entry and endpoint at all times.
+double UnitHash(const std::string& aEndpoint, NodeId aEntry)
+{
+  constexpr std::uint64_t kRange = 1 << 20;
+  const std::uint64_t hash = caraway::HashOf(aEndpoint, static_cast<std::uint64_t>(aEntry));
+  return static_cast<double>(hash % kRange) / kRange;
+}
+
+} // namespace
+
 void Dispatcher::AddRate(TimePoint aNow, Target& aTarget, const RateObservation& aObservation,
                          std::string_view aSource)
 {
@@ -36,11 +50,16 @@
   }
 }
 
+// With many entries, an equal share is less than one request in kShareTime. Each could still send
+// one at any moment, which adds up to more than the rate, so only some of them use the endpoint.
 void Dispatcher::UpdateLocalRate(TimePoint aNow, Target& aTarget)
 {
-  std::optional<double> rate = aTarget.namedRate.PerSecond();
+  std::optional<double> rate = aTarget.namedRate.EnforcedRate();
   if (rate) {
-    rate = *rate * kFallbackRateShare / this->entryCount;
+    const double share = *rate * kFallbackRateShare / this->entryCount;
+    const double perShareTime = share * SecondsOf(kShareTime);
+    const bool isChosen = UnitHash(aTarget.info.id, this->self.node) < perShareTime;
+    rate = !isChosen ? 0 : share / std::min(perShareTime, 1.0);
   }
   aTarget.localQueue->SetRate(aNow, rate);
 }
@@ -55,8 +74,9 @@
 
 double Dispatcher::CallRate(const Target& aTarget)
 {
-  const std::optional<double> rate =
-    aTarget.ActiveQueue() != nullptr ? aTarget.namedRate.PerSecond() : aTarget.localQueue->Rate();
+  const std::optional<double> rate = aTarget.ActiveQueue() != nullptr
+                                       ? aTarget.namedRate.EnforcedRate()
+                                       : aTarget.localQueue->Rate();
   return rate.value_or(std::numeric_limits<double>::infinity());
 }
 
--- a/src/direct/named_rate.cpp
+++ b/src/direct/named_rate.cpp
@@ -7,6 +7,8 @@
 
 namespace {
 
+constexpr double kMinPerSecond = 0.25;
+
 double RateOf(const RateObservation& aRow)
 {
   return aRow.perSecond.value_or(std::numeric_limits<double>::infinity());
@@ -14,6 +16,12 @@
 
 } // namespace
 
+std::optional<double> NamedRate::EnforcedRate() const
+{
+  const std::optional<double>& named = this->current.perSecond;
+  return named ? std::optional(std::max(*named, kMinPerSecond)) : std::nullopt;
+}
+
 bool NamedRate::Add(const RateObservation& aNew)
 {
   if (!this->hasLimit && !aNew.perSecond) {
--- a/src/direct/named_rate.h
+++ b/src/direct/named_rate.h
@@ -26,6 +26,9 @@
   bool Add(const RateObservation& aNew);
 
   std::optional<double> PerSecond() const { return this->current.perSecond; }
+  // The rate to enforce over all processes: a lower one, zero too, is raised so that a request now
+  // and then shows when it ends.
+  std::optional<double> EnforcedRate() const;
   // The observation in force; nullptr before the first one that named a rate.
   const RateObservation* Current() const { return this->hasLimit ? &this->current : nullptr; }
 
--- a/src/direct/rate_limiter.cpp
+++ b/src/direct/rate_limiter.cpp
@@ -6,10 +6,10 @@
 
 namespace {
 
-// A lower rate, 0 too, is raised to this, so that a request now and then shows its end.
-constexpr double kMinPerSecond = 0.25;
-constexpr double kBurstSeconds = 0.5; // of the rate
-constexpr double kMaxDebtSeconds = 4; // of the rate; bounds how long the endpoint gets nothing
+constexpr double kMinPerSecond = 1e-3; // keeps waits finite
+constexpr double kBurstSeconds = 0.5;  // of the rate
+constexpr double kMaxDebtSeconds = 4;  // of the rate; bounds how long the endpoint gets nothing
+constexpr double kMinMaxDebt = 1;      // requests; the bound at low rates
 // Covers the rounding of times to the clock's resolution.
 constexpr double kTolerance = 1e-3;
 
@@ -32,7 +32,8 @@
 void RateLimiter::Charge(TimePoint aNow)
 {
   if (this->rate) {
-    this->tokens = std::max(this->TokensAt(aNow) - 1, -kMaxDebtSeconds * *this->rate);
+    const double maxDebt = std::max(kMaxDebtSeconds * *this->rate, kMinMaxDebt);
+    this->tokens = std::max(this->TokensAt(aNow) - 1, -maxDebt);
     this->updatedAt = aNow;
   }
 }
--- a/src/gateway/endpoint_agent.cpp
+++ b/src/gateway/endpoint_agent.cpp
@@ -251,7 +251,7 @@
   const bool mayOffer = this->isReachable && !this->report.isLeaving;
   this->queue.SetLimit(
     this->Now(), mayOffer && this->slots > 0 ? this->slots + this->settings.extraRequests : 0);
-  std::optional<double> callRate = this->namedRate.PerSecond();
+  std::optional<double> callRate = this->namedRate.EnforcedRate();
   if (callRate) {
     const double reportRate = 1 / SecondsOf(this->ReportPeriod());
     callRate = std::max(*callRate - reportRate, *callRate * kMinCallShare);
--- a/src/gateway/owned_queues.cpp
+++ b/src/gateway/owned_queues.cpp
@@ -83,7 +83,7 @@
 void OwnedQueues::UpdateLimits(TimePoint aNow, OwnedQueue& aQueue)
 {
   aQueue.server.SetLimit(aNow, aQueue.info.isLeaving ? 0 : aQueue.info.slots);
-  std::optional<double> rate = aQueue.namedRate.PerSecond();
+  std::optional<double> rate = aQueue.namedRate.EnforcedRate();
   if (rate && aQueue.hasAgent) {
     rate = *rate * direct::kFallbackRateShare;
   }
--- a/tests/direct/named_rate_test.cpp
+++ b/tests/direct/named_rate_test.cpp
@@ -68,6 +68,15 @@
   BOOST_TEST(rate.PerSecond().value() == 3);
 }
 
+BOOST_AUTO_TEST_CASE(at_a_rate_of_zero_a_request_now_and_then_shows_its_end)
+{
+  NamedRate rate;
+  BOOST_TEST(!rate.EnforcedRate().has_value());
+  rate.Add(Observed(0, 0, 100));
+  BOOST_TEST(rate.EnforcedRate().value() > 0);
+  BOOST_TEST(4 * rate.EnforcedRate().value() <= 1); // five in 4 s are allowed
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace caraway::direct
--- a/tests/direct/rate_limiter_test.cpp
+++ b/tests/direct/rate_limiter_test.cpp
@@ -82,13 +82,17 @@
     this->limiter.Charge(this->now);
   }
   BOOST_TEST(this->SendFor(seconds(6)) >= 1);
+  this->limiter.SetRate(this->now, 0.1);
+  this->limiter.Charge(this->now);
+  this->limiter.Charge(this->now);
+  BOOST_TEST(this->SendFor(seconds(25)) == 1);
 }
 
-BOOST_AUTO_TEST_CASE(a_rate_of_zero_still_allows_a_request_now_and_then)
+BOOST_AUTO_TEST_CASE(a_rate_of_zero_allows_nothing_for_minutes)
 {
   this->limiter.SetRate(this->now, 0);
-  BOOST_TEST(this->SendFor(seconds(20)) >= 4);
-  BOOST_TEST(this->SendFor(seconds(4)) <= 2);
+  BOOST_TEST(this->SendFor(seconds(60)) == 0);
+  BOOST_TEST((this->limiter.NextAllowed(this->now, 0) < this->now + std::chrono::hours(1)));
 }
 
 BOOST_AUTO_TEST_CASE(a_changed_rate_gives_no_tokens)
--- a/tests/gateway/rate_world_test.cpp
+++ b/tests/gateway/rate_world_test.cpp
@@ -265,6 +265,17 @@
   BOOST_TEST(static_cast<double>(world.MostInWindow()) <= World::Allowed(6));
 }
 
+// Without an owner each entry has a small share of its own, far below a request a second.
+BOOST_AUTO_TEST_CASE(many_entries_without_an_owner_stay_within_the_rate)
+{
+  World world(30);
+  world.NameRate(3.3);
+  world.Play(seconds(6));
+  world.SetOwner("");
+  world.Play(seconds(40));
+  BOOST_TEST(static_cast<double>(world.MostInWindow()) <= World::Allowed(3.3));
+}
+
 BOOST_AUTO_TEST_CASE(a_rate_that_falls_holds_at_once_and_one_that_ends_is_forgotten)
 {
   World world(4);
