Don't complete a move while few runs of the new version fail often

Cause: the shift begins at twenty runs, and completes as soon as the old version is idle, however few runs there are. Then: 24 runs, 6 bad, within the bound drawn from the old version, which failed in those seconds too. Change: a version with four bad runs or more, over twice as many as expected, in fewer than a hundred runs is in doubt: its move does not complete; the shift brings more runs within seconds, and what is still in doubt at the end of the order's time is rolled back.

--- a/src/direct/version_move.cpp
+++ b/src/direct/version_move.cpp
@@ -15,6 +15,9 @@
 // Prior for the old version's failure rate: one bad run in twenty.
 constexpr double kPriorBadRuns = 1;
 constexpr double kPriorRuns = 20;
+// Fewer runs than kConclusiveRuns with kDoubtfulBadRuns bad ones or more leave a version in doubt.
+constexpr std::uint32_t kConclusiveRuns = 100;
+constexpr std::uint32_t kDoubtfulBadRuns = 4;
 constexpr std::uint32_t kMinTimedRuns = 12; // good runs of each version before comparing times
 constexpr double kSlowFactor = 2.5;         // bad versions are several times slower
 
@@ -30,10 +33,15 @@
   return static_cast<double>(aRow.answeredMs) / std::max(aRow.ended - aRow.bad, 1U);
 }
 
+// Bad runs of the new version if it failed as often as the old one.
+double ExpectedBadRuns(const VersionEvidence& aNew, const VersionEvidence& aOld)
+{
+  return aNew.ended * (aOld.bad + kPriorBadRuns) / (aOld.ended + kPriorRuns);
+}
+
 bool HasHigherFailureRate(const VersionEvidence& aNew, const VersionEvidence& aOld)
 {
-  const double oldRate = (aOld.bad + kPriorBadRuns) / (aOld.ended + kPriorRuns);
-  const double expected = aNew.ended * oldRate;
+  const double expected = ExpectedBadRuns(aNew, aOld);
   const double bound = kBadRateFactor * expected + kBadDeviations * std::sqrt(expected);
   return aNew.bad >= kMinBadRuns && aNew.bad > bound;
 }
@@ -133,6 +141,9 @@
     std::min(std::chrono::duration_cast<Duration>(this->order.duration * this->options.shiftShare),
              this->options.maxShiftTime);
   if (this->stage == MoveStage::kShift) {
+    if (this->IsInDoubt()) {
+      return aNow >= this->start + this->order.duration && this->Adopt(MoveStage::kRolledBack);
+    }
     return this->IsOldVersionIdle(aNow, aOldRunning) && this->Adopt(MoveStage::kCompleted);
   }
   if (aNow >= this->start + this->order.duration - shift &&
@@ -191,6 +202,15 @@
   });
 }
 
+// True if the new version has failed often in too few runs to judge it. During the shift it gets
+// all calls, so a few seconds decide.
+bool VersionMove::IsInDoubt() const
+{
+  const MoveEvidence total = this->Total();
+  return total.newRuns.ended < kConclusiveRuns && total.newRuns.bad >= kDoubtfulBadRuns &&
+         total.newRuns.bad > kBadRateFactor * ExpectedBadRuns(total.newRuns, total.oldRuns);
+}
+
 MoveEvidence VersionMove::Total() const
 {
   return this->Sum()[0];
--- a/src/direct/version_move.h
+++ b/src/direct/version_move.h
@@ -130,6 +130,7 @@
   };
   std::map<std::uint64_t, MoveEvidence> Sum() const;
   bool IsBad() const;
+  bool IsInDoubt() const;
   bool IsOldVersionIdle(TimePoint aNow, std::uint32_t aOldRunning) const;
 
   VersionMoveOptions options;
--- a/tests/direct/version_move_test.cpp
+++ b/tests/direct/version_move_test.cpp
@@ -222,6 +222,56 @@
   BOOST_TEST(table.TakeChanges().empty());
 }
 
+// The old version itself fails a part, so six failures in 24 runs are not enough to call the new
+// one bad.
+struct ThinEvidence
+{
+  ThinEvidence()
+  {
+    this->AddRuns(false, 200, 24);
+    this->AddRuns(true, 24, 6);
+    this->now += seconds(10);
+    this->move.Step(this->now, true, 0);
+    BOOST_REQUIRE((this->move.Stage() == MoveStage::kShift));
+    this->move.Step(this->now, true, 0);
+  }
+
+  void AddRuns(bool aIsNew, int aCount, int aBad)
+  {
+    for (int run = 0; run < aCount; run++) {
+      this->move.OnRunEnd(kRoute, aIsNew, run < aBad, kRunTime);
+    }
+  }
+
+  TimePoint now{ seconds(100) };
+  VersionMove move{ {}, MoveOrder{ "pool", "v2", seconds(12), 1 }, this->now };
+};
+
+BOOST_FIXTURE_TEST_CASE(a_move_does_not_complete_on_few_runs_that_fail_often, ThinEvidence)
+{
+  BOOST_TEST((this->move.Stage() == MoveStage::kShift));
+  this->AddRuns(true, 40, 14);
+  this->move.Step(this->now, true, 0);
+  BOOST_TEST((this->move.Stage() == MoveStage::kShift));
+  this->AddRuns(true, 40, 14);
+  this->move.Step(this->now, true, 0);
+  BOOST_TEST((this->move.Stage() == MoveStage::kRolledBack));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_move_completes_when_further_runs_clear_the_version, ThinEvidence)
+{
+  this->AddRuns(true, 40, 0);
+  this->move.Step(this->now, true, 0);
+  BOOST_TEST((this->move.Stage() == MoveStage::kCompleted));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_move_that_stays_in_doubt_is_rolled_back_at_its_end, ThinEvidence)
+{
+  this->now += seconds(2);
+  this->move.Step(this->now, true, 0);
+  BOOST_TEST((this->move.Stage() == MoveStage::kRolledBack));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace caraway::direct
