Keep the endpoint of an agent that is told the end of a named rate

Cause: while a rate is named, reports come every 2.5 s at the least; when an entry tells the agent that the rate has ended, the time without a report that counts as silence is 0.7 s again, and the last report older: the endpoint was taken for down, until the next report, and its crash suspected. Change: the answer that the news is from shows that the endpoint lived then, and the next report is due by the new rate. Test: named_rates/an_agent_that_is_told_the_end_of_a_rate_keeps_its_endpoint, failing before. No functional change while no rate is named.

--- a/src/gateway/endpoint_agent.cpp
+++ b/src/gateway/endpoint_agent.cpp
@@ -220,6 +220,9 @@
   if (!this->namedRate.Add(aObservation)) {
     return;
   }
+  // The answer shows that the endpoint lives, and the time of the next report depends on the rate.
+  this->lastReportAt = std::max(this->lastReportAt, aObservation.latest);
+  this->nextReportAt = std::min(this->nextReportAt, this->Now() + this->ReportPeriod());
   const std::optional<double> rate = this->namedRate.PerSecond();
   LogEvent(LogLevel::kInfo, "endpoint_rate",
            { { "endpoint", FormatAddress(this->settings.endpoint) },
--- a/tests/gateway/named_rate_test.cpp
+++ b/tests/gateway/named_rate_test.cpp
@@ -141,6 +141,45 @@
   BOOST_TEST(agent.State().isReachable);
 }
 
+// Reports were rare while a rate was named, so the last one is old when an entry tells its end.
+BOOST_AUTO_TEST_CASE(an_agent_that_is_told_the_end_of_a_rate_keeps_its_endpoint)
+{
+  std::size_t reports = 0;
+  std::string rate = "0.5";
+  ScriptedEndpoint endpoint(this->poller, [&](Connection& aTo, const RequestHead& aHead) {
+    reports++;
+    const std::string answer = CompleteResponse(aHead, "ok");
+    aTo.Write(rate.empty() ? answer : WithRate(answer, rate));
+  });
+  AgentSettings agentSettings;
+  agentSettings.listen = { "127.0.0.1", 0 };
+  agentSettings.endpoint = { "127.0.0.1", endpoint.listener.Port() };
+  const Reports reader;
+  EndpointAgent agent(agentSettings, Peer{ NodeId{ 3 }, Incarnation{ 1 } }, this->poller,
+                      this->clock, reader);
+  BOOST_REQUIRE(!agent.Start());
+  BOOST_REQUIRE(RunUntil([&] { return agent.State().isReachable; }));
+  this->clock.Advance(seconds(2));
+  rate.clear();
+  struct : PeerMessageHandler
+  {
+    void OnPeerMessage(const Address&, const Peer&, const direct::DirectMessage&) override {}
+    void OnPeerMessagesDone() override {}
+  } ignored;
+  PeerNet entry(this->poller, Peer{ NodeId{ 4 }, Incarnation{ 1 } }, ignored);
+  BOOST_REQUIRE(!entry.Bind({ "127.0.0.1", 0 }));
+  entry.Send({ "127.0.0.1", agent.Port() }, direct::RateNews{});
+  entry.Flush();
+  bool wasLost = false;
+  const std::size_t before = reports;
+  BOOST_TEST(RunUntil([&] {
+    this->clock.Advance(milliseconds(1));
+    wasLost = wasLost || !agent.State().isReachable;
+    return wasLost || reports > before + 1;
+  }));
+  BOOST_TEST(!wasLost);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace caraway::gateway
