--- a/review/common/world.py
+++ b/review/common/world.py
@@ -271,7 +271,7 @@
     sys.unraisablehook = lambda *_: None
     try:
         is_broken = asyncio.run(run())
-    except (CannotRun, asyncio.TimeoutError, asyncio.CancelledError, OSError) as error:
+    except (Exception, asyncio.CancelledError) as error:  # pylint: disable=broad-except
         record.add(f"cannot run: {error!r}")
         print(f"cannot run: {error!r}", file=sys.stderr)
         sys.exit(2)
