Reject messages whose transfer coding does not tell the length

Cause: the parser library frames a body in chunks only if the single field ends in "chunked"; any other value is left to its caller, and the body is taken as empty. RequestReader accepted that, so the body's text was read as the next request of the connection.

Why it works: a head is malformed unless it has no transfer coding or a single "chunked" in HTTP/1.1, and that is checked before any byte of a body is read; the caller gets 400 and its connection is closed.

No functional change to decisions.

--- a/src/runtime/http_reader.cpp
+++ b/src/runtime/http_reader.cpp
@@ -5,6 +5,9 @@
 
 #include <strings.h>
 
+#include <algorithm>
+#include <iterator>
+
 namespace caraway {
 
 namespace {
@@ -14,6 +17,7 @@
 using boost::beast::string_view;
 
 constexpr std::uint32_t kMaxResponseHeadBytes = 64 * 1024; // bytes
+constexpr int kHttp11 = 11;                                // as the parser reports it
 
 std::string ToStdString(string_view aView)
 {
@@ -59,6 +63,21 @@
                                                                     : state;
 }
 
+// Whether the parser determines where the body ends. It handles a single "chunked" and treats any
+// other transfer coding as if there were none.
+bool IsTransferCodingSupported(const HeaderFields& aFields, bool aIsHttp11)
+{
+  const auto isCoding = [](const HeaderField& aField) {
+    return FieldNamesEqual(aField.name, "Transfer-Encoding");
+  };
+  const auto coding = std::find_if(aFields.begin(), aFields.end(), isCoding);
+  if (coding == aFields.end()) {
+    return true;
+  }
+  return aIsHttp11 && FieldNamesEqual(coding->value, "chunked") &&
+         std::none_of(std::next(coding), aFields.end(), isCoding);
+}
+
 // Collects the parts common to requests and responses.
 template<bool kIsRequest>
 class Collector : public http::basic_parser<kIsRequest>
@@ -69,11 +88,18 @@
   std::optional<std::uint64_t> length;
 
 protected:
+  bool isHttp11 = false;
+
   void on_field_impl(http::field, string_view aName, string_view aValue, error_code&) override
   {
     this->fields.push_back({ ToStdString(aName), ToStdString(aValue) });
   }
-  void on_header_impl(error_code&) override {}
+  void on_header_impl(error_code& aError) override
+  {
+    if (!IsTransferCodingSupported(this->fields, this->isHttp11)) {
+      aError = http::error::bad_transfer_encoding;
+    }
+  }
   void on_body_init_impl(const boost::optional<std::uint64_t>& aLength, error_code&) override
   {
     if (aLength) {
@@ -100,9 +126,10 @@
   RequestHead head;
 
 private:
-  void on_request_impl(http::verb, string_view aMethod, string_view aTarget, int,
+  void on_request_impl(http::verb, string_view aMethod, string_view aTarget, int aVersion,
                        error_code&) override
   {
+    this->isHttp11 = aVersion == kHttp11;
     this->head.method = ToStdString(aMethod);
     this->head.target = ToStdString(aTarget);
   }
@@ -116,12 +143,17 @@
 
 private:
   void on_request_impl(http::verb, string_view, string_view, int, error_code&) override {}
-  void on_response_impl(int aStatus, string_view aReason, int, error_code&) override
+  void on_response_impl(int aStatus, string_view aReason, int aVersion, error_code&) override
   {
+    this->isHttp11 = aVersion == kHttp11;
     this->head.status = static_cast<std::uint16_t>(aStatus);
     this->head.reason = ToStdString(aReason);
   }
-  void on_header_impl(error_code&) override { this->head.fields = std::move(this->fields); }
+  void on_header_impl(error_code& aError) override
+  {
+    Collector::on_header_impl(aError);
+    this->head.fields = std::move(this->fields);
+  }
 };
 
 } // namespace
--- a/tests/runtime/caller_test.cpp
+++ b/tests/runtime/caller_test.cpp
@@ -306,6 +306,22 @@
   BOOST_TEST(call.Status() == 413);
 }
 
+// A body whose length cannot be determined must not be read as the next request (review case 3).
+BOOST_AUTO_TEST_CASE(body_of_unknown_length_is_refused)
+{
+  EntryFixture fixture;
+  for (const std::string coding :
+       { "chunked, identity", "gzip", "xchunked", "chunked , chunked" }) {
+    const std::string hidden = Call::Get("/v1/models", "Authorization: Bearer key-a\r\n");
+    Call call(fixture, "POST /orders/book HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer key-a\r\n"
+                       "Transfer-Encoding: " +
+                         coding + "\r\n\r\n" + hidden);
+    const int status = call.Status();
+    BOOST_TEST((status == 400 || status == 501), "status " << status << " for " << coding);
+    BOOST_TEST(call.client.Received().find("HTTP/1.1 ", 1) == std::string::npos);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(incomplete_requests_time_out)
 {
   EntryFixture fixture(100);
