Don't merge the fields of a trailer into the head of a request

What callers could do: set Authorization, Model or Token-Counts in the trailer of a body in chunks, so that the request ran with fields that its head does not have.

Cause: the parser library reports fields of head and trailer through one callback, and RequestReader collected both in one list that it handed out when the message was complete. For the same reason "Expect: 100-continue" was never seen, since the head was not known before the body.

Evidence: http_reader/a_trailer_adds_no_fields_to_the_head (4 fields where 2 are in the head) and the_head_is_known_before_the_body failed before.

Fix: fields go straight into the head until it is complete; later ones are dropped. Requests and answers share the code.

No functional change to decisions.

--- a/src/runtime/http_reader.cpp
+++ b/src/runtime/http_reader.cpp
@@ -79,24 +79,30 @@
 }
 
 // Collects the parts common to requests and responses.
-template<bool kIsRequest>
+template<bool kIsRequest, class Head>
 class Collector : public http::basic_parser<kIsRequest>
 {
 public:
-  HeaderFields fields;
+  Head head;
   std::string body;
   std::optional<std::uint64_t> length;
 
 protected:
   bool isHttp11 = false;
+  bool isHeadComplete = false;
 
+  // Called for the head and for a trailer. A trailer's fields must not be merged into the head (RFC
+  // 9110, section 6.5.1), and none of them has a meaning here.
   void on_field_impl(http::field, string_view aName, string_view aValue, error_code&) override
   {
-    this->fields.push_back({ ToStdString(aName), ToStdString(aValue) });
+    if (!this->isHeadComplete) {
+      this->head.fields.push_back({ ToStdString(aName), ToStdString(aValue) });
+    }
   }
   void on_header_impl(error_code& aError) override
   {
-    if (!IsTransferCodingSupported(this->fields, this->isHttp11)) {
+    this->isHeadComplete = true;
+    if (!IsTransferCodingSupported(this->head.fields, this->isHttp11)) {
       aError = http::error::bad_transfer_encoding;
     }
   }
@@ -120,12 +126,8 @@
   void on_finish_impl(error_code&) override {}
 };
 
-class RequestCollector final : public Collector<true>
+class RequestCollector final : public Collector<true, RequestHead>
 {
-public:
-  RequestHead head;
-
-private:
   void on_request_impl(http::verb, string_view aMethod, string_view aTarget, int aVersion,
                        error_code&) override
   {
@@ -136,12 +138,8 @@
   void on_response_impl(int, string_view, int, error_code&) override {}
 };
 
-class ResponseCollector final : public Collector<false>
+class ResponseCollector final : public Collector<false, ResponseHead>
 {
-public:
-  ResponseHead head;
-
-private:
   void on_request_impl(http::verb, string_view, string_view, int, error_code&) override {}
   void on_response_impl(int aStatus, string_view aReason, int aVersion, error_code&) override
   {
@@ -149,11 +147,6 @@
     this->head.status = static_cast<std::uint16_t>(aStatus);
     this->head.reason = ToStdString(aReason);
   }
-  void on_header_impl(error_code& aError) override
-  {
-    Collector::on_header_impl(aError);
-    this->head.fields = std::move(this->fields);
-  }
 };
 
 } // namespace
@@ -192,11 +185,7 @@
 
 ReadState RequestReader::Read(std::string& aInput)
 {
-  const ReadState state = Feed(this->impl->collector, aInput, this->impl->maxHeadBytes);
-  if (state == ReadState::kDone) {
-    this->impl->collector.head.fields = std::move(this->impl->collector.fields);
-  }
-  return state;
+  return Feed(this->impl->collector, aInput, this->impl->maxHeadBytes);
 }
 
 bool RequestReader::IsHeadDone() const
--- a/src/runtime/http_reader.h
+++ b/src/runtime/http_reader.h
@@ -62,8 +62,9 @@
   ReadState Read(std::string& aInput);
   bool IsHeadDone() const;
   bool KeepsAlive() const;
-  // Head and body of the complete message; valid after kDone.
+  // Valid once the head is done.
   RequestHead& Head();
+  // Complete after kDone.
   std::string& Body();
 
 private:
--- a/tests/runtime/http_reader_test.cpp
+++ b/tests/runtime/http_reader_test.cpp
@@ -118,6 +118,31 @@
   }
 }
 
+// Fields of a trailer were added to those of the head, where they replaced the account's key or the
+// number of tokens that the request counts for.
+BOOST_AUTO_TEST_CASE(a_trailer_adds_no_fields_to_the_head)
+{
+  for (const bool isByteByByte : { false, true }) {
+    RequestReader reader(kMaxHeadBytes, kMaxBodyBytes);
+    const std::string body = Chunked("x", "Authorization: Bearer k\r\nModel: m\r\n");
+    BOOST_TEST((ReadRequest(reader, "Transfer-Encoding: chunked\r\n", body, isByteByByte) ==
+                ReadState::kDone));
+    BOOST_TEST(reader.Body() == "x");
+    BOOST_TEST(reader.Head().fields.size() == 2U);
+    BOOST_TEST(FindField(reader.Head().fields, "Authorization") == nullptr);
+    BOOST_TEST(FindField(reader.Head().fields, "Model") == nullptr);
+  }
+}
+
+// The caller waits for "100 Continue" before it sends its body.
+BOOST_AUTO_TEST_CASE(the_head_is_known_before_the_body)
+{
+  RequestReader reader(kMaxHeadBytes, kMaxBodyBytes);
+  BOOST_TEST((ReadRequest(reader, "Content-Length: 3\r\nExpect: 100-continue\r\n", "", false) ==
+              ReadState::kMore));
+  BOOST_TEST(FindField(reader.Head().fields, "Expect") != nullptr);
+}
+
 // The same in an answer: its body would reach the caller with another coding or length.
 BOOST_DATA_TEST_CASE(an_answer_of_unknown_coding_is_rejected,
                      std::vector<std::string>({ "chunked, identity", "gzip, chunked", "identity",
