Take the quota usage of running entries when an entry joins them

A late answer of the store also counted the time since the start as age.

The clock of the saving entry goes back 2.4 s at 3.0 s; the entries that start at 4.7 s stop refusing the account 2.4 s before the usage leaves the window.

Why it works: an entry that starts beside running ones asks them for the usage of the window, whose ages are those of one steady clock. Saved usage is shifted only by what exceeds the possible error of clocks.

--- a/src/direct/messages.h
+++ b/src/direct/messages.h
@@ -189,6 +189,47 @@
   friend bool operator==(const AccountUsage&, const AccountUsage&) = default;
 };
 
+// Usage of one account in the last window, in buckets of equal time, newest first.
+struct SavedUsage
+{
+  std::uint64_t account = 0;
+  std::vector<std::uint32_t> units;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(account, units);
+  }
+
+  friend bool operator==(const SavedUsage&, const SavedUsage&) = default;
+};
+
+// Entry to entry, from one that started less than a window ago: asks for a UsageWindow.
+struct UsageRequest
+{
+  template<class Archive>
+  void serialize(Archive&)
+  {
+  }
+
+  friend bool operator==(const UsageRequest&, const UsageRequest&) = default;
+};
+
+// Entry to entry: usage of all entries in the last window as known to the sender, which has counted
+// for a whole window; omits accounts with negligible usage.
+struct UsageWindow
+{
+  std::vector<SavedUsage> accounts;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(accounts);
+  }
+
+  friend bool operator==(const UsageWindow&, const UsageWindow&) = default;
+};
+
 // Entry to entry: state that is shared to enforce limits over all entries.
 struct EntryState
 {
@@ -241,7 +282,8 @@
 
 using DirectMessage = std::variant<ReserveSlot, WithdrawSlot, OfferSlot, UseSlot, BeginAnswer,
                                    ReleaseSlot, HoldState, AgentState, EntryState, QueueEnvelope,
-                                   RateNews>; // last, as builds without it read all others
+                                   RateNews, UsageRequest, UsageWindow>; // append only, as older
+                                                                         // builds read the others
 
 DirectMessage ToDirectMessage(const QueueMessage& aMessage);
 // Returns nullopt if the message is not a queue message.
--- a/src/direct/shared_quota.cpp
+++ b/src/direct/shared_quota.cpp
@@ -57,6 +57,7 @@
   , peerTimeout(aOptions.peerTimeout)
   , expectedEntries(aOptions.initialEntries)
   , expectedUntil(kNever)
+  , restoredAt(aStart)
 {
 }
 
@@ -239,12 +240,16 @@
   return found->second.growth * SecondsOf(std::min(age, this->options.maxSaveAge));
 }
 
-// Usage in the bucket that is aAge buckets older than the start.
+// Usage in the bucket that is aAge buckets older than the end of the restored usage.
 double SharedQuota::RestoredAt(const RestoredUsage* aRow, double aBound, std::size_t aAge) const
 {
   if (!this->isRestored) {
     return aBound / kParts;
   }
+  if (this->isFromPeer) {
+    const double negligible = aAge == 0 ? aBound * kMinSavedShare : 0;
+    return aRow == nullptr ? negligible : aAge < aRow->units.size() ? aRow->units[aAge] : 0;
+  }
   const double average = aAge < this->failedSaveParts ? aBound / kParts : 0;
   if (aRow == nullptr) {
     return average + (aAge == 0 ? aBound * (kMinSavedShare + kAssumedUnsavedShare) : 0);
@@ -260,7 +265,7 @@
                                                   TimePoint aNow) const
 {
   Buckets buckets{};
-  const std::int64_t elapsed = this->BucketOf(aNow) - this->BucketOf(this->start);
+  const std::int64_t elapsed = this->BucketOf(aNow) - this->BucketOf(this->restoredAt);
   if (elapsed < 0 || elapsed >= static_cast<std::int64_t>(kBuckets)) {
     return buckets;
   }
@@ -277,12 +282,19 @@
 
 void SharedQuota::RestoreUsage(std::vector<SavedUsage> aSaved, Duration aGap)
 {
+  if (this->isFromPeer) {
+    return;
+  }
   // During the gap, entries may have served calls at the average rate or in bursts as large as the
   // largest one.
   const double gapShare =
     std::clamp(SecondsOf(aGap) / SecondsOf(this->options.window), kUnsavedShare, 1.0);
   const auto gapParts =
     static_cast<std::size_t>(std::round(std::max(gapShare - kUnsavedShare, 0.0) * kParts));
+  const Duration certainGap =
+    std::clamp(aGap - this->options.maxClockError, Duration::zero(), this->options.window * 2);
+  const auto certainParts =
+    static_cast<std::size_t>(certainGap * static_cast<std::int64_t>(kParts) / this->options.window);
   const double peaks = std::max(kUnsavedPeaks, static_cast<double>(gapParts) / kPeakWidth);
   const Duration failedFor =
     std::clamp(aGap - this->options.maxSaveAge, Duration::zero(), this->options.window);
@@ -301,12 +313,33 @@
       last = units;
     }
     row.unsaved = std::max(total * gapShare, peak * peaks);
-    // Shifts the saved usage by the gap and drops what has left the window.
-    row.units.insert(row.units.begin(), gapParts, 0);
+    // Shifts the saved usage by the part of the gap that is certain, and drops what has left the
+    // window.
+    row.units.insert(row.units.begin(), certainParts, 0);
     row.units.resize(std::min(row.units.size(), kBuckets));
   }
 }
 
+bool SharedQuota::KnowsWindow(TimePoint aNow) const
+{
+  return this->isFromPeer ||
+         this->BucketOf(aNow) - this->BucketOf(this->start) >= static_cast<std::int64_t>(kBuckets);
+}
+
+void SharedQuota::OnPeerWindow(TimePoint aNow, const std::vector<SavedUsage>& aUsages)
+{
+  if (this->KnowsWindow(aNow)) {
+    return;
+  }
+  this->isRestored = true;
+  this->isFromPeer = true;
+  this->restoredAt = aNow;
+  this->restored.clear();
+  for (const SavedUsage& usage : aUsages) {
+    this->restored[usage.account] = { usage.units, 0 };
+  }
+}
+
 std::vector<SavedUsage> SharedQuota::UsageToSave(TimePoint aNow)
 {
   // Includes restored accounts without requests since the start, so that they survive another
--- a/src/direct/shared_quota.h
+++ b/src/direct/shared_quota.h
@@ -37,23 +37,12 @@
   // If saves fail for longer than this, a restarted process assumes that accounts were used at the
   // average rate from then on. The value covers a few missed saves.
   Duration maxSaveAge = std::chrono::milliseconds(1500);
+  // Largest difference between the clocks of two VMs, one of which saves and the other restores.
+  Duration maxClockError = std::chrono::seconds(5);
   // Time within which all live entries have been heard.
   Duration discoveryTime = std::chrono::seconds(3);
 };
 
-// Usage of one account in the last window, in buckets of equal time, newest first.
-struct SavedUsage
-{
-  std::uint64_t account = 0;
-  std::vector<std::uint32_t> units;
-
-  template<class Archive>
-  void serialize(Archive& aArchive)
-  {
-    aArchive(account, units);
-  }
-};
-
 // Persisted usage of all accounts.
 struct UsageSnapshot
 {
@@ -79,7 +68,13 @@
 
   // Restores usage that was saved aGap before the start. Since the last save, each account may have
   // used as much as LimitUnsavedUsage allows; accounts not listed used little before it.
+  // aGap may be off by maxClockError in either direction.
   void RestoreUsage(std::vector<SavedUsage> aSaved, Duration aGap);
+  // True if the usage of the last window is known, not assumed.
+  bool KnowsWindow(TimePoint aNow) const;
+  // The usage of the last window as known to a peer; replaces what is restored or assumed for the
+  // time before the start.
+  void OnPeerWindow(TimePoint aNow, const std::vector<SavedUsage>& aUsages);
   // Usage of accounts with more than negligible usage, or whose bound is not known here, to be
   // persisted across a restart of all entries.
   std::vector<SavedUsage> UsageToSave(TimePoint aNow);
@@ -183,6 +178,8 @@
   std::uint32_t expectedEntries; // including this one
   TimePoint expectedUntil;
   bool isRestored = false;
+  bool isFromPeer = false;         // restored from a peer, so that no usage is missing
+  TimePoint restoredAt;            // end of the restored usage
   std::size_t failedSaveParts = 0; // buckets before the start in which saves had failed
   std::unordered_map<std::uint64_t, RestoredUsage> restored;
   std::unordered_map<std::uint64_t, Window> windows;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -79,6 +79,7 @@
   , self(aSelf)
   , poller(aPoller)
   , clock(aClock)
+  , startedAt(aClock.Read().steady)
   , random(aRandom)
   , protocol(aProtocol)
   , budget(aSettings.budget, aClock.Read().steady)
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -118,6 +118,8 @@
   // Quota usage that was saved before the start; empty if there was none.
   void RestoreUsage(const std::string& aBytes);
   void SetQuotaStore(QuotaStore& aStore);
+  // True if the quota usage of the last window is known, by own counting or from another entry.
+  bool KnowsQuotaUsage() const { return this->quota.KnowsWindow(this->Now()); }
 
   // Restores the saved suspects: requests during which endpoints crashed before the start.
   void RestoreSuspects(const std::vector<direct::SavedSuspicion>& aSaved);
@@ -191,6 +193,7 @@
   Duration EntryTimeout() const;
   std::size_t StateRounds() const;
   void ApplyEntryState(const Address& aFrom, const Peer& aPeer, const direct::EntryState& aState);
+  void ApplyUsageWindow(const Address& aFrom, const direct::UsageWindow& aWindow);
   void SaveQuotaUsage();
   // Reports the end of a run at an endpoint of aVersion.
   void OnRunEnd(const Flow& aFlow, const std::string& aVersion, bool aIsBad, Duration aTime);
@@ -204,6 +207,7 @@
   Peer self;
   Poller& poller;
   const Clock& clock;
+  TimePoint startedAt;
   Random& random;
   const ProtocolAdapter& protocol;
   direct::RetryBudget budget;
--- a/src/gateway/gateway_peers.cpp
+++ b/src/gateway/gateway_peers.cpp
@@ -15,6 +15,8 @@
 
 using std::chrono::milliseconds;
 
+// An entry that started recently asks some of its peers for the usage of quotas in each round.
+constexpr int kUsageRequestsPerRound = 2;
 constexpr Duration kUnknownAge = std::chrono::hours(1); // exceeds every limit on the age of data
 
 } // namespace
@@ -43,6 +45,12 @@
     this->dispatcher.OnAgentRate(now, aFrom.host, *news);
   } else if (const auto* state = std::get_if<direct::EntryState>(&aMessage)) {
     this->ApplyEntryState(aFrom, aPeer, *state);
+  } else if (std::holds_alternative<direct::UsageRequest>(aMessage)) {
+    if (this->quota.KnowsWindow(now)) {
+      this->net.Send(aFrom, direct::UsageWindow{ this->quota.UsageToSave(now) });
+    }
+  } else if (const auto* window = std::get_if<direct::UsageWindow>(&aMessage)) {
+    this->ApplyUsageWindow(aFrom, *window);
   } else if (const auto* queue = std::get_if<direct::QueueEnvelope>(&aMessage)) {
     const auto* rate = std::get_if<direct::RateNews>(&queue->message);
     const bool isFromOwner = std::holds_alternative<direct::AgentState>(queue->message) ||
@@ -146,6 +154,18 @@
   }
 }
 
+void Gateway::ApplyUsageWindow(const Address& aFrom, const direct::UsageWindow& aWindow)
+{
+  const TimePoint now = this->Now();
+  if (!this->quota.KnowsWindow(now)) {
+    LogEvent(LogLevel::kInfo, "quota_usage_received",
+             { { "from", aFrom.host },
+               { "accounts", std::to_string(aWindow.accounts.size()) },
+               { "after_ms", std::to_string((now - this->startedAt) / milliseconds(1)) } });
+    this->quota.OnPeerWindow(now, aWindow.accounts);
+  }
+}
+
 void Gateway::OnPeerMessagesDone()
 {
   this->AfterInput();
@@ -162,11 +182,16 @@
       return;
     }
     saved = std::move(*read);
-    // Clocks of VMs differ; the minimum share of unsaved usage that the quota assumes covers small
-    // differences.
-    gap = milliseconds(this->clock.Read().wall.time_since_epoch().count() - saved.savedAtMs);
+    const caraway::Now now = this->clock.Read();
+    gap = milliseconds(now.wall.time_since_epoch().count() - saved.savedAtMs) -
+          (now.steady - this->startedAt);
     this->hasSavedUsage = !saved.accounts.empty();
   }
+  LogEvent(
+    LogLevel::kInfo, "quota_usage_restored",
+    { { "accounts", std::to_string(saved.accounts.size()) },
+      { "saved_before_start_ms", aBytes.empty() ? "" : std::to_string(gap / milliseconds(1)) },
+      { "knows_window", this->quota.KnowsWindow(this->Now()) ? "true" : "false" } });
   this->quota.RestoreUsage(std::move(saved.accounts), gap);
 }
 
@@ -299,6 +324,7 @@
     const auto reader = std::find_if(this->peerEntries.begin(), this->peerEntries.end(),
                                      [](const auto& aRow) { return aRow.second.readsStore; });
     std::size_t index = ++this->stateRound;
+    int usageRequests = this->quota.KnowsWindow(now) ? 0 : kUsageRequestsPerRound;
     for (auto& [host, peer] : this->peerEntries) {
       // The store reader exchanges states with all entries in every round, so that its
       // confirmations keep their configuration fresh.
@@ -310,6 +336,10 @@
         peer.isContacted = true;
         state.echoUs = peer.sentAtUs;
         this->net.Send(peer.address, state);
+        if (peer.sentAtUs != 0 && usageRequests > 0) {
+          usageRequests--;
+          this->net.Send(peer.address, direct::UsageRequest{});
+        }
       }
     }
   }
--- a/tests/direct/shared_quota_test.cpp
+++ b/tests/direct/shared_quota_test.cpp
@@ -191,8 +191,8 @@
   BOOST_TEST(this->TakeAll(after) == 9000);
 }
 
-// Regression test (review case 4): the account was quiet and uses half of its bound at once. That was
-// not saved, and a restart took it for usage spread evenly over the window.
+// Regression test (review case 4): the account was quiet and uses half of its bound at once. That
+// was not saved, and a restart took it for usage spread evenly over the window.
 BOOST_AUTO_TEST_CASE(a_restart_counts_a_burst_of_half_the_bound)
 {
   SharedQuota before(this->options, this->now - seconds(20));
@@ -341,6 +341,52 @@
   BOOST_TEST(all == 9000);
 }
 
+// Regression test (review case 5): the clock of the saving VM is 2.4 s behind that of a VM that is
+// added, which took the saved usage for older than it was and freed it too early.
+BOOST_AUTO_TEST_CASE(clocks_that_differ_free_no_usage)
+{
+  for (const Duration error : { milliseconds(2400), milliseconds(-2400), milliseconds(4900) }) {
+    SharedQuota first(this->options, this->now - seconds(20));
+    double used = 0;
+    for (; used < 9000; used += 250) {
+      BOOST_REQUIRE((first.Take(this->now, kAccount, kLimit, 250) == Duration::zero()));
+      this->now += milliseconds(100);
+    }
+    SharedQuota added(this->options, this->now);
+    added.RestoreUsage(first.UsageToSave(this->now), error);
+    double taken = 0;
+    for (int step = 0; step < 40; step++) { // until just before the first usage leaves the window
+      taken += this->TakeAll(added);
+      this->now += milliseconds(100);
+    }
+    BOOST_TEST(taken == 0);
+    this->now += seconds(20);
+  }
+}
+
+// An entry that is added to running ones knows the usage of the window from them, and neither from
+// clocks nor by assumption.
+BOOST_AUTO_TEST_CASE(an_added_entry_takes_the_usage_of_its_peers)
+{
+  SharedQuota first(this->options, this->now - seconds(20));
+  for (double used = 0; used < 5000; used += 250) {
+    BOOST_REQUIRE((first.Take(this->now, kAccount, kLimit, 250) == Duration::zero()));
+    this->now += milliseconds(100);
+  }
+  SharedQuota added(this->options, this->now);
+  BOOST_TEST(first.KnowsWindow(this->now));
+  BOOST_TEST(!added.KnowsWindow(this->now));
+  added.RestoreUsage({}, seconds(-3));
+  this->now += milliseconds(200);
+  added.OnPeerWindow(this->now, first.UsageToSave(this->now));
+  BOOST_TEST(added.KnowsWindow(this->now));
+  BOOST_TEST(this->TakeAll(added) == 4000);
+  this->now += seconds(5); // the usage of the first second is about to leave the window
+  BOOST_TEST(this->TakeAll(added) == 0);
+  this->now += seconds(4);
+  BOOST_TEST(this->TakeAll(added) > 4500);
+}
+
 // Entries that have not received reports from each other yet use an equal share each.
 BOOST_AUTO_TEST_CASE(undiscovered_entries_share_the_bound)
 {
--- a/tests/gateway/fixture.h
+++ b/tests/gateway/fixture.h
@@ -278,6 +278,7 @@
   std::list<std::unique_ptr<ScriptedEndpoint>> endpoints;
   std::map<std::string, direct::EndpointInfo> endpointInfos;
   std::unique_ptr<Gateway> gateway;
+  int lastId = 0; // of requests that a test numbers
 };
 
 } // namespace caraway::gateway
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -532,6 +532,63 @@
   BOOST_TEST(RunUntil([&] { return this->saveCount > 0; }));
 }
 
+// The store answers 7 s after the start, so that its record is 7 s old, but none of that precedes
+// the start.
+BOOST_AUTO_TEST_CASE(usage_restored_late_keeps_its_place_in_the_window)
+{
+  GatewayFixture fixture;
+  fixture.quota = { 100, 0 };
+  const std::int64_t savedAtMs = fixture.clock.Read().wall.time_since_epoch().count();
+  fixture.Configure();
+  fixture.clock.Advance(seconds(7));
+  fixture.gateway->ConfirmConfig(1, fixture.clock.Read().steady);
+  fixture.gateway->RestoreUsage(
+    direct::EncodeUsageSnapshot({ savedAtMs, { { HashOf("shop"), { 840 } } } }));
+  const std::string answer =
+    fixture.SendAndWait(GatewayFixture::Request("/once/x", "r1"), "\r\n\r\n");
+  BOOST_TEST(Contains(answer, "HTTP/1.1 429 "));
+}
+
+// An entry is added while an account has used half of its quota at the other one: it must allow the
+// other half, no more and not much less.
+BOOST_AUTO_TEST_CASE(an_added_entry_takes_the_quota_usage_of_the_others)
+{
+  GatewayFixture fixture;
+  fixture.quota = { 100, 0 }; // 840 requests in 8 s with the tolerance that is used
+  fixture.Configure();
+  fixture.AddEndpoint(
+    [](Connection& aTo, const RequestHead& aHead) { aTo.Write(CompleteResponse(aHead, "hello")); });
+  fixture.clock.Advance(seconds(20));
+  fixture.gateway->ConfirmConfig(1, fixture.clock.Read().steady);
+  const auto countServed = [&](Gateway& aEntry, int aRequests) {
+    RawTcpClient client(aEntry.Port());
+    int served = 0;
+    for (int i = 0; i < aRequests; i++) {
+      const std::size_t before = client.Received().size();
+      client.Send(GatewayFixture::Request("/safe/x", "r" + std::to_string(++fixture.lastId)));
+      BOOST_REQUIRE(
+        RunUntil([&] { return client.Received().find("\r\n\r\n", before) != std::string::npos; }));
+      served += client.Received().find("HTTP/1.1 200 ", before) == before ? 1 : 0;
+    }
+    return served;
+  };
+  BOOST_TEST(countServed(*fixture.gateway, 420) == 420);
+  GatewaySettings settings = fixture.settings;
+  settings.peerListen = { "127.0.0.2", fixture.gateway->PeerPort() };
+  Gateway added(settings, Peer{ NodeId{ 2 }, Incarnation{ 1 } }, fixture.poller, fixture.clock,
+                fixture.random, fixture.protocol);
+  BOOST_REQUIRE(!added.Start());
+  added.RestoreUsage("");
+  added.SetConfig(1, fixture.config);
+  added.SetEndpoints(fixture.endpointInfos);
+  added.AddEntry("127.0.0.1");
+  BOOST_REQUIRE(RunUntil([&] { return added.KnowsQuotaUsage(); }));
+  added.ConfirmConfig(1, fixture.clock.Read().steady);
+  const int served = countServed(added, 500);
+  BOOST_TEST(served <= 420);
+  BOOST_TEST(served >= 370);
+}
+
 // Regression (fresh-be22): a stream accepted 3.1 s after the shutdown signal was later interrupted.
 BOOST_FIXTURE_TEST_CASE(no_request_is_accepted_after_the_leave_notice, ShortLeaveNotice)
 {
