Bound what an entry holds for answers in total

Cause: one endless answer was bounded, many at once were not. Partial events of streams (1 MB each) and output that callers do not read (8 MB each, and sent bytes stayed in the buffer) had no total.

Fix: bodies and partial events count against one total by the memory that they take, output against another; only requests with 64 KB of it are ended. Sent output is removed, kept connections free their buffers, idle ones that get bytes are not read.

No functional change to decisions.

--- a/src/gateway/flow.cpp
+++ b/src/gateway/flow.cpp
@@ -19,9 +19,11 @@
 // Size limits of an event stream and of a single event in it.
 constexpr std::uint64_t kMaxStreamBytes = 32 << 20;
 constexpr std::size_t kMaxEventBytes = 1 << 20;
-// Total size of the answers that this process buffers until they are complete. The smallest entry
-// VM has 88 MB.
+// Total memory of the answers and events that this process buffers until they are complete. The
+// smallest entry VM has 88 MB.
 constexpr std::size_t kMaxHeldBytes = 24 << 20;
+// Attempts that hold less are not aborted when the total is exceeded.
+constexpr std::size_t kMinAbortBytes = 64 << 10;
 
 } // namespace
 
@@ -59,7 +61,6 @@
   this->hasHead = false;
   this->kind = ResponseKind::kInvalid;
   this->DiscardBody();
-  this->events = EventSplitter();
   this->isAttemptOpen = true;
   this->attemptVersion = aEndpoint.version;
   this->attemptStartedAt = this->gateway.Now();
@@ -117,18 +118,30 @@
 {
   if (this->kind == ResponseKind::kSuccess && this->IsStream()) {
     this->ForwardStreamData(aData);
-    if (this->isAttemptOpen && this->events.PartialEvent().size() > kMaxEventBytes) {
+    if (!this->isAttemptOpen) {
+      return;
+    }
+    if (this->events.PartialEvent().size() > kMaxEventBytes) {
       this->AbortAttempt("event_without_end");
+      return;
     }
-    return;
+  } else {
+    this->body.append(aData);
   }
-  this->gateway.heldBytes += aData.size();
-  if (this->gateway.heldBytes > kMaxHeldBytes) {
-    this->gateway.heldBytes -= aData.size();
+  if (!this->UpdateHeldBytes()) {
     this->AbortAttempt("answers_too_large");
-    return;
   }
-  this->body.append(aData);
+}
+
+// Counts the memory that this request holds. False if all requests hold too much and this one has a
+// notable part of it.
+bool Gateway::Flow::UpdateHeldBytes()
+{
+  const std::size_t held = this->body.capacity() + this->events.PartialEvent().capacity();
+  this->gateway.heldBytes += held;
+  this->gateway.heldBytes -= this->heldBytes;
+  this->heldBytes = held;
+  return this->gateway.heldBytes <= kMaxHeldBytes || held < kMinAbortBytes;
 }
 
 // Aborts an attempt whose answer exceeds a size limit.
@@ -144,8 +157,9 @@
 
 void Gateway::Flow::DiscardBody()
 {
-  this->gateway.heldBytes -= this->body.size();
   std::string().swap(this->body);
+  this->events = EventSplitter();
+  this->gateway.heldBytes -= std::exchange(this->heldBytes, 0);
 }
 
 // Forwards complete events as they arrive.
--- a/src/gateway/flow.h
+++ b/src/gateway/flow.h
@@ -48,6 +48,7 @@
   void BeginStream();
   void AbortAttempt(std::string_view aCause);
   void DiscardBody();
+  bool UpdateHeldBytes();
   void FinishAttempt(direct::AttemptEnd aEnd);
   void RecordFirstLatency();
   void ForwardAnswer();
@@ -62,7 +63,8 @@
   ResponseHead head; // of the current attempt
   bool hasHead = false;
   ResponseKind kind = ResponseKind::kInvalid;
-  std::string body; // of an answer that is buffered until it is complete
+  std::string body;          // of an answer that is buffered until it is complete
+  std::size_t heldBytes = 0; // memory of the body and of the partial event
   EventSplitter events;
   std::optional<std::uint64_t> lastDeliveredId; // last event sent to the caller
   bool isStreaming = false;                     // the response head was sent to the caller
--- a/src/runtime/endpoint_pool.cpp
+++ b/src/runtime/endpoint_pool.cpp
@@ -76,7 +76,12 @@
     this->socket->SetOwner(*this);
   }
 
-  void OnInput() override { this->isDead = true; }
+  // Reading stops, as an endpoint may send without end until the connection is closed.
+  void OnInput() override
+  {
+    this->isDead = true;
+    this->socket->SetReading(false);
+  }
   void OnInputEnd(bool) override { this->isDead = true; }
 
   // A rejection of this request was read on the connection. If the endpoint writes it once more,
@@ -320,6 +325,7 @@
 void EndpointPool::StoreIdle(EndpointExchange& aExchange, Duration aIdleTime)
 {
   const TimePoint now = this->clock.Read().steady;
+  aExchange.socket->ReleaseBuffers();
   this->idle[aExchange.request.address].push_back(std::make_unique<IdleConnection>(
     std::move(aExchange.socket), std::move(aExchange.rejected), now, now + aIdleTime));
 }
--- a/src/runtime/ingress_server.cpp
+++ b/src/runtime/ingress_server.cpp
@@ -15,8 +15,11 @@
 constexpr Duration kSweepPeriod = milliseconds(250); // precision of the timeouts
 // Time for the caller to read the last answer and close before the connection is dropped.
 constexpr Duration kLingerTime = seconds(1);
-// Limit of pending output, above which a caller that reads too slowly is disconnected.
+// Limits of pending output, of one caller and of all, above which a caller that reads too slowly is
+// disconnected. A caller with less than kMinDisconnectBytes is not.
 constexpr std::size_t kMaxPendingOutputBytes = 8 << 20;
+constexpr std::size_t kMaxTotalOutputBytes = 12 << 20;
+constexpr std::size_t kMinDisconnectBytes = 64 << 10;
 
 void AppendNumber(std::string& aText, std::uint64_t aNumber, int aBase = 10)
 {
@@ -125,7 +128,7 @@
       }
     }
     this->Send();
-    if (this->socket.PendingOutput() > kMaxPendingOutputBytes) {
+    if (!this->server.MayHoldOutput(this->socket.PendingOutput())) {
       this->OnInputEnd(true);
     }
   }
@@ -151,6 +154,7 @@
     this->Drop(false);
   }
 
+  std::size_t PendingOutput() const { return this->socket.PendingOutput(); }
   bool IsIdle() const { return this->state == State::kReading && !this->hasBytes; }
 
   // Drops idle and lingering connections and rejects requests that exceeded their timeout.
@@ -270,6 +274,7 @@
     }
     this->state = State::kReading;
     this->socket.SetReading(true);
+    this->socket.ReleaseBuffers();
     if (this->server.isStopped) {
       this->Drop(false);
     } else if (!this->socket.Input().empty()) {
@@ -328,6 +333,18 @@
   this->connections.insert(std::make_shared<Connection>(*this, aFd));
 }
 
+bool IngressServer::MayHoldOutput(std::size_t aPending) const
+{
+  if (aPending < kMinDisconnectBytes) {
+    return true;
+  }
+  std::size_t total = 0;
+  for (const std::shared_ptr<Connection>& connection : this->connections) {
+    total += connection->PendingOutput();
+  }
+  return aPending <= kMaxPendingOutputBytes && total <= kMaxTotalOutputBytes;
+}
+
 void IngressServer::ReadBuffered()
 {
   const std::vector<std::weak_ptr<Connection>> connections =
--- a/src/runtime/ingress_server.h
+++ b/src/runtime/ingress_server.h
@@ -85,6 +85,9 @@
   class Connection;
 
   void Accept(int aFd);
+  // False if all connections hold too much output and this one, with aPending bytes, a notable
+  // part.
+  bool MayHoldOutput(std::size_t aPending) const;
   void Sweep();
   void ReadBuffered();
 
--- a/src/runtime/tcp_socket.cpp
+++ b/src/runtime/tcp_socket.cpp
@@ -82,6 +82,9 @@
   if (this->fd < 0) {
     return;
   }
+  if (this->outputOffset > this->output.size() / 2) {
+    this->output.erase(0, std::exchange(this->outputOffset, 0));
+  }
   this->output.append(aData);
   if (this->isConnected) {
     this->Flush();
@@ -89,6 +92,16 @@
   }
 }
 
+void TcpSocket::ReleaseBuffers()
+{
+  if (this->input.empty()) {
+    std::string().swap(this->input);
+  }
+  if (this->output.empty()) {
+    std::string().swap(this->output);
+  }
+}
+
 void TcpSocket::SetReading(bool aIsReading)
 {
   if (this->isReading != aIsReading) {
--- a/src/runtime/tcp_socket.h
+++ b/src/runtime/tcp_socket.h
@@ -42,6 +42,8 @@
 
   // Writes as much of aData as the kernel accepts and buffers the rest.
   void Write(std::string_view aData);
+  // Frees the memory of buffers that are empty, before the connection is kept idle.
+  void ReleaseBuffers();
   // Stops or resumes reading; while stopped, a close by the remote end is still reported.
   void SetReading(bool aIsReading);
   // Closes the write side once all output is sent; input can still be read.
