Answer every request before a shutdown ends

Cause: only the program knew when the process ends. Requests were sent until the last moment, and what was open then was cut without an answer. Requests that arrive late are refused already (2.8 s after the signal).

Evidence: every_request_has_an_answer_before_a_shutdown_ends, with the new setting but without Dispatcher::SetEnd: no answer to either of two requests.

Fix: the dispatcher limits deadlines to the end of the process and sends a call only if twice the average run time is left; a call that waits longer gets 503 with a time to come back.

--- a/src/direct/dispatcher.cpp
+++ b/src/direct/dispatcher.cpp
@@ -196,6 +196,7 @@
   call.spec = aSpec;
   call.isTrial = isSuspect;
   call.giveUpAt = WaitDeadline(this->options.patience, aSpec);
+  this->LimitToEnd(call);
   this->Place(aNow, call);
   this->Schedule(call);
   this->DrainLocalOffers(aNow);
@@ -272,6 +273,7 @@
   call.giveUpAt =
     std::max(WaitDeadline(this->options.patience, call.spec), aNow + call.spec.objective / 2);
   call.giveUpAt = std::min(call.giveUpAt, call.spec.deadline);
+  this->LimitToEnd(call);
   call.isWidened = true;
   this->CancelCanary(call);
   this->Place(aNow, call);
@@ -467,6 +469,25 @@
   }
 }
 
+void Dispatcher::SetEnd(TimePoint aNow, TimePoint aEnd)
+{
+  this->endsAt = aEnd;
+  for (auto& [number, call] : this->calls) {
+    this->LimitToEnd(call);
+    this->Schedule(call);
+  }
+  this->OnTimer(aNow);
+}
+
+// A call must start early enough to last twice as long as the average one.
+void Dispatcher::LimitToEnd(Call& aCall) const
+{
+  if (this->endsAt != kNever) {
+    aCall.spec.deadline = std::min(aCall.spec.deadline, this->endsAt);
+    aCall.giveUpAt = std::min(aCall.giveUpAt, this->endsAt - this->RunTime(aCall.spec.service) * 2);
+  }
+}
+
 void Dispatcher::Schedule(Call& aCall)
 {
   TimePoint next = aCall.spec.deadline;
--- a/src/direct/dispatcher.h
+++ b/src/direct/dispatcher.h
@@ -109,6 +109,9 @@
 
   // May call DispatchPort::GiveUp for the call before it returns.
   void Submit(TimePoint aNow, const CallSpec& aSpec);
+  // The process ends at aEnd: no call lasts longer, and a call that could not end by then is not
+  // sent.
+  void SetEnd(TimePoint aNow, TimePoint aEnd);
   // Ends a call in any stage; the host closes its attempt.
   void Cancel(TimePoint aNow, CallNumber aCall);
   // The first event of the answer arrived.
@@ -302,6 +305,7 @@
   static double CallRate(const Target& aTarget);
   void SendHoldStates(TimePoint aNow);
   void Schedule(Call& aCall);
+  void LimitToEnd(Call& aCall) const;
   void CancelCanary(Call& aCall);
   bool MayUse(TimePoint aNow, const Target& aTarget, const CallSpec& aSpec) const;
   void DropUnusableCalls(TimePoint aNow);
@@ -324,6 +328,7 @@
   std::unordered_map<std::uint64_t, PromptAffinity> promptAffinities;
   std::priority_queue<CallTimer, std::vector<CallTimer>, std::greater<>> callTimers;
   TimePoint nextHoldAt{};
+  TimePoint endsAt = kNever; // end of the process
   std::uint32_t holdRound = 0;
   std::map<std::string, std::string> bannedVersions; // by service
   LeavingTable leaving;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -192,6 +192,8 @@
     this->isLeaving = true;
     this->server.BeginLeaving();
     this->leaveTimer.ArmAfter(this->settings.leaveNotice);
+    this->dispatcher.SetEnd(this->Now(), this->Now() + this->settings.shutdownTime);
+    this->AfterInput();
   }
 }
 
@@ -410,7 +412,8 @@
 {
   const auto found = this->flows.find(aCall);
   if (found != this->flows.end()) {
-    found->second->EndWithoutAnswer(aReason, aRetryAfter);
+    found->second->EndWithoutAnswer(aReason, this->isLeaving ? this->settings.retryWhenLeaving
+                                                             : aRetryAfter);
   }
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -50,6 +50,8 @@
   // second and removes an entry after two failed probes; requests accepted later than three seconds
   // after the shutdown signal must not be interrupted.
   Duration leaveNotice = std::chrono::milliseconds(2800);
+  // Time from the shutdown signal until all requests have their final answers.
+  Duration shutdownTime = std::chrono::milliseconds(7750);
   Duration probeTimeout = std::chrono::milliseconds(500); // for endpoints that broke a connection
   direct::DispatchOptions dispatch;
   QueueServerOptions ownedQueues;
--- a/tests/direct/dispatcher_test.cpp
+++ b/tests/direct/dispatcher_test.cpp
@@ -533,6 +533,38 @@
   BOOST_TEST((this->port.givenUp[0].second == GiveUpReason::kSuspect));
 }
 
+// A call that waits while the process shuts down is not sent when it could not end in time, and all
+// calls have ended by then.
+BOOST_AUTO_TEST_CASE(no_call_is_sent_late_in_a_shutdown)
+{
+  this->ListEndpoints(1, false, 1);
+  const TimePoint end = this->now + seconds(3);
+  this->dispatcher->SetEnd(this->now, end);
+  CallNumber waiting = 0;
+  while (this->port.started.size() == waiting) {
+    CallSpec spec = this->Spec(++waiting);
+    spec.deadline = this->now + seconds(30);
+    spec.objective = seconds(20);
+    this->dispatcher->Submit(this->now, spec);
+  }
+  while (this->port.givenUp.empty() && this->now < end) {
+    this->now += milliseconds(10);
+    this->dispatcher->OnTimer(this->now);
+  }
+  BOOST_REQUIRE(this->port.givenUp.size() == 1U);
+  BOOST_TEST(this->port.givenUp[0].first == waiting);
+  BOOST_TEST((this->now <= end - this->options.initialRunTime));
+  BOOST_TEST((this->now >= end - seconds(1)));
+  this->dispatcher->OnAttemptEnd(this->now, 1, AttemptEnd::kAnswered);
+  BOOST_TEST(this->port.started.size() == waiting - 1);
+  CallSpec late = this->Spec(waiting + 1);
+  late.deadline = this->now + seconds(30);
+  this->dispatcher->Submit(this->now, late);
+  this->now = end;
+  this->dispatcher->OnTimer(this->now);
+  BOOST_TEST(this->dispatcher->CallCount() == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace caraway::direct
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -532,6 +532,41 @@
   BOOST_TEST(RunUntil([&] { return this->saveCount > 0; }));
 }
 
+// A report of issue 36: at the end of a shutdown, requests were cut without an answer, among them
+// some that must not be repeated.
+BOOST_AUTO_TEST_CASE(every_request_has_an_answer_before_a_shutdown_ends)
+{
+  GatewayFixture fixture;
+  fixture.Configure();
+  ScriptedEndpoint& endpoint = fixture.AddEndpoint([](Connection&, const RequestHead&) {});
+  GatewaySettings settings = fixture.settings;
+  settings.peerListen = { "127.0.0.2", 0 };
+  settings.shutdownTime = seconds(3); // the timeout of the routes is 5 s
+  Gateway leaving(settings, Peer{ NodeId{ 2 }, Incarnation{ 1 } }, fixture.poller, fixture.clock,
+                  fixture.random, fixture.protocol);
+  BOOST_REQUIRE(!leaving.Start());
+  leaving.RestoreUsage("");
+  leaving.SetConfig(1, fixture.config);
+  leaving.SetEndpoints(fixture.endpointInfos);
+  leaving.ConfirmConfig(1, fixture.clock.Read().steady);
+  RawTcpClient before(leaving.Port());
+  before.Send(GatewayFixture::Request("/once/x", "r1"));
+  BOOST_REQUIRE(RunUntil([&] { return endpoint.requests.size() == 1U; }));
+  const TimePoint end = fixture.clock.Read().steady + settings.shutdownTime;
+  leaving.BeginLeaving();
+  RawTcpClient after(leaving.Port());
+  after.Send(GatewayFixture::Request("/once/x", "r2"));
+  BOOST_REQUIRE(RunUntil([&] { return endpoint.requests.size() == 2U; }));
+  const auto isEnded = [&] { return fixture.clock.Read().steady > end + milliseconds(50); };
+  RunUntil([&] {
+    fixture.clock.Advance(milliseconds(1));
+    return isEnded() || (!before.Received().empty() && !after.Received().empty());
+  });
+  BOOST_TEST(!isEnded());
+  BOOST_TEST(Contains(before.Received(), "HTTP/1.1 504 "));
+  BOOST_TEST(Contains(after.Received(), "HTTP/1.1 504 "));
+}
+
 // The store answers 7 s after the start, so that its record is 7 s old, but none of that precedes
 // the start.
 BOOST_AUTO_TEST_CASE(usage_restored_late_keeps_its_place_in_the_window)
