--- a/tests/gateway/memory_test.cpp
+++ b/tests/gateway/memory_test.cpp
@@ -91,6 +91,7 @@
     this->Configure();
     const std::size_t before = HeapBytes();
     std::vector<std::unique_ptr<SilentCaller>> callers;
+    callers.reserve(std::size_t{ kEndpoints } * kRequestsPerEndpoint);
     for (int i = 0; i < kEndpoints * kRequestsPerEndpoint; i++) {
       callers.push_back(std::make_unique<SilentCaller>(this->gateway->Port(),
                                                        Request(aPath, "r" + std::to_string(i))));
--- a/tests/runtime/caller_test.cpp
+++ b/tests/runtime/caller_test.cpp
@@ -313,9 +313,10 @@
   for (const std::string coding :
        { "chunked, identity", "gzip", "xchunked", "chunked , chunked" }) {
     const std::string hidden = Call::Get("/v1/models", "Authorization: Bearer key-a\r\n");
-    Call call(fixture, "POST /orders/book HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer key-a\r\n"
-                       "Transfer-Encoding: " +
-                         coding + "\r\n\r\n" + hidden);
+    std::string request =
+      "POST /orders/book HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer key-a\r\n";
+    request += "Transfer-Encoding: " + coding + "\r\n\r\n";
+    Call call(fixture, request + hidden);
     const int status = call.Status();
     BOOST_TEST((status == 400 || status == 501), "status " << status << " for " << coding);
     BOOST_TEST(call.client.Received().find("HTTP/1.1 ", 1) == std::string::npos);
