Save the whole usage before the other entries are heard

Cause: until all entries are heard, an entry may use its part of an account's bound. That part was kept as the bound, to which restored usage is cut; what such an entry saved, or told an entry that joins, was cut to the part, and the next process to start let the account use the rest again. For an account without a request since the start, the bound was zero, and the usage that a restart assumes was not saved.

Change: the bound kept is that of all entries, known from the configuration; the part applies to what the restored usage leaves. A caller refused for the part alone is told to come back when the entries are known.

--- a/src/direct/shared_quota.cpp
+++ b/src/direct/shared_quota.cpp
@@ -110,7 +110,7 @@
 {
   const TimePoint failedSince = this->savedAt.value_or(this->start) + this->options.maxSaveAge;
   const Duration assumed = aNow - std::max(aWindow.unsavedAt, failedSince);
-  const double rate = aWindow.bound / SecondsOf(this->options.window);
+  const double rate = aWindow.bound * aWindow.part / SecondsOf(this->options.window);
   return std::max(aWindow.unsaved - rate * std::max(SecondsOf(assumed), 0.0), 0.0);
 }
 
@@ -120,7 +120,8 @@
                                   double aUnits) const
 {
   const double share = this->savedAt ? kMaxUnsavedShare : kMaxUnsavedShareAtStart;
-  const double over = aUnsaved + aUnits - aWindow.bound * share;
+  const double bound = aWindow.bound * aWindow.part;
+  const double over = aUnsaved + aUnits - bound * share;
   // A single request may exceed the share.
   if (!this->isUnsavedLimited || aUnsaved <= 0 || over <= 0) {
     return Duration::zero();
@@ -129,7 +130,7 @@
   if (failedFor < Duration::zero()) {
     return kSaveWait;
   }
-  const std::chrono::duration<double> wait(over * SecondsOf(this->options.window) / aWindow.bound);
+  const std::chrono::duration<double> wait(over * SecondsOf(this->options.window) / bound);
   return std::max(std::chrono::duration_cast<Duration>(wait), kSaveWait);
 }
 
@@ -142,13 +143,18 @@
   this->ChargeSilentPeers(aNow, aAccount, aLimit);
   Window& window = this->windows[aAccount];
   this->Advance(window, aNow);
-  const double bound = this->BoundOf(aNow, aLimit);
-  window.bound = bound;
-  const double unreported = this->UnreportedUsage(aNow, aAccount);
-  const double heard = this->UsedIn(window, aAccount, aNow) + unreported;
-  const double over = std::max(heard, this->ExtrapolatedReport(aNow, aAccount)) + aUnits - bound;
+  window.bound = this->BoundOf(aLimit);
+  window.part = this->HeardPart(aNow);
+  const Buckets restored = this->RestoredUsageOf(aAccount, window.bound, aNow);
+  const double restoredUnits = std::accumulate(restored.begin(), restored.end(), 0.0);
+  // Entries that are not heard yet may use their part of what the restored usage leaves.
+  const double available = restoredUnits + (window.bound - restoredUnits) * window.part;
+  const double heard = restoredUnits + window.total + this->UnreportedUsage(aNow, aAccount);
+  const double used = std::max(heard, this->ExtrapolatedReport(aNow, aAccount));
+  const double over = used + aUnits - available;
   if (over > 0) {
-    return this->WaitUntilFreed(window, aAccount, aNow, over);
+    const Duration wait = this->WaitUntilFreed(window, restored, over);
+    return window.part < 1 ? std::min(wait, std::max(this->expectedUntil - aNow, kSaveWait)) : wait;
   }
   const double unsaved = this->UnsavedUsage(window, aNow);
   const Duration wait = this->UnsavedWait(window, aNow, unsaved, aUnits);
@@ -164,15 +170,14 @@
 }
 
 // Time until usage of at least aOver has left the window.
-Duration SharedQuota::WaitUntilFreed(const Window& aWindow, std::uint64_t aAccount, TimePoint aNow,
+Duration SharedQuota::WaitUntilFreed(const Window& aWindow, const Buckets& aRestored,
                                      double aOver) const
 {
   const Duration bucketTime = this->options.window / static_cast<std::int64_t>(kParts);
-  const Buckets before = this->RestoredUsageOf(aAccount, aWindow.bound, aNow);
   double freed = 0;
   for (std::size_t step = 1; step <= kBuckets; step++) {
     freed += aWindow.buckets.at((static_cast<std::size_t>(aWindow.newest) + step) % kBuckets);
-    freed += before.at(kBuckets - step);
+    freed += aRestored.at(kBuckets - step);
     if (freed >= aOver) {
       return bucketTime * static_cast<std::int64_t>(step);
     }
@@ -328,10 +333,17 @@
   }
 }
 
+// Creates windows for restored accounts without requests since the start, so that their usage
+// survives another restart.
+void SharedQuota::SetLimit(std::uint64_t aAccount, const QuotaLimit& aLimit)
+{
+  if (aLimit.ratePerSecond > 0 && this->restored.contains(aAccount)) {
+    this->windows[aAccount].bound = this->BoundOf(aLimit);
+  }
+}
+
 std::vector<SavedUsage> SharedQuota::UsageToSave(TimePoint aNow)
 {
-  // Includes restored accounts without requests since the start, so that they survive another
-  // restart.
   for (const auto& [account, row] : this->restored) {
     this->windows.try_emplace(account);
   }
@@ -410,15 +422,20 @@
   });
 }
 
-double SharedQuota::BoundOf(TimePoint aNow, const QuotaLimit& aLimit) const
+double SharedQuota::BoundOf(const QuotaLimit& aLimit) const
 {
   const double bound = aLimit.ratePerSecond * SecondsOf(this->options.window) + aLimit.burst;
-  const double whole = bound * (1 + this->options.overage) + this->options.slackUnits;
+  return bound * (1 + this->options.overage) + this->options.slackUnits;
+}
+
+// Part of the live entries that is heard here, including this one; 1 after the discovery time.
+double SharedQuota::HeardPart(TimePoint aNow) const
+{
   const std::uint32_t heard = this->EntryCount(aNow);
   if (heard >= this->expectedEntries || aNow >= this->expectedUntil) {
-    return whole;
+    return 1;
   }
-  return whole * heard / this->expectedEntries;
+  return static_cast<double>(heard) / this->expectedEntries;
 }
 
 std::vector<AccountUsage> SharedQuota::LocalUsage() const
--- a/src/direct/shared_quota.h
+++ b/src/direct/shared_quota.h
@@ -70,6 +70,8 @@
   // used as much as LimitUnsavedUsage allows; accounts not listed used little before it.
   // aGap may be off by maxClockError in either direction.
   void RestoreUsage(std::vector<SavedUsage> aSaved, Duration aGap);
+  // Sets the bound of an account whose usage was restored, to be known before its first request.
+  void SetLimit(std::uint64_t aAccount, const QuotaLimit& aLimit);
   // True if the usage of the last window is known, not assumed.
   bool KnowsWindow(TimePoint aNow) const;
   // The usage of the last window as known to a peer; replaces what is restored or assumed for the
@@ -124,7 +126,8 @@
     Buckets buckets{};
     std::int64_t newest = 0; // index of the newest bucket since the clock's epoch
     double total = 0;
-    double bound = 0; // at the last Take
+    double bound = 0; // of all entries
+    double part = 1;  // of the bound that entries heard here may use, at the last Take
     // Usage since the last save, less what a restart assumes for a failure of saves.
     double unsaved = 0;
     TimePoint unsavedAt{};
@@ -155,12 +158,12 @@
   };
 
   std::int64_t BucketOf(TimePoint aNow) const;
-  double BoundOf(TimePoint aNow, const QuotaLimit& aLimit) const;
+  double BoundOf(const QuotaLimit& aLimit) const;
+  double HeardPart(TimePoint aNow) const;
   double RestoredAt(const RestoredUsage* aRow, double aBound, std::size_t aAge) const;
   Buckets RestoredUsageOf(std::uint64_t aAccount, double aBound, TimePoint aNow) const;
   double UnsavedUsage(const Window& aWindow, TimePoint aNow) const;
-  Duration WaitUntilFreed(const Window& aWindow, std::uint64_t aAccount, TimePoint aNow,
-                          double aOver) const;
+  Duration WaitUntilFreed(const Window& aWindow, const Buckets& aRestored, double aOver) const;
   Duration UnsavedWait(const Window& aWindow, TimePoint aNow, double aUnsaved, double aUnits) const;
   void Advance(Window& aWindow, TimePoint aNow) const;
   void Add(TimePoint aNow, std::uint64_t aAccount, double aUnits);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -134,6 +134,7 @@
            { { "version", std::to_string(this->config->version) },
              { "offset", std::to_string(aOffset) },
              { "routes", std::to_string(this->config->routes.size()) } });
+  this->SetQuotaLimits();
   this->SetEndpoints(std::map<std::string, direct::EndpointInfo>(this->endpoints));
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -195,6 +195,7 @@
   Duration EntryTimeout() const;
   std::size_t StateRounds() const;
   void ApplyEntryState(const Address& aFrom, const Peer& aPeer, const direct::EntryState& aState);
+  void SetQuotaLimits();
   void ApplyUsageWindow(const Address& aFrom, const direct::UsageWindow& aWindow);
   void SaveQuotaUsage();
   // Reports the end of a run at an endpoint of aVersion.
--- a/src/gateway/gateway_peers.cpp
+++ b/src/gateway/gateway_peers.cpp
@@ -163,6 +163,18 @@
                { "accounts", std::to_string(aWindow.accounts.size()) },
                { "after_ms", std::to_string((now - this->startedAt) / milliseconds(1)) } });
     this->quota.OnPeerWindow(now, aWindow.accounts);
+    this->SetQuotaLimits();
+  }
+}
+
+// Restored usage is saved again before the first request of its account.
+void Gateway::SetQuotaLimits()
+{
+  if (this->config == nullptr) {
+    return;
+  }
+  for (const direct::AccountSpec& account : this->config->accounts) {
+    this->quota.SetLimit(account.hash, account.quota);
   }
 }
 
@@ -193,6 +205,7 @@
       { "saved_before_start_ms", aBytes.empty() ? "" : std::to_string(gap / milliseconds(1)) },
       { "knows_window", this->quota.KnowsWindow(this->Now()) ? "true" : "false" } });
   this->quota.RestoreUsage(std::move(saved.accounts), gap);
+  this->SetQuotaLimits();
 }
 
 void Gateway::RestoreSuspects(const std::vector<direct::SavedSuspicion>& aSaved)
--- a/tests/direct/shared_quota_kill_test.cpp
+++ b/tests/direct/shared_quota_kill_test.cpp
@@ -51,6 +51,7 @@
   void Step(double aUnits)
   {
     this->now += kStep;
+    this->StartDue();
     this->asked += this->entries.empty() ? 0 : aUnits;
     if (this->now.time_since_epoch() % kReportPeriod < kStep) {
       this->Report();
@@ -81,13 +82,14 @@
     }
   }
 
-  // Kills all entries and starts them again after aDown.
-  void KillAll(Duration aDown)
+  // Kills all entries and starts the first one after aDown, the others up to aSpread later.
+  void KillAll(Duration aDown, Duration aSpread = {})
   {
     this->entries.clear();
+    this->unrestored.clear();
     this->saveEnd.reset();
     this->Play(aDown, 0);
-    this->StartAll();
+    this->StartAll(aSpread);
   }
 
   // Largest usage in any window.
@@ -110,27 +112,47 @@
 private:
   static constexpr double kUnits = 50;
 
-  void StartAll()
+  void StartAll(Duration aSpread = {})
   {
     this->incarnation++;
-    for (std::size_t i = 0; i < this->entryCount; i++) {
-      this->entries.push_back(std::make_unique<SharedQuota>(this->options, this->now));
-      this->entries.back()->LimitUnsavedUsage();
+    this->startsAt.assign(this->entryCount - 1, this->now);
+    for (TimePoint& at : this->startsAt) {
+      at += aSpread * static_cast<std::int64_t>(this->random.Below(1000)) / 1000;
     }
-    this->startedAt = this->now;
-    this->isRestored = false;
+    std::sort(this->startsAt.rbegin(), this->startsAt.rend());
+    this->Start();
+    this->StartDue();
+  }
+
+  void StartDue()
+  {
+    while (!this->startsAt.empty() && !this->entries.empty() &&
+           this->startsAt.back() <= this->now) {
+      this->startsAt.pop_back();
+      this->Start();
+    }
+  }
+
+  void Start()
+  {
+    this->entries.push_back(std::make_unique<SharedQuota>(this->options, this->now));
+    this->entries.back()->LimitUnsavedUsage();
+    this->unrestored.emplace_back(this->entries.back().get(), this->now);
     this->Restore();
   }
 
+  // An entry learns from the store how many there are, and what was saved.
   void Restore()
   {
-    if (!this->isStoreUp || this->isRestored) {
+    if (!this->isStoreUp) {
       return;
     }
-    this->isRestored = true;
-    for (const auto& entry : this->entries) {
-      entry->RestoreUsage(this->stored, this->startedAt - this->storedAt);
+    for (const auto& [entry, startedAt] : this->unrestored) {
+      entry->SetEntries(this->now, static_cast<std::uint32_t>(this->entryCount));
+      entry->RestoreUsage(this->stored, startedAt - this->storedAt);
+      entry->SetLimit(kAccount, kLimit);
     }
+    this->unrestored.clear();
   }
 
   void Report()
@@ -163,10 +185,10 @@
   TimePoint now{ seconds(1000) };
   std::size_t entryCount;
   std::uint64_t incarnation = 0;
-  TimePoint startedAt{};
-  bool isRestored = false;
   std::vector<std::unique_ptr<SharedQuota>> entries;
-  std::vector<SavedUsage> stored; // in the store
+  std::vector<TimePoint> startsAt;                            // of the others, latest first
+  std::vector<std::pair<SharedQuota*, TimePoint>> unrestored; // and when they started
+  std::vector<SavedUsage> stored;                             // in the store
   TimePoint storedAt = now;
   std::vector<SavedUsage> saving;
   TimePoint savingAt{};
@@ -208,6 +230,21 @@
   BOOST_TEST(fleet.WorstWindow() <= kTolerated);
 }
 
+// The same when entries start one after the other: the first ones serve and save while they have
+// heard few others.
+BOOST_DATA_TEST_CASE(starts_one_by_one_open_no_second_window,
+                     boost::unit_test::data::xrange(1, 121))
+{
+  Fleet fleet(2 + static_cast<std::size_t>(sample) % 6, static_cast<std::uint64_t>(sample) + 5000);
+  Random random(static_cast<std::uint64_t>(sample) + 2000);
+  for (int kill = 0; kill < 4; kill++) {
+    fleet.Play(milliseconds(500 + random.Below(6000)), random.Unit() * 5000);
+    fleet.KillAll(milliseconds(random.Below(500)), milliseconds(random.Below(1500)));
+  }
+  fleet.Play(seconds(9), 2000);
+  BOOST_TEST(fleet.WorstWindow() <= kTolerated);
+}
+
 // Without kills, the limit of unsaved usage costs nothing at the average rate and lets a burst use
 // the whole bound within a few saves.
 BOOST_AUTO_TEST_CASE(saves_let_the_whole_bound_be_used)
--- a/tests/direct/shared_quota_test.cpp
+++ b/tests/direct/shared_quota_test.cpp
@@ -224,6 +224,44 @@
   BOOST_TEST(this->TakeAll(third) <= 9000 - taken);
 }
 
+// Regression test (soak seed 31): the first entry that starts has heard no other, so that it may
+// use a part of the bound only. What it saved then was cut to that part.
+BOOST_AUTO_TEST_CASE(an_entry_that_has_heard_no_other_saves_the_whole_usage)
+{
+  SharedQuota first(this->options, this->now - seconds(20));
+  const double taken = this->TakeAll(first);
+  BOOST_TEST(taken == 9000);
+  SharedQuota second(this->options, this->now);
+  second.RestoreUsage(first.UsageToSave(this->now), milliseconds(0));
+  second.SetEntries(this->now, 5);
+  BOOST_TEST(this->TakeAll(second) == 0);
+  this->now += milliseconds(500);
+  SharedQuota third(this->options, this->now);
+  third.RestoreUsage(second.UsageToSave(this->now), milliseconds(0));
+  BOOST_TEST(this->TakeAll(third) == 0);
+}
+
+// The usage that is assumed for the time between the last save and a kill must survive as well when
+// the next process saves before the account's first request.
+BOOST_AUTO_TEST_CASE(assumed_usage_is_saved_before_the_first_request)
+{
+  SharedQuota first(this->options, this->now - seconds(20));
+  for (int step = 0; step < 20; step++) {
+    BOOST_TEST((first.Take(this->now, kAccount, kLimit, 200) == Duration::zero()));
+    this->now += milliseconds(250);
+  }
+  SharedQuota second(this->options, this->now);
+  second.RestoreUsage(first.UsageToSave(this->now), milliseconds(0));
+  second.SetLimit(kAccount, kLimit);
+  SharedQuota direct(this->options, this->now);
+  direct.RestoreUsage(first.UsageToSave(this->now), milliseconds(0));
+  const double left = this->TakeAll(direct);
+  SharedQuota third(this->options, this->now);
+  third.RestoreUsage(second.UsageToSave(this->now), milliseconds(0));
+  // The second restart assumes as much again.
+  BOOST_TEST(this->TakeAll(third) <= left - 0.2 * 9000);
+}
+
 BOOST_AUTO_TEST_CASE(usage_of_other_entries_is_saved)
 {
   SharedQuota used(this->options, this->now - seconds(20));
@@ -405,6 +443,27 @@
   BOOST_TEST(this->TakeAll(alone) == 9000); // the other entries are no longer alive
 }
 
+// Entries that start again share what the restored usage leaves, and a refused caller may come back
+// when all entries are known.
+BOOST_AUTO_TEST_CASE(undiscovered_entries_share_what_restored_usage_leaves)
+{
+  SharedQuota before(this->options, this->now - seconds(20));
+  BOOST_TEST((before.Take(this->now, kAccount, kLimit, 4000) == Duration::zero()));
+  const std::vector<SavedUsage> saved = before.UsageToSave(this->now);
+  double taken = 0;
+  for (int entry = 0; entry < 4; entry++) {
+    SharedQuota quota(this->options, this->now);
+    quota.RestoreUsage(saved, milliseconds(0));
+    quota.SetEntries(this->now, 4);
+    const double here = this->TakeAll(quota);
+    BOOST_TEST(here > 0);
+    taken += here;
+    const Duration wait = quota.Take(this->now, kAccount, kLimit, 100);
+    BOOST_TEST((wait <= this->options.discoveryTime));
+  }
+  BOOST_TEST(4000 + taken <= 9000);
+}
+
 BOOST_AUTO_TEST_CASE(start_without_saved_usage_assumes_the_whole_bound)
 {
   SharedQuota quota(this->options, this->now);
