Do not take restored usage in a first report for growth

Cause: an entry without a recent window report assumed that all usage in it had grown within one report delay, 0.3 s. The first report after a start is about restored usage; an account at half of its bound was extrapolated to several bounds and refused for seconds, with waits of 8 s, at every entry that was not the store reader.

Change: only usage in the report that is not known here counts as growth. Limits of all accounts are known before their first request, so that what a restart assumes is known too.

Result: shared_quota/restored_usage_in_a_first_report_does_not_count_as_growth failed before.

--- a/src/direct/shared_quota.cpp
+++ b/src/direct/shared_quota.cpp
@@ -96,7 +96,7 @@
 
 void SharedQuota::Add(TimePoint aNow, std::uint64_t aAccount, double aUnits)
 {
-  Window& window = this->windows[aAccount];
+  Window& window = this->WindowOf(aAccount);
   this->Advance(window, aNow);
   window.buckets.at(static_cast<std::size_t>(window.newest) % kBuckets) += aUnits;
   window.total += aUnits;
@@ -141,7 +141,7 @@
     return Duration::zero();
   }
   this->ChargeSilentPeers(aNow, aAccount, aLimit);
-  Window& window = this->windows[aAccount];
+  Window& window = this->WindowOf(aAccount);
   this->Advance(window, aNow);
   window.bound = this->BoundOf(aLimit);
   window.part = this->HeardPart(aNow);
@@ -211,9 +211,11 @@
     const auto units = static_cast<double>(use.units);
     const double since = SecondsOf(aNow - row.at);
     const bool isRecent = row.at != TimePoint{} && aNow - row.at <= this->peerTimeout;
-    // Without a recent report, the usage is assumed to have grown within one report delay.
-    const double newest = isRecent ? (units - row.units) / std::max(since, kMinReportGap)
-                                   : units / SecondsOf(kReportDelay);
+    // Without a recent report, the usage that is not known here is assumed to have grown within one
+    // report delay.
+    const double newest =
+      isRecent ? (units - row.units) / std::max(since, kMinReportGap)
+               : (units - this->KnownUsage(aNow, use.account)) / SecondsOf(kReportDelay);
     row.growth = std::max(newest, row.growth * std::exp2(-since / SecondsOf(kGrowthHalfLife)));
     row.units = units;
     row.at = aNow;
@@ -221,6 +223,13 @@
   }
 }
 
+double SharedQuota::KnownUsage(TimePoint aNow, std::uint64_t aAccount)
+{
+  Window& window = this->WindowOf(aAccount);
+  this->Advance(window, aNow);
+  return this->UsedIn(window, aAccount, aNow);
+}
+
 // The last window report, extrapolated to aNow.
 double SharedQuota::ExtrapolatedReport(TimePoint aNow, std::uint64_t aAccount) const
 {
@@ -333,19 +342,33 @@
   }
 }
 
-// Creates windows for restored accounts without requests since the start, so that their usage
-// survives another restart.
 void SharedQuota::SetLimit(std::uint64_t aAccount, const QuotaLimit& aLimit)
 {
-  if (aLimit.ratePerSecond > 0 && this->restored.contains(aAccount)) {
-    this->windows[aAccount].bound = this->BoundOf(aLimit);
+  if (aLimit.ratePerSecond <= 0) {
+    return;
+  }
+  const double bound = this->BoundOf(aLimit);
+  this->bounds[aAccount] = bound;
+  if (const auto found = this->windows.find(aAccount); found != this->windows.end()) {
+    found->second.bound = bound;
+  }
+}
+
+SharedQuota::Window& SharedQuota::WindowOf(std::uint64_t aAccount)
+{
+  const auto [row, isNew] = this->windows.try_emplace(aAccount);
+  if (const auto bound = this->bounds.find(aAccount); isNew && bound != this->bounds.end()) {
+    row->second.bound = bound->second;
   }
+  return row->second;
 }
 
 std::vector<SavedUsage> SharedQuota::UsageToSave(TimePoint aNow)
 {
+  // Includes restored accounts without requests since the start, so that they survive another
+  // restart.
   for (const auto& [account, row] : this->restored) {
-    this->windows.try_emplace(account);
+    this->WindowOf(account);
   }
   std::vector<SavedUsage> result;
   for (auto& [account, window] : this->windows) {
@@ -375,7 +398,7 @@
     return;
   }
   found->second = std::max(found->second - aUnits, 0.0);
-  Window& window = this->windows[aAccount];
+  Window& window = this->WindowOf(aAccount);
   this->Advance(window, aNow);
   const std::int64_t bucket = this->BucketOf(aTakenAt);
   if (bucket > window.newest - static_cast<std::int64_t>(kBuckets)) {
--- a/src/direct/shared_quota.h
+++ b/src/direct/shared_quota.h
@@ -70,7 +70,7 @@
   // used as much as LimitUnsavedUsage allows; accounts not listed used little before it.
   // aGap may be off by maxClockError in either direction.
   void RestoreUsage(std::vector<SavedUsage> aSaved, Duration aGap);
-  // Sets the bound of an account whose usage was restored, to be known before its first request.
+  // Sets the bound of an account, to be known before its first request.
   void SetLimit(std::uint64_t aAccount, const QuotaLimit& aLimit);
   // True if the usage of the last window is known, not assumed.
   bool KnowsWindow(TimePoint aNow) const;
@@ -165,8 +165,10 @@
   double UnsavedUsage(const Window& aWindow, TimePoint aNow) const;
   Duration WaitUntilFreed(const Window& aWindow, const Buckets& aRestored, double aOver) const;
   Duration UnsavedWait(const Window& aWindow, TimePoint aNow, double aUnsaved, double aUnits) const;
+  Window& WindowOf(std::uint64_t aAccount);
   void Advance(Window& aWindow, TimePoint aNow) const;
   void Add(TimePoint aNow, std::uint64_t aAccount, double aUnits);
+  double KnownUsage(TimePoint aNow, std::uint64_t aAccount);
   double UnreportedUsage(TimePoint aNow, std::uint64_t aAccount) const;
   double ExtrapolatedReport(TimePoint aNow, std::uint64_t aAccount) const;
   double UsedIn(const Window& aWindow, std::uint64_t aAccount, TimePoint aNow) const;
@@ -185,6 +187,7 @@
   std::size_t failedSaveParts = 0; // buckets before the start in which saves had failed
   std::unordered_map<std::uint64_t, RestoredUsage> restored;
   std::unordered_map<std::uint64_t, Window> windows;
+  std::unordered_map<std::uint64_t, double> bounds;    // of accounts, by SetLimit
   std::unordered_map<std::uint64_t, double> ownTotals; // since the start
   std::map<NodeId, PeerRow> peers;
   std::unordered_map<std::uint64_t, WindowReport> windowReports;
--- a/tests/direct/shared_quota_test.cpp
+++ b/tests/direct/shared_quota_test.cpp
@@ -443,6 +443,32 @@
   BOOST_TEST(this->TakeAll(alone) == 9000); // the other entries are no longer alive
 }
 
+// The first report after a start is about usage that was restored. It says nothing about how fast
+// the account uses its quota now.
+BOOST_AUTO_TEST_CASE(restored_usage_in_a_first_report_does_not_count_as_growth)
+{
+  SharedQuota before(this->options, this->now - seconds(20));
+  for (int step = 0; step < 30; step++) {
+    BOOST_TEST((before.Take(this->now, kAccount, kLimit, 150) == Duration::zero()));
+    this->now += milliseconds(250);
+  }
+  const std::vector<SavedUsage> saved = before.UsageToSave(this->now);
+  SharedQuota reader(this->options, this->now);
+  SharedQuota other(this->options, this->now);
+  for (SharedQuota* entry : { &reader, &other }) {
+    entry->RestoreUsage(saved, milliseconds(0));
+    entry->SetLimit(kAccount, kLimit);
+  }
+  BOOST_TEST((reader.Take(this->now, kAccount, kLimit, 100) == Duration::zero()));
+  this->now += milliseconds(200);
+  other.OnWindowUsage(this->now, reader.WindowUsage(this->now));
+  BOOST_TEST((other.Take(this->now, kAccount, kLimit, 100) == Duration::zero()));
+  // Usage that is news counts as fast growth.
+  SharedQuota late(this->options, this->now - seconds(20));
+  late.OnWindowUsage(this->now, { { kAccount, 5000 } });
+  BOOST_TEST((late.Take(this->now, kAccount, kLimit, 100) > Duration::zero()));
+}
+
 // Entries that start again share what the restored usage leaves, and a refused caller may come back
 // when all entries are known.
 BOOST_AUTO_TEST_CASE(undiscovered_entries_share_what_restored_usage_leaves)
