Ignore a repeated SIGTERM during a shutdown

Change: the sources stay; a repeated SIGTERM is logged and changes nothing. A second SIGINT still ends caraway-entry and caraway-agent.

--- a/src/runtime/process.cpp
+++ b/src/runtime/process.cpp
@@ -62,8 +62,8 @@
 int MainLoop::Run()
 {
   std::signal(SIGPIPE, SIG_IGN);
-  const guint terminate = g_unix_signal_add(SIGTERM, &MainLoop::OnSignal, this);
-  const guint interrupt = g_unix_signal_add(SIGINT, &MainLoop::OnSignal, this);
+  const guint terminate = g_unix_signal_add(SIGTERM, &MainLoop::OnTerminate, this);
+  const guint interrupt = g_unix_signal_add(SIGINT, &MainLoop::OnInterrupt, this);
   this->shutdownTimer.ArmAfter(kShutdownCheckPeriod);
   g_main_loop_run(this->loop);
   g_source_remove(terminate);
@@ -71,19 +71,34 @@
   return this->exitCode;
 }
 
-int MainLoop::OnSignal(void* aData)
+int MainLoop::OnTerminate(void* aData)
+{
+  static_cast<MainLoop*>(aData)->BeginLeaving();
+  return G_SOURCE_CONTINUE;
+}
+
+int MainLoop::OnInterrupt(void* aData)
 {
   auto* self = static_cast<MainLoop*>(aData);
-  if (++self->signalCount > 1) {
+  if (self->isLeaving) {
     self->exitCode = kExitInterrupted;
     g_main_loop_quit(self->loop);
     return G_SOURCE_CONTINUE;
   }
-  LogEvent(LogLevel::kInfo, "signal", {});
-  self->view.BeginLeaving();
+  self->BeginLeaving();
   return G_SOURCE_CONTINUE;
 }
 
+void MainLoop::BeginLeaving()
+{
+  LogEvent(LogLevel::kInfo, "signal",
+           { { "already_leaving", this->isLeaving ? "true" : "false" } });
+  if (!this->isLeaving) {
+    this->isLeaving = true;
+    this->view.BeginLeaving();
+  }
+}
+
 // Stops the loop when a leaving process has no more work and kCloseDelay has passed.
 void MainLoop::CheckShutdown()
 {
--- a/src/runtime/process.h
+++ b/src/runtime/process.h
@@ -39,8 +39,8 @@
   Peer self;
 };
 
-// Runs the main loop until the process has shut down. The first SIGTERM or SIGINT starts a graceful
-// shutdown, the second exits immediately.
+// Runs the main loop until the process has shut down. SIGTERM or SIGINT starts a graceful shutdown;
+// SIGINT during the shutdown exits immediately.
 class MainLoop
 {
 public:
@@ -55,14 +55,16 @@
   int Run();
 
 private:
-  static int OnSignal(void* aData);
+  static int OnTerminate(void* aData);
+  static int OnInterrupt(void* aData);
+  void BeginLeaving();
   void CheckShutdown();
 
   AdminView& view;
   std::function<bool()> isDone;
   std::function<void()> onLeaving;
   GMainLoop* loop;
-  unsigned signalCount = 0;
+  bool isLeaving = false;
   int exitCode = 0;
   bool isClosing = false;
   Timer shutdownTimer;
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -12,8 +12,8 @@
 
 PLANNED_ONLY = 3  # each so many seeds play planned work alone, which excuses no lost answer
 # A new kind changes what all seeds play. The regressions name the generation that they failed with:
-# 1 has no moves of versions, 2 no named rates, repeated refusals and odd registrations.
-GENERATION = 3
+# 1 has no moves of versions, 2 no named rates, repeated refusals and odd registrations, 3 no repeated SIGTERM.
+GENERATION = 4
 ODD_DEPTH = 200_000  # levels of a registration
 NAMED_RATES = (0.5, 1.5, 3.3, 6.0, 12.0)  # requests a second
 SHARE_OF_KINDS = 0.5  # of all kinds that one run plays
@@ -28,6 +28,10 @@
         self.until = 0.0
         planned = {self.terminate: 3, self.hang_up: 1, self.kill_agent: 2, self.leave: 2, self.change_config: 3}
         kinds = self.all_kinds()
+        if generation < 4:
+            del kinds[self.terminate_repeatedly]
+        else:
+            planned[self.terminate_repeatedly] = 2
         if generation < 3:
             for kind in (self.name_rate, self.repeat_refusals, self.register_odd):
                 del kinds[kind]
@@ -68,6 +72,7 @@
             self.name_rate: 3,
             self.repeat_refusals: 2,
             self.register_odd: 1,
+            self.terminate_repeatedly: 2,
         }
 
     async def play(self, world, seconds):
@@ -122,9 +127,13 @@
         nodes = [node for node in world.entries + world.agents if not node.is_busy]
         await asyncio.gather(*(self.kill(world, [node]) for node in nodes))
 
-    async def terminate(self, world):
+    async def terminate_repeatedly(self, world):
+        """Two orders to stop the same entry overlap."""
+        await self.terminate(world, [self.random.choice((0.01, 0.05, 0.3)) for _ in range(self.random.choice((1, 3)))])
+
+    async def terminate(self, world, pauses=()):
         async def play(node):
-            took = await node.terminate()
+            took = await node.terminate(pauses)
             calm = world.ledger.is_calm((node.name, "store", "all"), time.monotonic() - 5, time.monotonic(), ("SIGTERM",))
             if took is None and calm:
                 world.ledger.find("SHUTDOWN", f"{node.name} had to be killed {ledger.SHUTDOWN} s after SIGTERM")
--- a/tests/soak/nodes.py
+++ b/tests/soak/nodes.py
@@ -85,11 +85,14 @@
         if self.process is not None:
             self.process.wait()
 
-    async def terminate(self):
-        """SIGTERM, then SIGKILL after the time for a shutdown; seconds it took, or None."""
+    async def terminate(self, pauses=()):
+        """SIGTERM, again after each pause, then SIGKILL after the time for a shutdown; seconds it took, or None."""
         self.expected_end = True
         start = time.monotonic()
         self.signal(signal.SIGTERM)
+        for pause in pauses:
+            await asyncio.sleep(pause)
+            self.signal(signal.SIGTERM)
         while time.monotonic() < start + ledger.SHUTDOWN + KILL_MARGIN:
             if self.process.poll() is not None:
                 return time.monotonic() - start
--- a/tests/system/drain.sh
+++ b/tests/system/drain.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# SIGTERM to an agent and to an entry under load cuts nothing: both end with status 0 once their
-# running requests have their answers.
+# SIGTERM to an agent and to an entry under load cuts nothing, however often it comes: both end with
+# status 0 once their running requests have their answers.
 . "$(dirname "$0")/lib.sh"
 small_cluster 2 3 --speed 2
 # Only entry1 gets new callers; entry0 leaves with long streams open.
@@ -14,6 +14,8 @@
 loader=$!
 stop agent0 TERM
 same "status of agent0" 0 "$stopped"
+kill -TERM "${pids[entry0]}"
+wait_for "entry0 is leaving" grep -q event=signal "$run/entry0.log"
 stop entry0 TERM
 same "status of entry0" 0 "$stopped"
 for caller in 1 2 3 4; do
