Bound the memory of request bodies

Cause: an entry read any number of bodies up to the limit of one, an attempt's output buffer kept the capacity of the body until its end, and a body grew by doubling while it was read.

Change: bodies that are read or at work count in a total. Above 24 MB, a body larger than 64 kB waits in the kernel until others have ended, in order of arrival, and is refused with 503 and Retry-After after the time that a head may take. Other bodies are refused above 32 MB. A body's memory is reserved once; large output buffers are freed when they are empty.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -527,6 +527,21 @@
   this->Remove(aFlow);
 }
 
+void Gateway::OnNoRoom(IngressExchange& aExchange, const RequestHead& aHead)
+{
+  const std::optional<CallerRequest> request = this->protocol.ReadRequest(aHead);
+  HeaderFields fields = this->protocol.GeneratedFields(request ? &*request : nullptr);
+  fields.push_back({ "Retry-After", SecondsText(this->settings.retryWhenNotReady) });
+  LogEvent(LogLevel::kInfo, "refused",
+           { { "request", request ? request->id : "" },
+             { "status", "503" },
+             { "cause", "no_room" },
+             { "retry_after_ms", MillisecondsText(this->settings.retryWhenNotReady) },
+             { "waiting", std::to_string(this->dispatcher.CallCount()) } });
+  this->metrics.CountRefusal(503, "no_room");
+  aExchange.Respond(503, ReasonPhrase(503), fields, "{\"error\":\"no_room\"}");
+}
+
 // Removes a request that has ended. The object is destroyed after the current event loop turn, as
 // its member functions may still be on the call stack.
 void Gateway::Remove(Flow& aFlow)
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -153,6 +153,7 @@
     bool isContacted = false; // a state was sent to it before
   };
 
+  void OnNoRoom(IngressExchange& aExchange, const RequestHead& aHead) override;
   void OnRequest(const std::shared_ptr<IngressExchange>& aExchange,
                  IngressRequest aRequest) override;
   void OnCallerGone(IngressExchange& aExchange) override;
--- a/src/runtime/ingress_server.cpp
+++ b/src/runtime/ingress_server.cpp
@@ -20,6 +20,14 @@
 constexpr std::size_t kMaxPendingOutputBytes = 8 << 20;
 constexpr std::size_t kMaxTotalOutputBytes = 12 << 20;
 constexpr std::size_t kMinDisconnectBytes = 64 << 10;
+// Total size of request bodies that are read or at work, above which connections are not read.
+// While it is sent to an endpoint, a body takes twice its size.
+constexpr std::size_t kMaxHeldBodyBytes = 24 << 20;
+// Bodies up to this size do not wait, so that a few callers that announce large ones and send
+// nothing cannot delay them.
+constexpr std::size_t kMaxSmallBodyBytes = 64 << 10;
+// Bodies that did not wait are refused above this total.
+constexpr std::size_t kMaxHeldBytes = kMaxHeldBodyBytes + (8 << 20);
 
 void AppendNumber(std::string& aText, std::uint64_t aNumber, int aBase = 10)
 {
@@ -166,14 +174,20 @@
     if (hasLingered || hasIdledTooLong) {
       this->Drop(false);
     } else if (this->state == State::kReading && this->hasBytes &&
-               aNow - this->since > limits.headTimeout) {
-      this->Reject(408, "Request Timeout");
+               aNow - this->readingSince > limits.headTimeout) {
+      if (this->isPaused) {
+        this->RejectForRoom();
+      } else {
+        this->Reject(408, "Request Timeout");
+      }
     }
   }
 
   void Drop(bool aAbort)
   {
     this->state = State::kClosed;
+    this->EndPause();
+    this->bodyHold.reset();
     this->socket.Close(aAbort);
     this->server.connections.erase(this->shared_from_this());
   }
@@ -187,13 +201,16 @@
     if (!this->hasBytes) {
       this->hasBytes = true;
       this->since = now;
+      this->readingSince = now;
       this->reader = std::make_unique<RequestReader>(this->server.limits.headBytes,
                                                      this->server.limits.bodyBytes);
     }
     const ReadState result = this->reader->Read(this->socket.Input());
     switch (result) {
       case ReadState::kMore:
-        this->SendContinueIfExpected();
+        if (this->reader->IsHeadDone() && this->bodyHold == nullptr) {
+          this->BeginBodyOrPause();
+        }
         return;
       case ReadState::kDone:
         this->Deliver(now);
@@ -210,6 +227,22 @@
     }
   }
 
+  // Reads the body if there is room for it now.
+  bool Resume()
+  {
+    if (!this->isPaused) {
+      return true; // it was rejected or dropped
+    }
+    if (!this->server.HasRoomFor(this->BodySize())) {
+      return false;
+    }
+    this->isPaused = false;
+    this->readingSince = this->server.clock.Read().steady;
+    this->BeginBody();
+    this->socket.SetReading(true);
+    return true;
+  }
+
 private:
   enum class State : std::uint8_t
   {
@@ -219,10 +252,67 @@
     kClosed,
   };
 
+  // Size of the body by its head; the largest one if the head does not tell.
+  std::size_t BodySize() const
+  {
+    const HeaderField* length = FindField(this->reader->Head().fields, "Content-Length");
+    std::uint64_t size = this->server.limits.bodyBytes;
+    if (length != nullptr) {
+      std::from_chars(length->value.data(), length->value.data() + length->value.size(), size);
+    }
+    return static_cast<std::size_t>(size);
+  }
+
+  // Waits until there is room for the body; meanwhile, the rest of it stays in the kernel.
+  void BeginBodyOrPause()
+  {
+    const std::size_t size = this->BodySize();
+    const bool isFirst = this->server.pausedConnections.empty();
+    if (size <= kMaxSmallBodyBytes || (isFirst && this->server.HasRoomFor(size))) {
+      this->BeginBody();
+      return;
+    }
+    if (!this->isPaused) {
+      this->isPaused = true;
+      this->readingSince = this->server.clock.Read().steady;
+      this->socket.SetReading(false);
+      this->server.pausedConnections.push_back(this->weak_from_this());
+      this->server.bufferedReadTimer.ArmAfter(Duration::zero());
+    }
+  }
+
+  // Lets the connections behind this one try again.
+  void EndPause()
+  {
+    if (std::exchange(this->isPaused, false)) {
+      this->server.bufferedReadTimer.ArmAfter(Duration::zero());
+    }
+  }
+
+  void BeginBody()
+  {
+    const std::size_t size = this->BodySize();
+    this->bodyHold = this->server.bodyMemory->Hold(size);
+    if (FindField(this->reader->Head().fields, "Content-Length") != nullptr) {
+      this->reader->Body().reserve(size);
+    }
+    this->SendContinueIfExpected();
+  }
+
   // Stops reading while the request is answered, so that further data stays in the kernel.
   void Deliver(TimePoint aNow)
   {
+    const std::size_t size = this->reader->Body().size();
+    const bool hasWaited = this->bodyHold != nullptr && size > kMaxSmallBodyBytes;
+    if (size > 0 && !hasWaited && this->server.bodyMemory->Held() + size > kMaxHeldBytes) {
+      this->RejectForRoom();
+      return;
+    }
     IngressRequest request;
+    if (size > 0) {
+      request.bodyHold = this->server.bodyMemory->Hold(size);
+    }
+    this->bodyHold.reset();
     request.firstByteAt = this->since;
     request.readAt = aNow;
     this->isClosing = !this->reader->KeepsAlive();
@@ -254,9 +344,22 @@
   {
     this->state = State::kAnswering;
     this->isClosing = true;
+    this->bodyHold.reset();
     this->Respond(aStatus, aReason, {}, "");
   }
 
+  void RejectForRoom()
+  {
+    const auto self = this->shared_from_this();
+    this->state = State::kAnswering;
+    this->isClosing = true;
+    this->EndPause();
+    this->bodyHold.reset();
+    const RequestHead head = std::move(this->reader->Head());
+    this->reader.reset();
+    this->server.handler.OnNoRoom(*this, head);
+  }
+
   void Send()
   {
     this->socket.Write(this->unsentOutput);
@@ -286,28 +389,45 @@
   IngressServer& server;
   TcpSocket socket;
   State state = State::kReading;
-  TimePoint since; // start of the state; while a request is read, time of its first byte
+  TimePoint since;          // start of the state; while a request is read, time of its first byte
+  TimePoint readingSince{}; // start of the time for reading a request, or for waiting for room
+  std::shared_ptr<void> bodyHold; // while the body is read
   std::unique_ptr<RequestReader> reader;
   std::string unsentOutput; // output not yet passed to the socket
   bool hasBytes = false;
   bool isExpectChecked = false;
+  bool isPaused = false; // until there is room for the body
   bool isClosing = false;
   bool isChunked = false;
   bool isHeadOnly = false;
   bool isHeadRequest = false;
 };
 
+void IngressHandler::OnNoRoom(IngressExchange& aExchange, const RequestHead&)
+{
+  aExchange.Respond(503, "Service Unavailable", { { "Retry-After", "1" } }, "");
+}
+
 IngressServer::IngressServer(Poller& aPoller, const Clock& aClock, IngressHandler& aHandler)
   : poller(aPoller)
   , clock(aClock)
   , handler(aHandler)
+  , bodyMemory(std::make_shared<BodyMemory>([this] {
+    if (!this->pausedConnections.empty()) {
+      this->bufferedReadTimer.ArmAfter(Duration::zero());
+    }
+  }))
   , listener(aPoller, [this](int aFd) { this->Accept(aFd); })
   , sweepTimer([this] { this->Sweep(); })
   , bufferedReadTimer([this] { this->ReadBuffered(); })
 {
 }
 
-IngressServer::~IngressServer() = default;
+// Bodies that are released from now on resume no connection.
+IngressServer::~IngressServer()
+{
+  this->bodyMemory.reset();
+}
 
 std::error_code IngressServer::Listen(const Address& aAddress)
 {
@@ -328,6 +448,24 @@
   }
 }
 
+// A body that exceeds the total alone is read when there is no other.
+bool IngressServer::HasRoomFor(std::size_t aBytes) const
+{
+  const std::size_t held = this->bodyMemory->Held();
+  return held == 0 || held + aBytes <= kMaxHeldBodyBytes;
+}
+
+void IngressServer::ResumePaused()
+{
+  while (!this->pausedConnections.empty()) {
+    const std::shared_ptr<Connection> connection = this->pausedConnections.front().lock();
+    if (connection != nullptr && !connection->Resume()) {
+      return;
+    }
+    this->pausedConnections.pop_front();
+  }
+}
+
 void IngressServer::Accept(int aFd)
 {
   this->connections.insert(std::make_shared<Connection>(*this, aFd));
@@ -354,6 +492,7 @@
       connection->ReadRequest();
     }
   }
+  this->ResumePaused();
 }
 
 void IngressServer::Sweep()
--- a/src/runtime/ingress_server.h
+++ b/src/runtime/ingress_server.h
@@ -2,11 +2,13 @@
 // callers that disconnect.
 #pragma once
 
+#include "runtime/body_memory.h"
 #include "runtime/clock.h"
 #include "runtime/http_reader.h"
 #include "runtime/tcp_socket.h"
 #include "runtime/timer.h"
 
+#include <deque>
 #include <memory>
 #include <optional>
 #include <string>
@@ -30,6 +32,7 @@
 {
   RequestHead head;
   std::string body;
+  std::shared_ptr<void> bodyHold; // the body counts as held until this is released
   TimePoint firstByteAt{};
   TimePoint readAt{}; // when the last byte was read
 };
@@ -58,6 +61,8 @@
   virtual ~IngressHandler() = default;
   virtual void OnRequest(const std::shared_ptr<IngressExchange>& aExchange,
                          IngressRequest aRequest) = 0;
+  // There is no room for the body of a request, which was not read.
+  virtual void OnNoRoom(IngressExchange& aExchange, const RequestHead& aHead);
   // The caller disconnected before its answer was complete.
   virtual void OnCallerGone(IngressExchange& aExchange) = 0;
 };
@@ -90,6 +95,9 @@
   bool MayHoldOutput(std::size_t aPending) const;
   void Sweep();
   void ReadBuffered();
+  // Whether a body of aBytes may be read now.
+  bool HasRoomFor(std::size_t aBytes) const;
+  void ResumePaused();
 
   Poller& poller;
   const Clock& clock;
@@ -97,6 +105,9 @@
   IngressLimits limits;
   bool isLeaving = false;
   bool isStopped = false;
+  std::shared_ptr<BodyMemory> bodyMemory;
+  // Connections that wait for room for a body, in order of arrival.
+  std::deque<std::weak_ptr<Connection>> pausedConnections;
   std::unordered_set<std::shared_ptr<Connection>> connections;
   // Connections whose next request is already buffered. They are read from the main loop, not
   // while the previous answer is being sent.
--- a/src/runtime/tcp_socket.cpp
+++ b/src/runtime/tcp_socket.cpp
@@ -23,6 +23,7 @@
 // Time without acknowledgement of sent data after which the kernel closes the connection.
 constexpr unsigned kUserTimeoutMs = 5000;
 constexpr int kMaxAcceptsPerEvent = 64;
+constexpr std::size_t kMaxEmptyCapacity = std::size_t{ 64 } * 1024; // of an output buffer
 
 void SetOption(int aFd, int aLevel, int aName, int aValue)
 {
@@ -237,6 +238,9 @@
   }
   this->output.clear();
   this->outputOffset = 0;
+  if (this->output.capacity() > kMaxEmptyCapacity) {
+    std::string().swap(this->output);
+  }
   if (this->isShutdownRequested) {
     shutdown(this->fd, SHUT_WR);
   }
