--- a/tests/gateway/answer_end_test.cpp
+++ b/tests/gateway/answer_end_test.cpp
@@ -59,11 +59,6 @@
   int requestCount = 0;
 };
 
-bool Contains(const std::string& aText, const std::string& aPart)
-{
-  return aText.find(aPart) != std::string::npos;
-}
-
 bool HasStreamEnd(const std::string& aAnswer)
 {
   return aAnswer.ends_with("\r\n0\r\n\r\n");
--- a/tests/gateway/broken_stream_test.cpp
+++ b/tests/gateway/broken_stream_test.cpp
@@ -100,16 +100,6 @@
   bool hasBegun = false;
 };
 
-std::size_t Count(const std::string& aText, const std::string& aPart)
-{
-  std::size_t count = 0;
-  for (std::size_t at = aText.find(aPart); at != std::string::npos;
-       at = aText.find(aPart, at + 1)) {
-    count++;
-  }
-  return count;
-}
-
 void CheckIsIncomplete(const std::string& aReceived)
 {
   BOOST_TEST(aReceived.starts_with("HTTP/1.1 200 "));
--- a/tests/gateway/fixture.h
+++ b/tests/gateway/fixture.h
@@ -182,6 +182,21 @@
   return std::string(size) + "\r\n" + aData + "\r\n";
 }
 
+inline bool Contains(const std::string& aText, const std::string& aPart)
+{
+  return aText.find(aPart) != std::string::npos;
+}
+
+inline std::size_t Count(const std::string& aText, const std::string& aPart)
+{
+  std::size_t count = 0;
+  for (std::size_t at = aText.find(aPart); at != std::string::npos;
+       at = aText.find(aPart, at + 1)) {
+    count++;
+  }
+  return count;
+}
+
 struct GatewayFixture
 {
   GatewayFixture()
@@ -201,6 +216,14 @@
     BOOST_REQUIRE(!this->gateway->Start());
   }
 
+  // Gives another entry what this one has read from the platform's store.
+  void Prepare(Gateway& aEntry)
+  {
+    aEntry.RestoreUsage("");
+    aEntry.SetConfig(1, this->config);
+    aEntry.SetEndpoints(this->endpointInfos);
+  }
+
   // Routes /once/, /safe/, /stream/ and /resume/ to the service "pool"; key "k" of account "shop".
   void Configure(std::uint64_t aOffset = 1, const std::string& aKey = "k")
   {
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -10,21 +10,6 @@
 using std::chrono::seconds;
 using Connection = ScriptedEndpoint::Connection;
 
-bool Contains(const std::string& aText, const std::string& aPart)
-{
-  return aText.find(aPart) != std::string::npos;
-}
-
-std::size_t Count(const std::string& aText, const std::string& aPart)
-{
-  std::size_t count = 0;
-  for (std::size_t at = aText.find(aPart); at != std::string::npos;
-       at = aText.find(aPart, at + 1)) {
-    count++;
-  }
-  return count;
-}
-
 // A caller with a stream in progress at its own endpoint; the test decides when it ends.
 struct OpenStream
 {
@@ -545,9 +530,7 @@
   Gateway leaving(settings, Peer{ NodeId{ 2 }, Incarnation{ 1 } }, fixture.poller, fixture.clock,
                   fixture.random, fixture.protocol);
   BOOST_REQUIRE(!leaving.Start());
-  leaving.RestoreUsage("");
-  leaving.SetConfig(1, fixture.config);
-  leaving.SetEndpoints(fixture.endpointInfos);
+  fixture.Prepare(leaving);
   leaving.ConfirmConfig(1, fixture.clock.Read().steady);
   RawTcpClient before(leaving.Port());
   before.Send(GatewayFixture::Request("/once/x", "r1"));
@@ -613,9 +596,7 @@
   Gateway added(settings, Peer{ NodeId{ 2 }, Incarnation{ 1 } }, fixture.poller, fixture.clock,
                 fixture.random, fixture.protocol);
   BOOST_REQUIRE(!added.Start());
-  added.RestoreUsage("");
-  added.SetConfig(1, fixture.config);
-  added.SetEndpoints(fixture.endpointInfos);
+  fixture.Prepare(added);
   added.AddEntry("127.0.0.1");
   BOOST_REQUIRE(RunUntil([&] { return added.KnowsQuotaUsage(); }));
   added.ConfirmConfig(1, fixture.clock.Read().steady);
--- a/tests/gateway/suspect_test.cpp
+++ b/tests/gateway/suspect_test.cpp
@@ -24,9 +24,7 @@
     for (int index = 0; index < kEndpoints; index++) {
       this->AddCrashing();
     }
-    this->second->SetConfig(1, this->config);
-    this->second->RestoreUsage("");
-    this->second->SetEndpoints(this->endpointInfos);
+    this->Prepare(*this->second);
     this->second->AddEntry("127.0.0.1");
   }
 
@@ -69,11 +67,6 @@
   }
 };
 
-bool Contains(const std::string& aText, const std::string& aPart)
-{
-  return aText.find(aPart) != std::string::npos;
-}
-
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(crashing_requests, CrashingRequest)
