--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -148,6 +148,11 @@
   }
 }
 
+void Gateway::OnStoreRestored()
+{
+  this->metrics.CountStoreRestore();
+}
+
 void Gateway::SetEndpoints(const std::map<std::string, direct::EndpointInfo>& aAll)
 {
   this->endpoints = aAll;
@@ -569,6 +574,7 @@
 std::string Gateway::MetricsText()
 {
   this->metrics.SetConfig(this->config == nullptr ? 0 : this->config->version, this->ConfigAge());
+  this->metrics.SetStoreEra(this->storeEra);
   this->metrics.SetEndpoints(this->endpoints.size(), this->EndpointsAge());
   this->metrics.SetOpenRequests(this->flows.size());
   this->metrics.SetSuspects(this->dispatcher.SuspectCount());
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -101,6 +101,10 @@
   // A complete read of the list of endpoints began at aAskedAt.
   void ConfirmEndpoints(TimePoint aAskedAt);
   void SetStoreReachable(bool aIsReachable) { this->readsStore = aIsReachable; }
+  // Number of times that the store was restored, as it tells; 0 if unknown.
+  void SetStoreEra(std::uint64_t aEra) { this->storeEra = aEra; }
+  // The platform's store came back from an older copy: what was written to it last may be missing.
+  void OnStoreRestored();
   // The hooks are called when another entry has a newer configuration or move order, or a different
   // list of endpoints.
   void SetHooks(std::function<void()> aOnNewerConfig, std::function<void()> aOnOtherEndpoints);
@@ -237,6 +241,7 @@
   std::function<void()> onNewerConfig;
   std::function<void()> onOtherEndpoints;
   bool readsStore = false;
+  std::uint64_t storeEra = 0;
   std::uint64_t endpointsHash = 0;
   TimePoint endpointsReadAt{};
   std::size_t stateRound = 0;
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -52,6 +52,11 @@
       AddGauge(this->registry, "caraway_entry_config_version", "Configuration in force"))
   , configAge(AddGauge(this->registry, "caraway_entry_config_age_seconds",
                        "Since the configuration was confirmed as the newest"))
+  , storeRestores(AddCounterFamily(this->registry, "caraway_entry_store_restores_total",
+                                   "Returns of the store from an older copy")
+                    .Add({}))
+  , storeEra(AddGauge(this->registry, "caraway_entry_store_era",
+                      "Era of the store, which rises when it was restored; 0 if unknown"))
   , endpoints(AddGauge(this->registry, "caraway_entry_endpoints", "Endpoints listed"))
   , endpointsAge(AddGauge(this->registry, "caraway_entry_endpoints_age_seconds",
                           "Since the list of endpoints was read"))
@@ -108,6 +113,11 @@
   this->configAge.Set(SecondsOf(aAge));
 }
 
+void GatewayMetrics::SetStoreEra(std::uint64_t aEra)
+{
+  this->storeEra.Set(static_cast<double>(aEra));
+}
+
 void GatewayMetrics::SetEndpoints(std::size_t aCount, Duration aAge)
 {
   this->endpoints.Set(static_cast<double>(aCount));
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -34,6 +34,8 @@
   // Time from the request to the first event or the complete answer.
   void ObserveFirstLatency(Tier aRank, Duration aTime);
   void SetConfig(std::uint64_t aVersion, Duration aAge);
+  void CountStoreRestore() { this->storeRestores.Increment(); }
+  void SetStoreEra(std::uint64_t aEra);
   void SetEndpoints(std::size_t aCount, Duration aAge);
   void SetOpenRequests(std::size_t aCount);
   // Number of requests suspected of crashing endpoints.
@@ -54,6 +56,8 @@
   prometheus::Family<prometheus::Counter>& attempts;
   prometheus::Gauge& configVersion;
   prometheus::Gauge& configAge;
+  prometheus::Counter& storeRestores;
+  prometheus::Gauge& storeEra;
   prometheus::Gauge& endpoints;
   prometheus::Gauge& endpointsAge;
   prometheus::Gauge& openRequests;
