End what the soak started when it is stopped

The driver now notes the signal and ends its runs; each run ends its processes and exits without waiting for tasks. What is left of a run's session after 2 s is killed. The last line names the seeds that were not finished.

--- a/tests/soak/main.py
+++ b/tests/soak/main.py
@@ -17,6 +17,9 @@
 import faults
 import world
 
+STOPPED = 143  # exit status after SIGTERM
+STOP_TIME = 2.0  # seconds that runs have to end their processes
+
 
 def read_arguments():
     parser = argparse.ArgumentParser(description=__doc__)
@@ -41,6 +44,12 @@
     return parser.parse_args()
 
 
+def stop_now(played):
+    """Ends the processes of a run, then this one, without waiting for tasks: they may go on after a cancellation."""
+    played.kill_all()
+    os._exit(STOPPED)
+
+
 def run_one(options):
     folder = options.logs
     os.makedirs(folder, exist_ok=True)
@@ -49,6 +58,7 @@
 
     async def play():
         played = world.World(options.seed, sizes, os.path.abspath(options.program), folder)
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stop_now, played)
         try:
             await played.play(faults.Faults(options.seed, options.series, options.generation, kinds), options.seconds)
         finally:
@@ -66,51 +76,74 @@
     return 1 if played.ledger.findings else 0
 
 
-def play_all(options, seeds, logs):
-    """Runs the seeds, some at a time, each in a process of its own; returns those with findings."""
-    running, bad, started = {}, [], 0
+class Stop:
+    """Set by SIGTERM and SIGINT; a handler that raised could lose a process that is just being started."""
+
+    def __init__(self):
+        self.is_set = False
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, self.set)
+
+    def set(self, *_):
+        self.is_set = True
+
+
+def play_all(options, seeds, logs, stop):
+    """Runs the seeds, some at a time, each in a process of its own; returns those with findings and those not finished."""
+    running, bad, waiting, started = {}, [], list(seeds), 0
     passed = ["program", "seconds", "entries", "engines", "services", "callers", "crashers", "tainted", "series", "generation", "kinds"]
-    try:
-        while seeds or running:
-            while seeds and len(running) < options.jobs:
-                seed = seeds.pop(0)
-                started += 1
-                folder = os.path.join(logs, f"{seed}-{started}")
-                command = [sys.executable, __file__, "--one", "--seed", str(seed), "--logs", folder]
-                for name in passed:
-                    command += [f"--{name}", str(getattr(options, name))]
-                command += ["--no-agents"] if options.no_agents else []
-                running[folder] = (subprocess.Popen(command), seed)
-            for folder, (process, seed) in list(running.items()):
-                if process.poll() is None:
-                    continue
-                del running[folder]
-                if process.returncode == 0:
-                    shutil.rmtree(folder, ignore_errors=True)
-                else:
-                    bad.append(seed)
-            time.sleep(0.1)
-    finally:
-        for process, _ in running.values():
-            process.terminate()
-            process.wait()
-    return bad
+    while (waiting or running) and not stop.is_set:
+        while waiting and len(running) < options.jobs:
+            seed = waiting.pop(0)
+            started += 1
+            folder = os.path.join(logs, f"{seed}-{started}")
+            command = [sys.executable, __file__, "--one", "--seed", str(seed), "--logs", folder]
+            for name in passed:
+                command += [f"--{name}", str(getattr(options, name))]
+            command += ["--no-agents"] if options.no_agents else []
+            running[folder] = (subprocess.Popen(command, start_new_session=True), seed)
+        for folder, (process, seed) in list(running.items()):
+            if process.poll() is None:
+                continue
+            del running[folder]
+            if process.returncode == 0:
+                shutil.rmtree(folder, ignore_errors=True)
+            else:
+                bad.append(seed)
+        time.sleep(0.1)
+    end_all([process for process, _ in running.values()])
+    return bad, [seed for _, seed in running.values()] + waiting
+
+
+def end_all(processes):
+    """SIGTERM, then SIGKILL to the whole session of each run, where something of it may be left."""
+    for process in processes:
+        process.terminate()
+    until = time.monotonic() + STOP_TIME
+    for process in processes:
+        while time.monotonic() < until and not os.waitid(os.P_PID, process.pid, os.WEXITED | os.WNOWAIT | os.WNOHANG):
+            time.sleep(0.02)
+        os.killpg(process.pid, signal.SIGKILL)  # before the id is free again
+        process.wait()
 
 
 def main():
     options = read_arguments()
-    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
     if options.one:
         return run_one(options)
+    stop = Stop()
     if options.seeds:
         seeds = [int(seed) for seed in options.seeds.split(",")]
     else:
         seeds = list(range(options.seed, options.seed + options.runs))
     logs = options.logs or tempfile.mkdtemp(prefix="caraway-soak-")
     begun = time.monotonic()
-    bad = play_all(options, seeds, logs)
+    bad, unfinished = play_all(options, seeds, logs, stop)
     took = time.monotonic() - begun
     print(f"{took:.0f} s; seeds with findings: {bad or 'none'}" + (f"; logs in {logs}" if bad else ""))
+    if unfinished:
+        print(f"seeds not finished: {', '.join(str(seed) for seed in unfinished)}")
+        return STOPPED
     return 1 if bad else 0
 
 
