Check in the soak that no process goes back to an older configuration

The soak checked CONFIG and DENIED only for entries in touch, and counted a change of the configuration as a fault of all, so nothing was checked until 6 s after each change. Nothing checked that a process that has shown a version does not return to an older one, and nobody asked for a route that was removed.

- A configuration may be in force from its sending; its acknowledgement is kept as it was first given.
- A change of the configuration puts no entry out of touch.
- One process of an entry goes by no older configuration 0.25 s after an endpoint saw a newer one's effect (2 s with a fault).
- Requests that every configuration of the run allows and that are answered 401, 403 or 404 by any entry count together.
- Who has learnt that an endpoint leaves is bound also while the store is in trouble later.
- Callers ask for removed routes at times.

No functional change

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -84,6 +84,7 @@
             key=self.key,
             entry=self.entry.name,
             deadline=time.monotonic() + time_left,
+            process=self.entry.process.pid,
             is_crashing=self.is_crashing,
         )
         self.world.ledger.requests[request.id] = request
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -17,6 +17,7 @@
 BUDGET_RATIO, BUDGET_EXTRA, BUDGET_WINDOW = 0.2, 56, 10.0
 QUOTA_WINDOW, QUOTA_OVERAGE, QUOTA_SLACK = 8.0, 0.1, 40
 RATE_WINDOW, RATE_FACTOR, RATE_SLACK, RATE_NEWS = 4.0, 1.5, 5, 0.5
+DOWNGRADE_SLACK, SLOWED = 0.25, 8  # seconds after a version has shown; times that for an entry with a fault
 DENIED_SLACK = 0.3  # seconds for a request's way and the timers of a busy machine
 MOST_CRASHES = 3  # of endpoints under one request
 MOST_PART_CRASHES = 5  # of endpoints under requests with one part of their prompts
@@ -27,6 +28,7 @@
 FEWEST_SOUND = 20  # requests with the shared part before their refusals count
 CRASH_UNDER = "crash under a request"
 PROMISES = (408, 421, 429, 503)  # statuses that say "not run"
+MOST_DENIED, DENIED_SHARE = 5, 1 / 500  # of requests that all configurations allow, by any entry
 MOST_FINDINGS = 40
 
 
@@ -46,6 +48,7 @@
     key: str
     entry: str
     deadline: float
+    process: int = 0  # id of the entry's process
     is_crashing: bool = False  # ends each endpoint that runs it
     is_sound: bool = False  # shares a part of its prompt with requests that crash endpoints
     sent: float = 0.0  # the last byte was written
@@ -69,6 +72,13 @@
     ended: float = 0.0
 
 
+@dataclasses.dataclass
+class Configuration:
+    config: dict
+    sent: float
+    acknowledged: float = None  # stays the first one if a restore of the store loses it
+
+
 @dataclasses.dataclass
 class NamedRate:
     """The rates that an endpoint has named, and the requests from machines that it had told."""
@@ -96,7 +106,8 @@
         self.findings = []
         self.counts = collections.Counter()
         self.disturbed = collections.defaultdict(list)  # name -> [[from, to or None, kind]]
-        self.configs = []  # (acknowledged at, configuration)
+        self.configs = []  # Configuration, as sent
+        self.shown = collections.defaultdict(list)  # (entry, process) -> [(time, index of the oldest configuration it may go by)]
         self.withdrawn = {}  # key -> acknowledged at
         self.left = {}  # endpoint id -> its leaving was acknowledged at
         self.arrivals = collections.defaultdict(list)  # service -> [(time, is a repeat)]
@@ -104,6 +115,7 @@
         self.quota_runs = collections.defaultdict(list)  # account -> [time run]
         self.named_rates = {}  # endpoint id -> NamedRate
         self.denied = 0
+        self.denials = []  # requests answered 401, 403 or 404
 
     # Faults and what they excuse.
 
@@ -127,7 +139,7 @@
         return True
 
     def in_touch(self, entry, since, until):
-        return self.is_calm((entry, "store", "all"), since, until)
+        return self.is_calm((entry, "store", "all"), since, until, ("config",))
 
     def find(self, promise, text):
         self.findings.append((promise, text))
@@ -136,25 +148,29 @@
 
     # The configuration.
 
+    def send_config(self, config):
+        self.configs.append(Configuration(config, time.monotonic()))
+
     def put_config(self, config):
+        """The store acknowledged a configuration that was sent."""
         now = time.monotonic()
-        held = {key for _, old in self.configs for tenant in old["tenants"] for key in tenant["api-keys"]}
+        held = {key for row in self.configs for tenant in row.config["tenants"] for key in tenant["api-keys"]}
         holds = {key for tenant in config["tenants"] for key in tenant["api-keys"]}
         for key in held:
             if key not in holds:
                 self.withdrawn.setdefault(key, now)
             else:
                 self.withdrawn.pop(key, None)
-        self.configs.append((now, config))
+        next(row for row in self.configs if row.config is config).acknowledged = now
 
     def may_be_in_force(self, since, until):
         """Configurations that an entry in touch may go by for a request of that time."""
         found = []
-        for index, (at, config) in enumerate(self.configs):
-            replaced = self.configs[index + 1][0] if index + 1 < len(self.configs) else None
+        for index, row in enumerate(self.configs):
+            replaced = self.configs[index + 1].acknowledged if index + 1 < len(self.configs) else None
             is_over = replaced is not None and replaced + CONFIG_APPLY + DENIED_SLACK < since
-            if at <= until and not is_over:
-                found.append(config)
+            if row.sent <= until and not is_over:
+                found.append(row.config)
         return found
 
     @staticmethod
@@ -171,6 +187,21 @@
                 return tenant["name"]
         return None
 
+    def allows(self, config, request):
+        return self.services_of(config, request.route) and self.tenant_of(config, request.key) is not None
+
+    def check_regress(self, request, now, how, fits):
+        """One process of an entry goes by no older configuration once an endpoint has seen a newer one's effect."""
+        slack = DOWNGRADE_SLACK * (1 if self.is_calm((request.entry, "all"), request.sent, now, ("config",)) else SLOWED)
+        shown = self.shown[request.entry, request.process]
+        least = max((index for at, index in shown if at + slack < request.sent), default=0)
+        fitting = [index for index, row in enumerate(self.configs) if index >= least and fits(row.config)]
+        if fitting:
+            return min(fitting)
+        version = self.configs[least].config["version"]
+        self.find("CONFIG", f"{request.id} on {request.route} {how} by {request.entry}, which has gone by {version}: only an older one allows it")
+        return None
+
     # What endpoints see.
 
     def on_arrival(self, endpoint, service, head, method, path, body, is_run, stamp):
@@ -194,7 +225,9 @@
         request.arrivals += 1
         left = self.left.get(endpoint)
         if left is not None and request.sent > left and now > left + LEAVING:
-            if self.in_touch(request.entry, left, now) and not request.gone:
+            # Who has learnt of it is bound also while the store is in trouble later.
+            has_learnt = self.in_touch(request.entry, left, left + LEAVING)
+            if has_learnt and self.is_calm((request.entry, "all"), left, now, ("config",)) and not request.gone:
                 self.find("DRAIN", f"{request.id} reached {endpoint} {now - left:.2f} s after it said it leaves, from {request.entry}")
         if not is_run:
             return None
@@ -279,14 +312,21 @@
             self.find("REFUSED", f"{request.id} was answered {request.status} and runs at {endpoint}")
         if request.gone and now > request.gone + 0.5:
             self.counts["gone"] += 1
-        allowed = set().union(*(self.services_of(config, request.route) for _, config in self.configs))
+        allowed = set().union(*(self.services_of(row.config, request.route) for row in self.configs))
         if service not in allowed:
             self.find("ROUTE", f"{request.id} on {request.route} ran at {endpoint} of {service}")
         in_force = self.may_be_in_force(request.sent or now, now)
         if self.in_touch(request.entry, request.sent or now, now):
             if not any(service in self.services_of(config, request.route) for config in in_force):
                 self.find("CONFIG", f"{request.id} on {request.route} ran at {service}, as only an older configuration allows")
-        tenants = {self.tenant_of(config, request.key) for _, config in self.configs} - {None}
+        oldest = self.check_regress(
+            request, now, f"ran at {service}",
+            lambda config: service in self.services_of(config, request.route) and self.tenant_of(config, request.key) is not None,
+        )  # fmt: skip
+        shown = self.shown[request.entry, request.process]
+        if oldest is not None and (not shown or oldest > shown[-1][1]):
+            shown.append((now, oldest))
+        tenants = {self.tenant_of(row.config, request.key) for row in self.configs} - {None}
         if head.get("tenant") not in tenants:
             self.find("UNASKED", f"{request.id} runs for {head.get('tenant')}, its key belongs to {tenants}")
         withdrawn = self.withdrawn.get(request.key)
@@ -335,9 +375,10 @@
             self.find("DENIED", f"{request.id} was answered {status}")
 
     def check_denied(self, request, status):
-        for config in self.may_be_in_force(request.sent - 1, request.answered):
-            if not self.services_of(config, request.route) or self.tenant_of(config, request.key) is None:
-                return
+        self.check_regress(request, request.answered, f"was answered {status}", lambda config: not self.allows(config, request))
+        self.denials.append(request)
+        if not all(self.allows(config, request) for config in self.may_be_in_force(request.sent - 1, request.answered)):
+            return
         if self.in_touch(request.entry, request.sent, request.answered):
             self.find("DENIED", f"{request.id} on {request.route} was answered {status} by {request.entry}")
         else:
@@ -363,10 +404,13 @@
             self.find("GONE", f"{self.counts['gone']} requests ran over half a second after their caller had left")
         if self.denied > 10:
             self.find("DENIED", f"{self.denied} requests were denied by entries out of touch")
+        wrong = [request.id for request in self.denials if all(self.allows(row.config, request) for row in self.configs)]
+        if len(wrong) > MOST_DENIED + DENIED_SHARE * len(self.requests):
+            self.find("DENIED", f"{len(wrong)} requests were denied that every configuration allows: {wrong[:5]}")
         for service, rows in self.arrivals.items():
             self.check_budget(service, [at for at, is_repeat in rows if is_repeat])
-        for _, config in self.configs[-1:]:
-            for tenant in config["tenants"]:
+        for row in self.configs[-1:]:
+            for tenant in row.config["tenants"]:
                 if tenant.get("rate-per-s"):
                     self.check_quota(tenant)
 
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -22,6 +22,7 @@
 CALM_CHECK = 3.0  # seconds of traffic that are counted then
 LEAST_SERVED = 0.9  # of the requests in that time
 LAG_PERIOD, LAG = 0.05, 0.15  # seconds
+OLD_ROUTE_WEIGHT = 0.3  # of requests on a route that was removed, against 1 for most others
 FIRST_NET, LAST_NET = 16, 250  # 127.N.0.0/16 that runs take
 
 
@@ -85,6 +86,7 @@
             )
         self.keys = [f"key-{number}" for number in range(6)]
         self.config = self.first_config(sizes)
+        self.old_routes = []  # that were removed and are not there now
 
     def add_endpoint(self, service):
         """A new endpoint, and the agent beside it where it is an engine; neither is started."""
@@ -148,17 +150,25 @@
 
     async def put_config(self, change):
         """Writes a changed configuration; the change is excused as planned work for a while."""
-        config = copy.deepcopy(self.config)
+        old = self.config
+        config = copy.deepcopy(old)
         change(config)
         config["version"] = self.config["version"] + self.random.randrange(1, 4)
         self.config = config
+        self.old_routes = [row for row in self.old_routes + old["routes"] if row["name"] not in self.names(config)]
+        self.ledger.send_config(config)
         await self.store.put("keyed.op", "config", json.dumps(config))
         self.ledger.put_config(config)
         self.log(f"configuration {config['version']} is acknowledged")
 
+    @staticmethod
+    def names(config):
+        return [row["name"] for row in config["routes"]]
+
     def draw_route(self):
-        routes = [route for route in self.config["routes"]]
-        weights = [3 if route["name"] == "stream-chat" else 1 for route in routes]
+        routes = self.config["routes"] + self.old_routes
+        weights = [3 if route["name"] == "stream-chat" else 1 for route in self.config["routes"]]
+        weights += [OLD_ROUTE_WEIGHT] * len(self.old_routes)
         route = self.random.choices(routes, weights)[0]
         return route["name"], route["path-prefix"], self.random.choice((1.5, 3.0, 5.0))
 
@@ -234,7 +244,7 @@
         asked = served = 0
         for request in self.ledger.requests.values():
             is_owed = request.key in self.keys[2:] and not request.gone and request.key not in self.ledger.withdrawn
-            is_owed = is_owed and not request.is_crashing
+            is_owed = is_owed and not request.is_crashing and request.route in self.names(self.config)
             if is_owed and since <= request.sent <= until - 1:
                 asked += 1
                 served += 200 <= request.status < 300
