Restore the store from an older copy in the soak

Kind restore_store (generation 5; seeds of older generations keep their schedules).

No functional change

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -8,12 +8,14 @@
 
 import ledger
 import moves
+import store
 
 
 PLANNED_ONLY = 3  # each so many seeds play planned work alone, which excuses no lost answer
 # A new kind changes what all seeds play. The regressions name the generation that they failed with:
-# 1 has no moves of versions, 2 no named rates, repeated refusals and odd registrations, 3 no repeated SIGTERM.
-GENERATION = 4
+# 1 has no moves of versions, 2 no named rates, repeated refusals and odd registrations, 3 no repeated SIGTERM,
+# 4 no restores of the store and no odd answers.
+GENERATION = 5
 ODD_DEPTH = 200_000  # levels of a registration
 NAMED_RATES = (0.5, 1.5, 3.3, 6.0, 12.0)  # requests a second
 SHARE_OF_KINDS = 0.5  # of all kinds that one run plays
@@ -28,6 +30,9 @@
         self.until = 0.0
         planned = {self.terminate: 3, self.hang_up: 1, self.kill_agent: 2, self.leave: 2, self.change_config: 3}
         kinds = self.all_kinds()
+        if generation < 5:
+            for kind in (self.restore_store,):
+                del kinds[kind]
         if generation < 4:
             del kinds[self.terminate_repeatedly]
         else:
@@ -73,6 +78,7 @@
             self.repeat_refusals: 2,
             self.register_odd: 1,
             self.terminate_repeatedly: 2,
+            self.restore_store: 2,
         }
 
     async def play(self, world, seconds):
@@ -192,6 +198,28 @@
         await world.store.drop_history()
         world.ledger.end(record)
 
+    async def restore_store(self, world):
+        """Away for a moment, then back as a copy from before; the owners of what is lost write it again."""
+        if world.store.mode is not None:
+            return
+        mode = self.random.choice(("silent", "reset", "busy"))
+        poll_end = self.random.choice(("answer", "reset", "hold"))
+        age, away = self.random.uniform(1.0, 9.0), self.random.uniform(0.3, 2.5)
+        owners = [(topic, self.random.uniform(0.0, 2.0), self.random.random() < 0.5) for topic in store.OWNED]
+        record = world.ledger.begin("store", f"{mode}, copy {age:.1f} s old, polls {poll_end}")
+        copied_at = max(time.monotonic() - age, world.ledger.configs[0].acknowledged)
+        await world.store.go_away(mode, poll_end)
+        await asyncio.sleep(away)
+        lost = await world.store.come_back(copied_at)
+        world.ledger.end(record)
+        world.log(f"the store is back, era {world.store.era}; lost records: {lost}")
+        for owner in owners:
+            world.background(self.write_again(world, *owner))
+
+    async def write_again(self, world, topic, *how):
+        await world.store.write_again(topic, *how)
+        world.log(f"{topic} is written again")
+
     # Endpoints and the ways to them.
 
     async def with_endpoint(self, world, kind, play):
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -47,7 +47,7 @@
         self.begun = time.monotonic()
         self.log_file = open(os.path.join(folder, "soak.log"), "w", encoding="utf8")
         self.ledger = ledger.Ledger(self.log, self.begun)
-        self.store = store.Store()
+        self.store = store.Store(seed)
         self.is_over = False
         self.tasks = set()
         self.leave_time = ledger.LEAVING + 1.5
