Give odd answers at endpoints of the soak

Callers send long bodies while an endpoint answers early. A promise with the endpoint's proof breaks REFUSED too where the request may run once. Malformed bytes at endpoints are UNASKED, at callers MIXED.

No functional change

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -12,6 +12,7 @@
 PAUSE = 0.25  # mean seconds between two requests of one caller
 CONNECT = 1.0  # seconds
 MOST_RETRIES = 1
+LONG_BODY, LONG_SHARE = 400_000, 0.3  # bytes; of the requests that may run once, while endpoints answer early
 
 
 @dataclasses.dataclass
@@ -59,7 +60,10 @@
         return True
 
     def content(self, kind):
-        return str(self.count), b"" if kind == "safe" else f"{self.name} asks {self.count}".encode()
+        body = b"" if kind == "safe" else f"{self.name} asks {self.count} ".encode()
+        if kind == "unsafe" and self.world.long_body_faults and self.world.random.random() < LONG_SHARE:
+            body *= LONG_BODY // len(body)
+        return str(self.count), body
 
     def parts(self, request):
         """The parts of the prompt, the last one its own; none where no part crashes endpoints."""
@@ -94,7 +98,9 @@
         except asyncio.TimeoutError:
             request.gone = time.monotonic()
             self.drop()
-        except (OSError, EOFError, h11.ProtocolError):
+        except (OSError, EOFError, h11.ProtocolError) as error:
+            if isinstance(error, h11.RemoteProtocolError) and not self.reader.at_eof():
+                self.world.ledger.find("MIXED", f"{request.id} got bytes from {request.entry} that are no answer: {error}")
             self.world.ledger.on_lost(request, False)
             self.drop()
         return None
--- a/tests/soak/endpoints.py
+++ b/tests/soak/endpoints.py
@@ -10,6 +10,7 @@
 
 import http1
 import ledger
+import odd
 import proxy
 
 HEARTBEAT = 1.2  # seconds between writes of its registration
@@ -21,7 +22,7 @@
 REFUSED_WHILE_REPEATING = 0.3  # of the requests, while refusals are written again
 
 
-class Endpoint:
+class Endpoint(http1.Watcher):
     def __init__(self, name, service, is_engine, slots, address, seen_at, world):
         self.name = name
         self.service = service
@@ -47,6 +48,9 @@
         self.rate = None  # requests a second that it names in all its answers
         self.repeats = None  # "with id", "without id": writes earlier refusals again
         self.refusals = {}  # bytes of the last refusal, by the connection's writer
+        self.odd = None  # odd.Odd
+        self.answering = set()  # writers of connections with a call
+        self.pending = {}  # bytes to be written where the next answer is due, by writer
         self.is_moving = False  # started for a move of versions that is under way
         self.retired = False  # its version was moved away from: it does not come back
 
@@ -62,7 +66,8 @@
         self.places = asyncio.Semaphore(self.slots)
         self.writers = set()
         self.refusals = {}
-        self.server = await http1.serve(*self.address, self.on_call, self.writers.add)
+        self.pending = {}
+        self.server = await http1.serve(*self.address, self.on_connection_call, self)
         if self.link.server is None:
             await self.link.start(*self.seen_at)
         self.heart = asyncio.create_task(self.beat())
@@ -140,6 +145,34 @@
         await self.world.store.put("keyed.servers", self.id, None)
         await self.crash()
 
+    def on_open(self, writer):
+        self.writers.add(writer)
+        if self.odd is not None:
+            self.odd.on_open(writer)
+
+    def is_early(self, request, body):
+        head = http1.fields(request.headers)
+        is_partial = len(body) < int(head.get("content-length", "0"))
+        return is_partial and self.odd is not None and self.odd.is_early(head.get("request-id", ""))
+
+    def on_rest(self, call, body):
+        self.world.ledger.on_rest(self.id, call.head.get("request-id"), body)
+
+    def on_malformed(self, error):
+        self.world.ledger.find("UNASKED", f"{self.id} got bytes that are no request: {error}")
+
+    async def on_connection_call(self, call):
+        self.answering.add(call.writer)
+        try:
+            pending = self.pending.pop(call.writer, None)
+            if pending is not None:
+                call.writer.write(pending)
+            await self.on_call(call)
+        finally:
+            self.answering.discard(call.writer)
+        if self.odd is not None:
+            self.odd.after_answer(call)
+
     async def on_call(self, call):
         if self.rate is not None:
             self.world.ledger.on_limited(self.id, self.machine_of(call), call.target)
@@ -195,7 +228,7 @@
 
     def note(self, call, is_run, stamp):
         return self.world.ledger.on_arrival(
-            self.id, self.service, call.head, call.method, call.target, call.body, is_run, stamp
+            self.id, self.service, call.head, call.method, call.target, call.body, is_run, stamp, call.is_early
         )
 
     async def on_question(self, call):
@@ -218,7 +251,9 @@
             if culprit is not None:
                 self.world.ledger.on_crash(culprit, self.id)
                 return await self.crash_under(call)
-            if self.world.random.random() < self.failure_share:
+            if self.odd is not None and await self.odd.on_run(call, head, run):
+                pass
+            elif self.world.random.random() < self.failure_share:
                 run.status = 500
                 await asyncio.sleep(0.01)
                 await call.answer(500, head, b"failed")
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -8,6 +8,7 @@
 
 import ledger
 import moves
+import odd
 import store
 
 
@@ -31,7 +32,7 @@
         planned = {self.terminate: 3, self.hang_up: 1, self.kill_agent: 2, self.leave: 2, self.change_config: 3}
         kinds = self.all_kinds()
         if generation < 5:
-            for kind in (self.restore_store,):
+            for kind in (self.restore_store, self.odd_answers):
                 del kinds[kind]
         if generation < 4:
             del kinds[self.terminate_repeatedly]
@@ -79,6 +80,7 @@
             self.register_odd: 1,
             self.terminate_repeatedly: 2,
             self.restore_store: 2,
+            self.odd_answers: 3,
         }
 
     async def play(self, world, seconds):
@@ -318,6 +320,22 @@
 
         await self.with_endpoint(world, "repeated refusals", play)
 
+    async def odd_answers(self, world):
+        """Some kinds of odd answers at one endpoint; see odd.py."""
+
+        async def play(endpoint):
+            if endpoint.odd is not None:
+                return
+            kinds = self.random.sample(odd.KINDS, self.random.choice((1, 2, 4)))
+            world.log(f"odd: {endpoint.id} plays {', '.join(kinds)}")
+            endpoint.odd = odd.Odd(endpoint, kinds)
+            world.long_body_faults += odd.EARLY in kinds
+            await self.wait()
+            world.long_body_faults -= odd.EARLY in kinds
+            endpoint.odd = None
+
+        await self.with_endpoint(world, "odd answers", play)
+
     async def register_odd(self, world):
         """Another writer leaves an odd entry among those of the endpoints."""
         live = self.random.choice(world.endpoints)
--- a/tests/soak/http1.py
+++ b/tests/soak/http1.py
@@ -32,6 +32,8 @@
         self.target = request.target.decode()
         self.head = fields(request.headers)
         self.body = body
+        self.sent = b""
+        self.is_early = False  # the rest of the body is still to come
 
     def is_abandoned(self):
         return self.reader.at_eof() or self.writer.is_closing()
@@ -48,6 +50,7 @@
 
     async def write(self, event):
         data = self.connection.send(event) or b""
+        self.sent += data
         self.writer.write(data)
         await self.writer.drain()
         return data
@@ -64,22 +67,46 @@
         raise ConnectionError("reset by the stand-in")
 
 
-async def serve(host, port, on_call, on_open=None):
-    """Runs on_call(Call) for each request; on_open(writer) sees each connection."""
+class Watcher:
+    """Sees what a server's connections carry; of a server that does not care, nothing."""
+
+    def on_open(self, writer):
+        pass
+
+    def is_early(self, request, body):
+        """The call begins with the first part of the body, the rest is read after the answer."""
+        return False
+
+    def on_rest(self, call, body):
+        """The whole body of a call that began early."""
+
+    def on_malformed(self, error):
+        """Bytes that are no request."""
+
+
+async def serve(host, port, on_call, watcher=Watcher()):
+    """Runs on_call(Call) for each request."""
 
     async def on_connection(reader, writer):
         connection = h11.Connection(h11.SERVER)
-        if on_open is not None:
-            on_open(writer)
+        watcher.on_open(writer)
         try:
             while True:
-                request, body = await read_message(connection, reader)
+                request, body = await read_message(connection, reader, watcher.is_early)
                 if request is None:
                     break
-                await on_call(Call(connection, reader, writer, request, body))
+                call = Call(connection, reader, writer, request, body)
+                call.is_early = connection.their_state is h11.SEND_BODY
+                await on_call(call)
+                if connection.their_state is h11.SEND_BODY:
+                    _, rest = await read_message(connection, reader)
+                    watcher.on_rest(call, body + rest)
                 if connection.our_state is h11.MUST_CLOSE:
                     break
                 connection.start_next_cycle()
+        except h11.RemoteProtocolError as error:
+            if not reader.at_eof():
+                watcher.on_malformed(error)
         except (OSError, h11.ProtocolError, asyncio.IncompleteReadError):
             pass
         finally:
@@ -88,7 +115,7 @@
     return await asyncio.start_server(on_connection, host, port, backlog=512)
 
 
-async def read_message(connection, reader):
+async def read_message(connection, reader, is_early=lambda head, body: False):
     head, body = None, b""
     while True:
         event = connection.next_event()
@@ -97,7 +124,10 @@
         elif isinstance(event, (h11.Request, h11.Response)):
             head = event
         elif isinstance(event, h11.Data):
+            is_first = not body
             body += event.data
+            if head is not None and is_first and is_early(head, body):
+                return head, body
         elif isinstance(event, h11.EndOfMessage):
             return head, body
         elif isinstance(event, h11.ConnectionClosed) or event is h11.PAUSED:
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -204,14 +204,15 @@
 
     # What endpoints see.
 
-    def on_arrival(self, endpoint, service, head, method, path, body, is_run, stamp):
+    def on_arrival(self, endpoint, service, head, method, path, body, is_run, stamp, is_early=False):
         """A request reached an endpoint; returns its Run if it runs."""
         now = time.monotonic()
         request = self.requests.get(head.get("request-id", ""))
         if request is None:
             self.find("UNASKED", f"{endpoint} got {method} {path} with id {head.get('request-id')}")
             return None
-        if (method, path, body) != (request.method, request.path, request.body):
+        expected = request.body[: len(body)] if is_early else request.body
+        if (method, path, body) != (request.method, request.path, expected):
             self.find("UNASKED", f"{request.id} reached {endpoint} changed: {method} {path} {len(body)} bytes")
         if "authorization" in head:
             self.find("UNASKED", f"{request.id} reached {endpoint} with its key")
@@ -236,6 +237,12 @@
         request.runs.append(run)
         return run
 
+    def on_rest(self, endpoint, request_id, body):
+        """All that came as the body of a request that was answered early."""
+        request = self.requests.get(request_id)
+        if request is None or not request.body.startswith(body):
+            self.find("UNASKED", f"{request_id} reached {endpoint} with other bytes where the rest of its body is due")
+
     def on_rate(self, endpoint, rate):
         if rate is None:
             self.named_rates.pop(endpoint, None)
@@ -367,7 +374,8 @@
             return
         if stamp is not None and (run is None or run.status != status):
             self.find("MIXED", f"{request.id} failed with {status} and a proof of another answer")
-        if stamp is None and status in PROMISES and request.runs:
+        is_once = not request.route.startswith("safe-")
+        if (stamp is None or is_once) and status in PROMISES and request.runs:
             self.find("REFUSED", f"{request.id} on {request.route} was answered {status} and ran at {request.runs[-1].endpoint}")
         if status in (401, 403, 404):
             self.check_denied(request, status)
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -86,6 +86,7 @@
             )
         self.keys = [f"key-{number}" for number in range(6)]
         self.config = self.first_config(sizes)
+        self.long_body_faults = 0  # faults that need them
         self.old_routes = []  # that were removed and are not there now
 
     def add_endpoint(self, service):
