Log in the soak which processes the machine held off

Nothing told a process without a processor from one that is blocked. The time on the run queue is logged now; it excuses nothing.

No functional change

--- a/tests/soak/nodes.py
+++ b/tests/soak/nodes.py
@@ -79,6 +79,14 @@
         if self.process is not None and self.process.poll() is None:
             os.kill(self.process.pid, number)
 
+    def waited(self):
+        """Seconds that the process could run and had no processor, since its start."""
+        try:
+            with open(f"/proc/{self.process.pid}/schedstat", encoding="ascii") as file:
+                return int(file.read().split()[1]) / 1e9
+        except (OSError, AttributeError, IndexError):  # ended, not started, or not counted by the kernel
+            return 0.0
+
     def kill(self):
         self.expected_end = True
         self.signal(signal.SIGKILL)
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -22,6 +22,7 @@
 CALM_CHECK = 3.0  # seconds of traffic that are counted then
 LEAST_SERVED = 0.9  # of the requests in that time
 LAG_PERIOD, LAG = 0.05, 0.15  # seconds
+WAIT_PERIOD = 0.25  # seconds between two looks at the processes' waits for a processor
 OLD_ROUTE_WEIGHT = 0.3  # of requests on a route that was removed, against 1 for most others
 FIRST_NET, LAST_NET = 16, 250  # 127.N.0.0/16 that runs take
 
@@ -204,8 +205,20 @@
                 record[0] = before
                 self.ledger.end(record)
 
+    async def watch_waits(self):
+        """Logs which processes the machine held off: a late one is told from one that is busy or blocked. Excuses nothing."""
+        before = {}
+        while not self.is_over:
+            for node in self.entries + self.agents:
+                waited = node.waited()
+                if waited - before.get(node, waited) > LAG:
+                    self.log(f"{node.name} waited {waited - before[node]:.3f} s for a processor in the last {WAIT_PERIOD} s or more")
+                before[node] = waited
+            await asyncio.sleep(WAIT_PERIOD)
+
     async def start(self):
         self.background(self.watch_lag())
+        self.background(self.watch_waits())
         await self.store.start(*self.store_address)
         await self.put_config(lambda config: None)
         for endpoint in self.endpoints:
