Let the paused clock of a test go together with the timers

Cause: tests of the gateway advanced the paused clock by a fixed step for each turn of the main loop. A turn blocks until the next event, and the timers follow the machine's clock, so the time that a test took depended on how often something else woke the loop: every_request_has_an_answer_before_a_shutdown_ends needs 3 s of the paused clock, which were 3,000 turns.

Change: AdvanceUntil in tests/runtime/loop.h advances the clock by 1 ms for each expiry of a timer of 1 ms. All tests that advanced the clock inside RunUntil use it. Checks and bounds are the same.

No functional change: tests only.

--- a/tests/gateway/broken_stream_test.cpp
+++ b/tests/gateway/broken_stream_test.cpp
@@ -84,8 +84,7 @@
     this->AddEndpoint(script);
     RawTcpClient client(this->gateway->Port());
     client.Send(Request(aPath, "r1"));
-    BOOST_REQUIRE(RunUntil([&] {
-      this->clock.Advance(std::chrono::milliseconds(5));
+    BOOST_REQUIRE(AdvanceUntil(this->clock, [&] {
       this->gateway->ConfirmConfig(1, this->clock.Read().steady);
       return client.IsClosed() || client.Received().ends_with("0\r\n\r\n");
     }));
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -168,11 +168,7 @@
   std::string answer;
   RawTcpClient client(this->gateway->Port());
   client.Send(Request("/once/x", "r1"));
-  RunUntil([&] {
-    this->clock.Advance(milliseconds(20));
-    g_main_context_iteration(nullptr, FALSE);
-    return Contains(client.Received(), "\r\n\r\n");
-  });
+  AdvanceUntil(this->clock, [&] { return Contains(client.Received(), "\r\n\r\n"); });
   BOOST_TEST(Contains(client.Received(), "HTTP/1.1 503 "));
   BOOST_TEST(Contains(client.Received(), "Retry-After: "));
 }
@@ -400,8 +396,7 @@
   for (int call = 0; call < 5; call++) {
     RawTcpClient client(this->gateway->Port());
     client.Send("POST /safe/x HTTP/1.1\r\nHost: h\r\nId: r\r\nKey: k\r\nLeft: 200\r\n\r\n");
-    RunUntil([&] {
-      this->clock.Advance(milliseconds(10));
+    AdvanceUntil(this->clock, [&] {
       this->gateway->ConfirmConfig(1, this->clock.Read().steady);
       return !client.Received().empty();
     });
@@ -541,8 +536,7 @@
   after.Send(GatewayFixture::Request("/once/x", "r2"));
   BOOST_REQUIRE(RunUntil([&] { return endpoint.requests.size() == 2U; }));
   const auto isEnded = [&] { return fixture.clock.Read().steady > end + milliseconds(50); };
-  RunUntil([&] {
-    fixture.clock.Advance(milliseconds(1));
+  AdvanceUntil(fixture.clock, [&] {
     return isEnded() || (!before.Received().empty() && !after.Received().empty());
   });
   BOOST_TEST(!isEnded());
--- a/tests/gateway/named_rate_test.cpp
+++ b/tests/gateway/named_rate_test.cpp
@@ -172,8 +172,7 @@
   entry.Flush();
   bool wasLost = false;
   const std::size_t before = reports;
-  BOOST_TEST(RunUntil([&] {
-    this->clock.Advance(milliseconds(1));
+  BOOST_TEST(AdvanceUntil(this->clock, [&] {
     wasLost = wasLost || !agent.State().isReachable;
     return wasLost || reports > before + 1;
   }));
--- a/tests/gateway/two_entries.h
+++ b/tests/gateway/two_entries.h
@@ -24,8 +24,7 @@
 
   bool AdvanceUntil(const std::function<bool()>& aDone)
   {
-    return RunUntil([&] {
-      this->clock.Advance(std::chrono::milliseconds(1));
+    return caraway::AdvanceUntil(this->clock, [&] {
       for (Gateway* entry : { this->gateway.get(), this->second.get() }) {
         entry->ConfirmConfig(1, this->clock.Read().steady);
       }
--- a/tests/runtime/loop.h
+++ b/tests/runtime/loop.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "core/types.h"
+#include "runtime/clock.h"
 #include "runtime/glib_ptr.h"
 #include "runtime/timer.h"
 
@@ -25,6 +26,18 @@
   return aDone();
 }
 
+// Like RunUntil, and advances aClock together with the timers, which follow the machine's clock.
+inline bool AdvanceUntil(PausedClock& aClock, const std::function<bool()>& aDone)
+{
+  constexpr Duration kStep = std::chrono::milliseconds(1);
+  Timer step([&] {
+    aClock.Advance(kStep);
+    step.ArmAfter(kStep);
+  });
+  step.ArmAfter(kStep);
+  return RunUntil(aDone);
+}
+
 // Raw TCP connection to a listener on 127.0.0.1 that reads on the main loop.
 class RawTcpClient
 {
