Reject lists of lengths and repeated lengths in HTTP messages

Callers of the direct path could hide a request behind `Content-Length: 0, 0` or behind two equal Content-Length fields: the outer request ran with an empty body, and the bytes after its head ran as a request of their own, with the answers on the caller's connection.

Cause: the parser library takes a list of equal lengths for one length (RFC 9112, section 6.3, lets a recipient do so only if it replaces the list), and RequestReader checked only the transfer coding. The same reader reads the answers of endpoints, of the store and of reports, where the attempt is broken now (it may have run).

The rule is a function of the fields now (framing.h): one plain length in the range of 64 bits, or one "chunked" in HTTP/1.1, or none of both. So that caraway-entry can use it too.

Changes what is accepted; decisions of src/core: No functional change.

--- a/src/runtime/http_reader.cpp
+++ b/src/runtime/http_reader.cpp
@@ -1,13 +1,12 @@
 #include "runtime/http_reader.h"
 
+#include "runtime/framing.h"
+
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/basic_parser.hpp>
 
 #include <strings.h>
 
-#include <algorithm>
-#include <iterator>
-
 namespace caraway {
 
 namespace {
@@ -63,21 +62,6 @@
                                                                     : state;
 }
 
-// Whether the parser determines where the body ends. It handles a single "chunked" and treats any
-// other transfer coding as if there were none.
-bool IsTransferCodingSupported(const HeaderFields& aFields, bool aIsHttp11)
-{
-  const auto isCoding = [](const HeaderField& aField) {
-    return FieldNamesEqual(aField.name, "Transfer-Encoding");
-  };
-  const auto coding = std::find_if(aFields.begin(), aFields.end(), isCoding);
-  if (coding == aFields.end()) {
-    return true;
-  }
-  return aIsHttp11 && FieldNamesEqual(coding->value, "chunked") &&
-         std::none_of(std::next(coding), aFields.end(), isCoding);
-}
-
 // Collects the parts common to requests and responses.
 template<bool kIsRequest, class Head>
 class Collector : public http::basic_parser<kIsRequest>
@@ -102,8 +86,8 @@
   void on_header_impl(error_code& aError) override
   {
     this->isHeadComplete = true;
-    if (!IsTransferCodingSupported(this->head.fields, this->isHttp11)) {
-      aError = http::error::bad_transfer_encoding;
+    if (!IsFramingUnambiguous(this->head.fields, this->isHttp11)) {
+      aError = http::error::bad_content_length;
     }
   }
   void on_body_init_impl(const boost::optional<std::uint64_t>& aLength, error_code&) override
--- a/tests/runtime/http_reader_test.cpp
+++ b/tests/runtime/http_reader_test.cpp
@@ -72,10 +72,58 @@
   "Transfer-Encoding : chunked\r\n",
 };
 
+const std::vector<std::string> kAmbiguousLengths = {
+  "Content-Length: 0, 0\r\n",
+  "Content-Length: 0,0\r\n",
+  "Content-Length: 0,\r\n",
+  "Content-Length: ,0\r\n",
+  "Content-Length: 0, 0, 0\r\n",
+  "Content-Length: 3, 3\r\n",
+  "Content-Length: 0, 3\r\n",
+  "Content-Length: 0\r\nContent-Length: 0\r\n",
+  "Content-Length: 3\r\ncontent-length: 3\r\n",
+  "Content-Length: 0\r\nContent-Length: 0, 0\r\n",
+  "Content-Length: 0\r\nContent-Length:\r\n",
+  "Content-Length: 0 0\r\n",
+  "Content-Length: 0;x\r\n",
+  "Content-Length: \"0\"\r\n",
+  "Content-Length: -0\r\n",
+  "Content-Length: +0\r\n",
+  "Content-Length: 0x0\r\n",
+  "Content-Length: 0.0\r\n",
+  "Content-Length: 0e0\r\n",
+  "Content-Length: 18446744073709551616\r\n",
+  "Content-Length: 100000000000000000000000000000000\r\n",
+  "Content-Length: \r\n",
+  "Content-Length: 0\v\r\n",
+  std::string("Content-Length: 0\0\r\n", 20),
+  std::string("Content-Length\0: 0\r\n", 20),
+  "Content-Length: 0\rx\r\n",
+  "Content-Length: 0\nX: y\r\n",
+  "X: y\nContent-Length: 0\r\n",
+  "Content-Length\t: 0\r\n",
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(http_reader)
 
+// A list of equal lengths was read as one length, and what follows it as the next request.
+BOOST_DATA_TEST_CASE(a_length_that_others_may_read_differently_is_rejected, kAmbiguousLengths)
+{
+  for (const bool isByteByByte : { false, true }) {
+    BOOST_TEST((ReadRequest(sample, kHidden, isByteByByte) == ReadState::kMalformed));
+  }
+}
+
+BOOST_DATA_TEST_CASE(an_answer_with_a_length_that_others_may_read_differently_is_rejected,
+                     kAmbiguousLengths)
+{
+  ResponseReader reader(false, kMaxBodyBytes);
+  std::string input = "HTTP/1.1 200 OK\r\nServer: x\r\n" + sample + "\r\nbody";
+  BOOST_TEST((reader.Read(input) == ReadState::kMalformed));
+}
+
 // A transfer coding other than a single "chunked" was taken for an empty body, so that the body's
 // text ran as a request of its own.
 BOOST_DATA_TEST_CASE(a_body_of_unknown_length_is_rejected, kUnknownLengths)
