Order configurations by their version, not by their offset

Cause: the newest configuration was the one at the highest offset. A restored store gives offsets out again: version 14 at offset 3 was ignored, as version 11 had been at offset 3 before (OperatorFeed, Gateway::SetConfig). Entries compared these offsets with each other, so each was told by the others that version 11 was confirmed as the newest, and the denials by it were definite.

Change: a configuration comes into force if its version is higher; an older one is logged (config_older_ignored). Entries tell each other the version that they have and the era of the store. While another entry has a newer version, an entry's own is not confirmed and nothing is denied for good (503 instead of 401 and 404). The same for 3 s after a restore, and after the store was first reached, as nobody knows how old its copy is. A restored store confirms keys only after 0.5 s, in which the operator writes again what it lacks and the entries hear of each other's versions.

--- a/src/direct/messages.h
+++ b/src/direct/messages.h
@@ -236,11 +236,12 @@
   std::int64_t sentAtUs = 0; // the sender's clock
   // Last sentAtUs received from the receiver, which proves that this state is not older than that.
   std::int64_t echoUs = 0;
-  std::uint64_t configOffset = 0;   // of the active configuration
+  std::uint64_t configVersion = 0;  // of the active configuration
   std::uint32_t configAgeMs = 0;    // since the platform's store confirmed it as current
   std::uint64_t endpointsHash = 0;  // of the sender's endpoint list
   std::uint32_t endpointsAgeMs = 0; // since the list was read from the store
   bool readsStore = false;          // the sender can reach the store
+  std::uint64_t storeEra = 0;       // rises when the store was restored; 0: unknown
   // Since quota usage was last known by the sender to be saved; zero: not saved by any entry.
   std::uint32_t usageSavedAgeMs = 0;
   std::vector<AccountUsage> usages;
@@ -255,8 +256,9 @@
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(sentAtUs, echoUs, configOffset, configAgeMs, endpointsHash, endpointsAgeMs, readsStore,
-             usageSavedAgeMs, usages, windowUsages, moves, leaving, suspicions, partSuspicions);
+    aArchive(sentAtUs, echoUs, configVersion, configAgeMs, endpointsHash, endpointsAgeMs,
+             readsStore, storeEra, usageSavedAgeMs, usages, windowUsages, moves, leaving,
+             suspicions, partSuspicions);
   }
 
   friend bool operator==(const EntryState&, const EntryState&) = default;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -88,6 +88,7 @@
   , pool(aPoller, aClock)
   , net(aPoller, aSelf, *this)
   , server(aPoller, aClock, *this)
+  , freshness(aSettings.storeRewriteTime)
   , ownedQueues(aSettings.ownedQueues, *this)
   , timer([this] {
     this->armedFor = kNever;
@@ -123,10 +124,18 @@
 
 void Gateway::SetConfig(std::uint64_t aOffset, std::shared_ptr<const direct::ServiceConfig> aConfig)
 {
-  if (this->config != nullptr && aOffset <= this->freshness.Offset()) {
+  if (this->config != nullptr && aConfig->version <= this->config->version) {
+    if (aConfig->version < this->config->version) {
+      LogEvent(LogLevel::kWarning, "config_older_ignored",
+               { { "version", std::to_string(aConfig->version) },
+                 { "offset", std::to_string(aOffset) },
+                 { "in_force", std::to_string(this->config->version) } });
+    }
     return;
   }
   this->config = std::move(aConfig);
+  this->freshness.SetActive(this->config->version);
+  this->isConfigUnannounced = true;
   const direct::CallerLimits& limits = this->config->limits;
   this->server.SetLimits(
     { limits.headBytes, limits.bodyBytes, limits.headTimeout, limits.idleTimeout });
@@ -139,18 +148,33 @@
 }
 
 // Announces a newer configuration to the other entries at once, so that they read the store.
-void Gateway::ConfirmConfig(std::uint64_t aOffset, TimePoint aAskedAt)
+void Gateway::ConfirmConfig(std::uint64_t aVersion, TimePoint aAskedAt)
 {
-  const bool isNew = !this->freshness.IsKnown() || aOffset > this->freshness.Offset();
-  this->freshness.OnConfirmed(aOffset, aAskedAt);
-  if (isNew) {
+  if (this->config == nullptr || aVersion > this->config->version) {
+    return;
+  }
+  if (!this->IsConfigOutdated()) {
+    this->freshness.OnConfirmed(aAskedAt);
+  }
+  if (this->isConfigUnannounced) {
+    this->isConfigUnannounced = false;
     this->SendStates();
   }
 }
 
+void Gateway::SetStoreEra(std::uint64_t aEra)
+{
+  if (this->storeEra == 0 && aEra != 0) {
+    this->denialsHeldUntil = this->Now() + this->settings.denialDelay;
+  }
+  this->storeEra = aEra;
+}
+
 void Gateway::OnStoreRestored()
 {
   this->metrics.CountStoreRestore();
+  this->freshness.OnRestored(this->Now());
+  this->denialsHeldUntil = this->Now() + this->settings.denialDelay;
 }
 
 void Gateway::SetEndpoints(const std::map<std::string, direct::EndpointInfo>& aAll)
@@ -244,6 +268,19 @@
   return true;
 }
 
+bool Gateway::IsConfigOutdated() const
+{
+  return std::any_of(this->peerEntries.begin(), this->peerEntries.end(), [this](const auto& aRow) {
+    return aRow.second.configVersion > this->freshness.Version();
+  });
+}
+
+bool Gateway::MayDeny() const
+{
+  return this->ConfigAge() < this->settings.maxDenialConfigAge &&
+         this->Now() >= this->denialsHeldUntil && !this->IsConfigOutdated();
+}
+
 // A definite denial for an unknown route or key requires a recently confirmed configuration;
 // otherwise the caller is asked to retry.
 bool Gateway::FindRoute(Flow& aFlow)
@@ -252,8 +289,7 @@
   if (aFlow.route != nullptr) {
     return true;
   }
-  const bool isFresh = this->freshness.Age(this->Now()) < this->settings.maxDenialConfigAge;
-  this->Refuse(aFlow, isFresh ? 404 : 503, "no_route", this->settings.retryWhenNotReady);
+  this->Refuse(aFlow, this->MayDeny() ? 404 : 503, "no_route", this->settings.retryWhenNotReady);
   return false;
 }
 
@@ -262,8 +298,7 @@
   if (!aFlow.config->hasAccounts || aFlow.route->isPublic) {
     return true;
   }
-  const Duration age = this->freshness.Age(this->Now());
-  if (age >= this->settings.maxKeyConfigAge) {
+  if (this->ConfigAge() >= this->settings.maxKeyConfigAge) {
     this->Refuse(aFlow, 503, "stale_keys", this->settings.retryWhenNotReady);
     return false;
   }
@@ -271,8 +306,7 @@
   if (aFlow.account != nullptr) {
     return true;
   }
-  const bool isFresh = age < this->settings.maxDenialConfigAge;
-  this->Refuse(aFlow, isFresh ? 401 : 503, "unknown_key", this->settings.retryWhenNotReady);
+  this->Refuse(aFlow, this->MayDeny() ? 401 : 503, "unknown_key", this->settings.retryWhenNotReady);
   return false;
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -38,6 +38,12 @@
   Duration maxReadyConfigAge = std::chrono::milliseconds(3000);
   // A definite denial (401, 404) requires a configuration confirmed more recently than this.
   Duration maxDenialConfigAge = std::chrono::milliseconds(2500);
+  // Time in which the writers of a restored store usually write again what it lacks. Until then it
+  // confirms no configuration.
+  Duration storeRewriteTime = std::chrono::milliseconds(500);
+  // There is no definite denial for this time after the platform's store was restored or first
+  // reached, when its configuration may be an older one.
+  Duration denialDelay = std::chrono::seconds(3);
   // Period of EntryState messages. Each period addresses up to statesPerPeriod entries in turn, so
   // that the traffic of one entry does not grow with the number of entries.
   Duration statePeriod = std::chrono::milliseconds(200);
@@ -92,17 +98,17 @@
   std::uint16_t Port() const { return this->server.Port(); }
   std::uint16_t PeerPort() const { return this->net.Port(); }
 
-  // Activates the configuration at aOffset of the platform's log; ignored if not newer than the
-  // active one.
+  // Activates the configuration at aOffset of the platform's log; ignored if its version is not
+  // higher than that of the active one.
   void SetConfig(std::uint64_t aOffset, std::shared_ptr<const direct::ServiceConfig> aConfig);
-  // A read of the platform's store that began at aAskedAt returned nothing newer than aOffset.
-  void ConfirmConfig(std::uint64_t aOffset, TimePoint aAskedAt);
+  // A read of the platform's store that began at aAskedAt returned nothing newer than aVersion.
+  void ConfirmConfig(std::uint64_t aVersion, TimePoint aAskedAt);
   void SetEndpoints(const std::map<std::string, direct::EndpointInfo>& aAll);
   // A complete read of the list of endpoints began at aAskedAt.
   void ConfirmEndpoints(TimePoint aAskedAt);
   void SetStoreReachable(bool aIsReachable) { this->readsStore = aIsReachable; }
-  // Number of times that the store was restored, as it tells; 0 if unknown.
-  void SetStoreEra(std::uint64_t aEra) { this->storeEra = aEra; }
+  // Rises each time the store was restored; 0 if unknown. The first era known may be a new one.
+  void SetStoreEra(std::uint64_t aEra);
   // The platform's store came back from an older copy: what was written to it last may be missing.
   void OnStoreRestored();
   // The hooks are called when another entry has a newer configuration or move order, or a different
@@ -155,6 +161,7 @@
       0; // timestamp of its last state, by its own clock; 0 if none was received
     bool readsStore = false;
     bool isContacted = false; // a state was sent to it before
+    std::uint64_t configVersion = 0;
   };
 
   void OnNoRoom(IngressExchange& aExchange, const RequestHead& aHead) override;
@@ -189,6 +196,10 @@
   bool TakeQuota(Flow& aFlow);
   void Submit(Flow& aFlow);
 
+  // True if a request that the active configuration does not allow may be denied definitely.
+  bool MayDeny() const;
+  // True if another entry has a newer configuration.
+  bool IsConfigOutdated() const;
   void Refuse(Flow& aFlow, std::uint16_t aStatus, std::string_view aCause, Duration aRetryAfter);
   void Remove(Flow& aFlow);
   void ReturnQuota(Flow& aFlow);
@@ -242,6 +253,8 @@
   std::function<void()> onOtherEndpoints;
   bool readsStore = false;
   std::uint64_t storeEra = 0;
+  TimePoint denialsHeldUntil{};
+  bool isConfigUnannounced = false;
   std::uint64_t endpointsHash = 0;
   TimePoint endpointsReadAt{};
   std::size_t stateRound = 0;
--- a/src/gateway/gateway_peers.cpp
+++ b/src/gateway/gateway_peers.cpp
@@ -121,7 +121,9 @@
 {
   const TimePoint now = this->Now();
   PeerEntry& entry = this->peerEntries[aFrom.host];
-  entry = PeerEntry{ aFrom, now, aState.sentAtUs, aState.readsStore, entry.isContacted };
+  entry = PeerEntry{
+    aFrom, now, aState.sentAtUs, aState.readsStore, entry.isContacted, aState.configVersion
+  };
   this->knownEntries.insert(aFrom.host);
   this->quota.OnPeerUsage(now, aPeer, aState.usages);
   this->quota.OnWindowUsage(now, aState.windowUsages);
@@ -141,9 +143,13 @@
     // is unknown.
     notBefore = now - kUnknownAge;
   }
-  if (this->config != nullptr && aState.configOffset == this->freshness.Offset()) {
-    this->freshness.OnConfirmed(aState.configOffset, notBefore - milliseconds(aState.configAgeMs));
-  } else if (aState.configOffset > this->freshness.Offset() && this->onNewerConfig) {
+  const bool isSame = aState.configVersion == this->freshness.Version();
+  if (this->config != nullptr && isSame && !this->IsConfigOutdated()) {
+    this->freshness.OnConfirmed(notBefore - milliseconds(aState.configAgeMs));
+  }
+  const bool isBehind =
+    aState.configVersion > this->freshness.Version() || aState.storeEra > this->storeEra;
+  if (isBehind && this->onNewerConfig) {
     this->onNewerConfig();
   }
   const TimePoint readAt = notBefore - milliseconds(aState.endpointsAgeMs);
@@ -311,7 +317,8 @@
     this->AddEntry(std::string(*known));
   }
   direct::EntryState state;
-  state.configOffset = this->freshness.Offset();
+  state.configVersion = this->freshness.Version();
+  state.storeEra = this->storeEra;
   state.configAgeMs = static_cast<std::uint32_t>(
     std::clamp<std::int64_t>(this->freshness.Age(now) / milliseconds(1), 0, 3600000));
   state.endpointsHash = this->endpointsHash;
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -491,7 +491,7 @@
   this->AddEndpoint(
     [](Connection& aTo, const RequestHead& aHead) { aTo.Write(CompleteResponse(aHead, "hello")); });
   direct::EntryState state;
-  state.configOffset = 1;
+  state.configVersion = 1;
   state.echoUs = (this->clock.Read().steady + std::chrono::hours(3)).time_since_epoch().count();
   this->first.Send({ "127.0.0.2", this->gateway->PeerPort() }, state);
   this->first.Flush();
