Do not use endpoints again that left before the store was restored

Cause: after the platform's store was restored from an older copy, the copy shows endpoints as ready that this entry had seen draining and then removed. The table of endpoints forgot them on removal, so that any registration was taken for a new one.

Change: EndpointTable remembers the last registration of endpoints that were removed.

--- a/src/direct/endpoint_table.h
+++ b/src/direct/endpoint_table.h
@@ -5,6 +5,7 @@
 #include "core/types.h"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -40,14 +41,26 @@
 class EndpointTable
 {
 public:
-  // Adds or replaces an endpoint. Returns false if the registration is older than the known one.
+  // Adds or replaces an endpoint. Returns false if the registration is older than the known one, or
+  // is withheld after OnRestored.
   bool Put(const EndpointInfo& aInfo);
   bool Remove(const std::string& aId);
+  // The list was restored from an older copy. Until ReleaseWithheld, a registration of an endpoint
+  // that had left is withheld unless it is newer than the last one known.
+  void OnRestored();
+  // Adds the endpoints that are still listed then. Returns true if there are any.
+  bool ReleaseWithheld();
 
   const std::map<std::string, EndpointInfo>& All() const { return this->endpoints; }
+  std::size_t WithheldCount() const { return this->withheld.size(); }
 
 private:
+  void Insert(const EndpointInfo& aInfo);
+
   std::map<std::string, EndpointInfo> endpoints;
+  std::deque<EndpointInfo> departed;            // oldest first
+  std::map<std::string, EndpointInfo> barred;   // last known before OnRestored
+  std::map<std::string, EndpointInfo> withheld; // of those, registrations in the restored list
 };
 
 // Hash of the fields that affect routing; heartbeats alone do not change it.
--- /dev/null
+++ b/tests/platform/endpoint_feed_test.cpp
@@ -0,0 +1,69 @@
+// The list of endpoints after the platform's store was restored from an older copy.
+#include "../gateway/fixture.h"
+#include "fake_store.h"
+#include "platform/entry_state.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace caraway::platform {
+
+namespace {
+
+using std::chrono::seconds;
+
+// Passes the contents of the store to an entry; the store itself is not reached.
+struct EndpointFeedFixture : gateway::GatewayFixture
+{
+  EndpointFeedFixture() { this->Configure(); }
+
+  KeyedRecord Registration(const std::string& aId, int aSequence, const char* aState = "ready")
+  {
+    KeyedRecord record;
+    record.key = aId;
+    record.offset = ++this->lastOffset;
+    record.value =
+      R"({"service":"pool","address":"127.0.0.1:)" + std::string("80") +
+      std::to_string(aId.size()) + R"(","zone":"z","version":"v1","slots":4,"state":")" + aState +
+      R"(","cold-remaining-ms":0,"seq":)" + std::to_string(aSequence) + R"(,"born":1})";
+    return record;
+  }
+
+  void Load(const std::vector<KeyedRecord>& aRecords)
+  {
+    this->feed.OnSnapshot(aRecords);
+    this->feed.OnCaughtUp(this->clock.Read().steady);
+  }
+
+  bool IsListed(const std::string& aId) const
+  {
+    const std::string summary = ";" + this->gateway->Summary();
+    const std::size_t at = summary.find(";" + aId + ":");
+    return at != std::string::npos && summary.compare(at + aId.size() + 2, 4, "gone") != 0;
+  }
+
+  std::uint64_t lastOffset = 0;
+  FakeStore store{ this->clock };
+  EndpointFeed feed{ *this->gateway, this->store, this->clock, this->random, seconds(2) };
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(endpoint_feed, EndpointFeedFixture)
+
+BOOST_AUTO_TEST_CASE(an_endpoint_that_left_stays_unlisted_after_the_store_is_restored)
+{
+  this->Load({ this->Registration("a", 5), this->Registration("bb", 5) });
+  this->Load({ this->Registration("bb", 5) });
+  BOOST_REQUIRE(!this->IsListed("a"));
+  this->feed.OnRestored();
+  this->Load({ this->Registration("a", 5), this->Registration("bb", 5) });
+  BOOST_TEST(!this->IsListed("a"));
+  BOOST_TEST(this->IsListed("bb"));
+  this->feed.OnRecord(this->Registration("a", 6));
+  this->feed.OnCaughtUp(this->clock.Read().steady);
+  BOOST_TEST(this->IsListed("a"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace caraway::platform
