--- a/tests/platform/endpoint_feed_test.cpp
+++ b/tests/platform/endpoint_feed_test.cpp
@@ -64,6 +64,17 @@
   BOOST_TEST(this->IsListed("a"));
 }
 
+// The store was restored within one read, so that no entry saw it unreachable.
+BOOST_AUTO_TEST_CASE(an_endpoint_missing_from_the_copy_is_kept_until_it_can_register_again)
+{
+  this->Load({ this->Registration("a", 5), this->Registration("bb", 1) });
+  this->feed.OnRestored();
+  this->Load({ this->Registration("a", 4) });
+  BOOST_TEST(this->IsListed("bb"));
+  BOOST_TEST(AdvanceUntil(this->clock, [&] { return !this->IsListed("bb"); }));
+  BOOST_TEST(this->IsListed("a"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace caraway::platform
