Identify move orders across a restore of the store

Cause: an order to move a service to another version was identified by its offset in the operator's log. After a restore, offsets go back and are given out again: the same order, written again at a higher offset, started a new move; at a lower one, it and all orders after it were ignored; and entries took the states of different orders with one offset for the same move.

Change: an order has the era of the store and its offset, and across eras it is compared by content. An order that is written again keeps its stage, evidence and start. A known order that the restored log lacks stays in force; another order of the first 3 s may be older, so it is held and used only if the known one is not written again, after its stage was read. The states that entries exchange contain era and content of the order.

--- a/src/direct/move_table.cpp
+++ b/src/direct/move_table.cpp
@@ -10,15 +10,55 @@
 // How long entries share the state of an ended move and keep calls away from the version that
 // stops: several times the maximum lag of an endpoint list.
 constexpr Duration kMoveRetention = std::chrono::seconds(10);
+// After the log was restored: until then the operator has written the lost orders again.
+constexpr Duration kRewriteTime = std::chrono::seconds(3);
+
+bool IsSameMove(const MoveOrder& aOrder, const MoveState& aState)
+{
+  return aOrder.era == aState.era ? aOrder.offset == aState.offset
+                                  : HashOf(aOrder) == aState.content;
+}
 
 } // namespace
 
 bool MoveTable::SetOrder(TimePoint aNow, const MoveOrder& aOrder, bool aIsFresh)
 {
-  const auto known = this->rows.find(aOrder.service);
-  if (known != this->rows.end() && known->second.move.Order().offset >= aOrder.offset) {
+  const Place place = this->PlaceOf(aNow, aOrder);
+  if (place == Place::kNew) {
+    return this->AddOrder(aNow, aOrder, aIsFresh);
+  }
+  if (place == Place::kKnown) {
     return false;
   }
+  Row& row = this->rows.at(aOrder.service);
+  if (place == Place::kHeld) {
+    row.heldOrder = aOrder;
+  } else {
+    row.move.SetPlace(aOrder.era, aOrder.offset);
+    row.heldOrder.reset();
+  }
+  return false;
+}
+
+MoveTable::Place MoveTable::PlaceOf(TimePoint aNow, const MoveOrder& aOrder) const
+{
+  const auto found = this->rows.find(aOrder.service);
+  if (found == this->rows.end()) {
+    return Place::kNew;
+  }
+  const MoveOrder& known = found->second.move.Order();
+  if (aOrder.era < known.era || (aOrder.era == known.era && aOrder.offset <= known.offset)) {
+    return Place::kKnown;
+  }
+  const bool isRewriting = aNow < this->rewriteEnd;
+  if (HashOf(aOrder) == HashOf(known) && (isRewriting || aOrder.era > known.era)) {
+    return Place::kRewritten;
+  }
+  return isRewriting && aOrder.era > known.era ? Place::kHeld : Place::kNew;
+}
+
+bool MoveTable::AddOrder(TimePoint aNow, const MoveOrder& aOrder, bool aIsFresh)
+{
   Row row{ VersionMove(this->options, aOrder, aNow) };
   row.isStagePending = !aIsFresh && this->log != nullptr;
   this->FindVersions(aOrder.service, row);
@@ -29,7 +69,7 @@
   }
   this->log->ReadStage(aOrder, [this, aNow, aOrder](std::optional<MoveStage> aStage) {
     const auto found = this->rows.find(aOrder.service);
-    if (found == this->rows.end() || found->second.move.Order().offset != aOrder.offset) {
+    if (found == this->rows.end() || HashOf(found->second.move.Order()) != HashOf(aOrder)) {
       return;
     }
     found->second.isStagePending = false;
@@ -41,6 +81,27 @@
   return true;
 }
 
+void MoveTable::OnLogRestored(TimePoint aNow)
+{
+  this->rewriteEnd = aNow + kRewriteTime;
+}
+
+void MoveTable::ApplyHeldOrders(TimePoint aNow)
+{
+  if (aNow < this->rewriteEnd) {
+    return;
+  }
+  std::vector<MoveOrder> held;
+  for (auto& [service, row] : this->rows) {
+    if (const auto order = std::exchange(row.heldOrder, std::nullopt)) {
+      held.push_back(*order);
+    }
+  }
+  for (const MoveOrder& order : held) {
+    this->SetOrder(aNow, order, false);
+  }
+}
+
 void MoveTable::SetEndpoints(const std::map<std::string, EndpointInfo>& aAll)
 {
   this->endpoints = aAll;
@@ -100,12 +161,13 @@
   bool hasUnknown = false;
   for (const MoveState& state : aStates) {
     const auto row = std::find_if(this->rows.begin(), this->rows.end(), [&](const auto& aRow) {
-      return aRow.second.move.Order().offset == state.offset;
+      return IsSameMove(aRow.second.move.Order(), state);
     });
     if (row == this->rows.end()) {
       const bool isNewer =
         std::none_of(this->rows.begin(), this->rows.end(), [&](const auto& aRow) {
-          return aRow.second.move.Order().offset > state.offset;
+          const MoveOrder& known = aRow.second.move.Order();
+          return std::pair(known.era, known.offset) > std::pair(state.era, state.offset);
         });
       hasUnknown = hasUnknown || isNewer;
       continue;
@@ -133,6 +195,7 @@
 
 void MoveTable::Step(TimePoint aNow, bool aIsCoordinator, const OldRunningCounter& aRunning)
 {
+  this->ApplyHeldOrders(aNow);
   for (auto& [service, row] : this->rows) {
     if (row.isStagePending) {
       continue;
--- a/src/direct/move_table.h
+++ b/src/direct/move_table.h
@@ -48,6 +48,9 @@
   // otherwise its stage is read from the log first, and until then its version gets no calls while
   // other versions are listed. Returns false if this or a later order of the service is known.
   bool SetOrder(TimePoint aNow, const MoveOrder& aOrder, bool aIsFresh);
+  // The log was restored from an older copy: the latest orders may be missing until the operator
+  // writes them again.
+  void OnLogRestored(TimePoint aNow);
   void SetEndpoints(const std::map<std::string, EndpointInfo>& aAll);
   void SetEntryCount(std::uint32_t aCount) { this->entryCount = aCount; }
 
@@ -78,8 +81,21 @@
     bool hasOld = false;
     TimePoint endedAt = kNever;
     std::optional<MoveStage> writtenStage; // last stage read from or passed to the log
+    // Another order of a restored log, in force if the known one is not written again.
+    std::optional<MoveOrder> heldOrder;
   };
 
+  enum class Place : std::uint8_t
+  {
+    kKnown,     // this order or a later one is known
+    kRewritten, // the known order, at another place of a restored log
+    kHeld,      // may be older than the known one, which the restored log has lost
+    kNew,
+  };
+
+  Place PlaceOf(TimePoint aNow, const MoveOrder& aOrder) const;
+  bool AddOrder(TimePoint aNow, const MoveOrder& aOrder, bool aIsFresh);
+  void ApplyHeldOrders(TimePoint aNow);
   void FindVersions(const std::string& aService, Row& aRow) const;
   void RecordStage(TimePoint aNow, Row& aRow, bool aIsOwn);
 
@@ -88,6 +104,7 @@
   std::map<std::string, EndpointInfo> endpoints;
   std::uint32_t entryCount = 1;
   std::map<std::string, Row> rows; // by service
+  TimePoint rewriteEnd{};          // of the time for orders to be written again
   std::vector<StageChange> changes;
 };
 
--- a/src/direct/version_move.cpp
+++ b/src/direct/version_move.cpp
@@ -70,6 +70,11 @@
   return "invalid";
 }
 
+std::uint64_t HashOf(const MoveOrder& aOrder)
+{
+  return caraway::HashOf(aOrder.version, caraway::HashOf(aOrder.service, aOrder.duration.count()));
+}
+
 VersionMove::VersionMove(const VersionMoveOptions& aOptions, const MoveOrder& aOrder,
                          TimePoint aNow)
   : options(aOptions)
@@ -163,9 +168,16 @@
   return true;
 }
 
+void VersionMove::SetPlace(std::uint64_t aEra, std::uint64_t aOffset)
+{
+  this->order.era = aEra;
+  this->order.offset = aOffset;
+}
+
 MoveState VersionMove::State(std::uint32_t aOldRunning) const
 {
-  MoveState state{ this->order.offset, this->stage, aOldRunning, {} };
+  MoveState state{ this->order.offset, this->stage,        aOldRunning, {},
+                   this->order.era,    HashOf(this->order) };
   for (const auto& [key, row] : this->ownEvidence) {
     state.evidence.push_back(row);
   }
--- a/src/direct/version_move.h
+++ b/src/direct/version_move.h
@@ -31,8 +31,12 @@
   std::string version;      // of the endpoints to move to
   Duration duration{};      // time limit of the move
   std::uint64_t offset = 0; // in the operator's log; a later order replaces this one
+  std::uint64_t era = 0;    // of the log; offsets of different eras are not comparable
 };
 
+// Identifies the content of an order, wherever it is in the log.
+std::uint64_t HashOf(const MoveOrder& aOrder);
+
 // Statistics of the finished runs of one version on one route.
 struct VersionEvidence
 {
@@ -58,11 +62,13 @@
   MoveStage stage = MoveStage::kCanary;
   std::uint32_t oldRunning = 0; // the entry's running calls at other versions
   std::vector<VersionEvidence> evidence;
+  std::uint64_t era = 0;     // of the order
+  std::uint64_t content = 0; // hash of the order
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(offset, stage, oldRunning, evidence);
+    aArchive(offset, stage, oldRunning, evidence, era, content);
   }
 
   friend bool operator==(const MoveState&, const MoveState&) = default;
@@ -113,6 +119,8 @@
   bool Step(TimePoint aNow, bool aIsCoordinator, std::uint32_t aOldRunning);
   // Adopts a stage if it is later than the current one; returns true if it was adopted.
   bool Adopt(MoveStage aStage);
+  // The same order is at another place of the log, which was restored from a copy.
+  void SetPlace(std::uint64_t aEra, std::uint64_t aOffset);
 
   MoveState State(std::uint32_t aOldRunning) const;
   // Evidence of all entries on all routes.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -151,6 +151,7 @@
 void Gateway::OnStoreRestored()
 {
   this->metrics.CountStoreRestore();
+  this->RewriteLostState();
 }
 
 void Gateway::SetEndpoints(const std::map<std::string, direct::EndpointInfo>& aAll)
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -203,6 +203,7 @@
   void SetQuotaLimits();
   void ApplyUsageWindow(const Address& aFrom, const direct::UsageWindow& aWindow);
   void SaveQuotaUsage();
+  void RewriteLostState();
   // Reports the end of a run at an endpoint of aVersion.
   void OnRunEnd(const Flow& aFlow, const std::string& aVersion, bool aIsBad, Duration aTime);
   void StepMoves();
--- a/src/gateway/gateway_peers.cpp
+++ b/src/gateway/gateway_peers.cpp
@@ -245,6 +245,12 @@
   }
 }
 
+// What entries wrote to the store may be lost.
+void Gateway::RewriteLostState()
+{
+  this->moves.OnLogRestored(this->Now());
+}
+
 void Gateway::SetMoveOrder(const direct::MoveOrder& aOrder, bool aIsFresh)
 {
   if (!this->moves.SetOrder(this->Now(), aOrder, aIsFresh)) {
--- /dev/null
+++ b/tests/platform/entry_topics_test.cpp
@@ -0,0 +1,81 @@
+// What an entry writes to the store itself, and move orders, while the store is restored from an
+// older copy.
+#include "../gateway/fixture.h"
+#include "fake_store.h"
+#include "platform/entry_state.h"
+#include "platform/wire_names.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace caraway::platform {
+
+namespace {
+
+using gateway::CompleteResponse;
+using Connection = gateway::ScriptedEndpoint::Connection;
+
+struct EntryTopicsFixture : gateway::GatewayFixture
+{
+  // Answers all calls, also those that the answers lead to.
+  void AnswerAll()
+  {
+    while (this->store.HasCall()) {
+      this->store.Answer();
+    }
+  }
+
+  void Order(const std::string& aVersion)
+  {
+    this->store.Write(wire::kOperatorTopic, "rollout/pool",
+                      R"({"service":"pool","target":")" + aVersion + R"(","duration-s":12})");
+  }
+
+  FakeStore store{ this->clock };
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(entry_topics, EntryTopicsFixture)
+
+// Regression: the order was rewritten at another offset, and the failing version got calls again.
+BOOST_AUTO_TEST_CASE(a_rolled_back_version_gets_no_requests_when_its_order_is_rewritten)
+{
+  this->Configure();
+  const auto script = [](int aStatus) {
+    return [aStatus](Connection& aTo, const RequestHead& aHead) {
+      aTo.Write(CompleteResponse(aHead, "answer", aStatus));
+    };
+  };
+  this->AddEndpoint(script(200), "v1");
+  gateway::ScriptedEndpoint& failing = this->AddEndpoint(script(500), "v2");
+  OperatorFeed feed(*this->gateway, this->store, this->clock, this->random);
+  feed.Start();
+  this->AnswerAll();
+  this->Order("v2");
+  const auto order = [&] {
+    const std::vector<KeyedRecord>& records = this->store.topics[wire::kOperatorTopic];
+    return records.back();
+  };
+  feed.OnRecord(order());
+  const auto send = [&](int aCount) {
+    for (int i = 0; i < aCount; i++) {
+      this->SendAndWait(Request("/once/x", "r" + std::to_string(++this->lastId)), "answer");
+    }
+  };
+  send(300);
+  const std::size_t seen = failing.requests.size();
+  BOOST_REQUIRE(seen > 0);
+  this->store.Restore(wire::kOperatorTopic, 0);
+  this->store.Write(wire::kOperatorTopic, "other", "x");
+  this->Order("v2");
+  this->store.ReadLatest(wire::kOperatorTopic, "", [](const LatestResponse&) {});
+  this->store.Answer();
+  this->store.Answer();
+  feed.OnRecord(order());
+  send(60);
+  BOOST_TEST(failing.requests.size() == seen);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace caraway::platform
