Persist the stages of moves again after the store was restored

Cause: the entry that persists the stages of moves wrote each stage once. A restore loses the newest ones, and a delayed conditional write may replace a stage afterwards, as the offset of its condition is given out again.

What the operator saw: a move that was completed or rolled back shown as running for good. An entry that started later began the move again.

Change: after a restore all stages are compared with the store and written where they differ, and once more 6 s later. Ended moves are shared for another 10 s with entries that read an earlier stage.

--- a/src/direct/move_table.cpp
+++ b/src/direct/move_table.cpp
@@ -12,6 +12,8 @@
 constexpr Duration kMoveRetention = std::chrono::seconds(10);
 // After the log was restored: until then the operator has written the lost orders again.
 constexpr Duration kRewriteTime = std::chrono::seconds(3);
+// After that restore: until then a delayed write may have replaced a stage.
+constexpr Duration kLateWriteTime = std::chrono::seconds(6);
 
 bool IsSameMove(const MoveOrder& aOrder, const MoveState& aState)
 {
@@ -84,6 +86,13 @@
 void MoveTable::OnLogRestored(TimePoint aNow)
 {
   this->rewriteEnd = aNow + kRewriteTime;
+  this->recheckAt = aNow + kLateWriteTime;
+  for (auto& [service, row] : this->rows) {
+    row.writtenStage.reset();
+    if (row.move.IsOver()) {
+      row.endedAt = aNow; // shared again, for entries that read an earlier stage
+    }
+  }
 }
 
 void MoveTable::ApplyHeldOrders(TimePoint aNow)
@@ -196,6 +205,12 @@
 void MoveTable::Step(TimePoint aNow, bool aIsCoordinator, const OldRunningCounter& aRunning)
 {
   this->ApplyHeldOrders(aNow);
+  if (aNow >= this->recheckAt) {
+    this->recheckAt = kNever;
+    for (auto& [service, row] : this->rows) {
+      row.writtenStage.reset();
+    }
+  }
   for (auto& [service, row] : this->rows) {
     if (row.isStagePending) {
       continue;
--- a/src/direct/move_table.h
+++ b/src/direct/move_table.h
@@ -48,8 +48,8 @@
   // otherwise its stage is read from the log first, and until then its version gets no calls while
   // other versions are listed. Returns false if this or a later order of the service is known.
   bool SetOrder(TimePoint aNow, const MoveOrder& aOrder, bool aIsFresh);
-  // The log was restored from an older copy: the latest orders may be missing until the operator
-  // writes them again.
+  // The log and the persisted stages were restored from an older copy: the latest orders may be
+  // missing until the operator writes them again, and stages are persisted again.
   void OnLogRestored(TimePoint aNow);
   void SetEndpoints(const std::map<std::string, EndpointInfo>& aAll);
   void SetEntryCount(std::uint32_t aCount) { this->entryCount = aCount; }
@@ -105,6 +105,7 @@
   std::uint32_t entryCount = 1;
   std::map<std::string, Row> rows; // by service
   TimePoint rewriteEnd{};          // of the time for orders to be written again
+  TimePoint recheckAt = kNever;    // of the persisted stages
   std::vector<StageChange> changes;
 };
 
--- a/tests/direct/move_restore_test.cpp
+++ b/tests/direct/move_restore_test.cpp
@@ -167,6 +167,35 @@
   BOOST_TEST((this->Own().stage == MoveStage::kCanary));
 }
 
+BOOST_AUTO_TEST_CASE(an_outcome_that_the_store_lost_is_persisted_again)
+{
+  this->table.SetOrder(this->now, Order("v2", 100), true);
+  this->AdoptFromPeer(Order("v2", 100), MoveStage::kCompleted);
+  this->Step(seconds(20));
+  this->Step(seconds(1));
+  BOOST_REQUIRE(this->log.written.size() == 1U);
+  this->table.OnLogRestored(this->now);
+  this->Step(milliseconds(100));
+  BOOST_REQUIRE(this->log.written.size() == 2U);
+  BOOST_TEST((this->log.written[1] == MoveStage::kCompleted));
+  BOOST_TEST((this->Own().stage == MoveStage::kCompleted)); // shared with entries that start
+}
+
+// A write of an earlier stage may be performed some seconds after the store was restored.
+BOOST_AUTO_TEST_CASE(an_outcome_replaced_by_a_late_write_is_persisted_again)
+{
+  this->table.SetOrder(this->now, Order("v2", 100), true);
+  this->AdoptFromPeer(Order("v2", 100), MoveStage::kCompleted);
+  this->table.OnLogRestored(this->now);
+  this->Step(milliseconds(100));
+  const std::size_t before = this->log.written.size();
+  this->Step(seconds(3));
+  BOOST_TEST(this->log.written.size() == before);
+  this->Step(seconds(4));
+  BOOST_REQUIRE(this->log.written.size() == before + 1);
+  BOOST_TEST((this->log.written.back() == MoveStage::kCompleted));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace caraway::direct
