Save the usage of accounts again after the store was restored

Cause: a save that the store had acknowledged counted as saved after a restore that lost it, also if it was acknowledged before and reported after. If there was no usage left, nothing was saved at all, so the copy kept the usage of a past window.

What callers saw: nothing, unless all entries restart then: usage from before the restart is partly forgotten (rule QUOTA) or counted though it is over.

Change: a restore makes a save due at once, and only saves that begin later count. A restart between the restore and that save still reads usage as old as the copy, see docs/design/store-beliefs.md.

--- a/src/direct/shared_quota.cpp
+++ b/src/direct/shared_quota.cpp
@@ -412,7 +412,7 @@
 void SharedQuota::OnUsageSaved(TimePoint aNow, TimePoint aAt)
 {
   this->isUnsavedLimited = true;
-  if (this->savedAt && aAt <= *this->savedAt) {
+  if (aAt < this->savesLostAt || (this->savedAt && aAt <= *this->savedAt)) {
     return;
   }
   this->savedAt = aAt;
@@ -437,7 +437,8 @@
 
 bool SharedQuota::NeedsSave(TimePoint aNow) const
 {
-  if (!this->savedAt || this->TimeSinceSave(aNow) >= kSaveDueAge) {
+  if (!this->savedAt || *this->savedAt < this->savesLostAt ||
+      this->TimeSinceSave(aNow) >= kSaveDueAge) {
     return true;
   }
   return std::any_of(this->windows.begin(), this->windows.end(), [&](const auto& aRow) {
--- a/src/direct/shared_quota.h
+++ b/src/direct/shared_quota.h
@@ -83,6 +83,8 @@
   // The usage is saved from now on: limits what an account can use between two saves, because a
   // restart of all entries loses it.
   void LimitUnsavedUsage() { this->isUnsavedLimited = true; }
+  // Saves made before aNow may be lost, so another one is due.
+  void OnSavesLost(TimePoint aNow) { this->savesLostAt = aNow; }
   // True if a save is due: the last one is old, or an account has used much since.
   bool NeedsSave(TimePoint aNow) const;
 
@@ -177,6 +179,7 @@
   SharedQuotaOptions options;
   TimePoint start;
   std::optional<TimePoint> savedAt;
+  TimePoint savesLostAt{};
   bool isUnsavedLimited = false;
   Duration peerTimeout;
   std::uint32_t expectedEntries; // including this one
--- a/src/gateway/gateway_peers.cpp
+++ b/src/gateway/gateway_peers.cpp
@@ -248,7 +248,10 @@
 // What entries wrote to the store may be lost.
 void Gateway::RewriteLostState()
 {
-  this->moves.OnLogRestored(this->Now());
+  const TimePoint now = this->Now();
+  this->moves.OnLogRestored(now);
+  this->quota.OnSavesLost(now);
+  this->hasSavedUsage = true; // the copy may hold usage that has ended since
 }
 
 void Gateway::SetMoveOrder(const direct::MoveOrder& aOrder, bool aIsFresh)
--- a/tests/direct/shared_quota_test.cpp
+++ b/tests/direct/shared_quota_test.cpp
@@ -511,6 +511,21 @@
   BOOST_TEST(!DecodeUsageSnapshot("\x05garbage").has_value());
 }
 
+BOOST_AUTO_TEST_CASE(a_save_is_due_after_the_store_has_lost_the_last_one)
+{
+  SharedQuota quota(this->options, this->now - seconds(20));
+  quota.OnUsageSaved(this->now, this->now);
+  BOOST_TEST(!quota.NeedsSave(this->now));
+  const TimePoint asked = this->now + milliseconds(10);
+  this->now += milliseconds(20);
+  quota.OnSavesLost(this->now);
+  BOOST_TEST(quota.NeedsSave(this->now));
+  quota.OnUsageSaved(this->now, asked); // written before the restore
+  BOOST_TEST(quota.NeedsSave(this->now));
+  quota.OnUsageSaved(this->now, this->now);
+  BOOST_TEST(!quota.NeedsSave(this->now));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace caraway::direct
