Save known suspicions again after the store was restored

Cause: a request or part of prompts that crashes endpoints was saved once, by the entry that observed the crash. A restore of the store lost it.

What callers saw: nothing, unless all entries restart then: the request crashes endpoints again (rule BUDGET).

Change: after a restore the entry that reads the store for all saves again what it refuses or observed lately.

--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -204,6 +204,7 @@
   void ApplyUsageWindow(const Address& aFrom, const direct::UsageWindow& aWindow);
   void SaveQuotaUsage();
   void RewriteLostState();
+  void SaveLostSuspicions();
   // Reports the end of a run at an endpoint of aVersion.
   void OnRunEnd(const Flow& aFlow, const std::string& aVersion, bool aIsBad, Duration aTime);
   void StepMoves();
@@ -251,6 +252,7 @@
   bool hasUrgentState = false; // the next state is due now and goes to all entries
   QuotaStore* quotaStore = nullptr;
   bool hasSavedUsage = false;
+  bool areSuspicionsLost = false; // in the store, and not saved again yet
   GatewayMetrics metrics;
   bool isLeaving = false;
   bool isClosed = false;
--- a/src/gateway/gateway_peers.cpp
+++ b/src/gateway/gateway_peers.cpp
@@ -229,6 +229,7 @@
 void Gateway::SaveQuotaUsage()
 {
   this->saveTimer.ArmAfter(this->settings.savePeriod);
+  this->SaveLostSuspicions();
   const caraway::Now now = this->clock.Read();
   if (this->quotaStore == nullptr || !this->IsStoreReader() || !this->quota.NeedsSave(now.steady)) {
     return;
@@ -252,6 +253,7 @@
   this->moves.OnLogRestored(now);
   this->quota.OnSavesLost(now);
   this->hasSavedUsage = true; // the copy may hold usage that has ended since
+  this->areSuspicionsLost = true;
 }
 
 void Gateway::SetMoveOrder(const direct::MoveOrder& aOrder, bool aIsFresh)
--- a/tests/gateway/store_restored_test.cpp
+++ b/tests/gateway/store_restored_test.cpp
@@ -39,6 +39,21 @@
 
 BOOST_FIXTURE_TEST_SUITE(restored_store, RestoredStore)
 
+BOOST_AUTO_TEST_CASE(suspicions_that_the_store_lost_are_saved_again)
+{
+  direct::SavedSuspicion known;
+  known.savedAtMs = this->clock.Read().wall.time_since_epoch().count();
+  known.suspicion.fingerprint = 7;
+  known.suspicion.crashes = { { 1 }, { 2 }, { 3 } };
+  known.suspicion.forgetAfter = minutes(5);
+  this->gateway->RestoreSuspects({ known });
+  this->gateway->OnStoreRestored();
+  BOOST_REQUIRE(AdvanceUntil(this->clock, [&] { return !this->suspicions.empty(); }));
+  BOOST_TEST(this->suspicions.size() == 1U);
+  BOOST_TEST(this->suspicions[0].suspicion.fingerprint == 7U);
+  BOOST_TEST(this->suspicions[0].suspicion.crashes.size() == 3U);
+}
+
 // The copy may hold the usage of a window that is over.
 BOOST_AUTO_TEST_CASE(usage_of_the_copy_is_replaced_although_there_is_none_now)
 {
