Register an entry again after the store was restored

Cause: an entry registers every ten minutes. A restore of the store may lose the registration of an entry that started lately.

What callers saw: entries that start meanwhile do not find that entry unless it finds them; two entries may use the whole of a quota or of an endpoint's slots each.

Change: an entry registers when the store's era changes, then reads the others.

--- a/tests/platform/entry_topics_test.cpp
+++ b/tests/platform/entry_topics_test.cpp
@@ -37,6 +37,20 @@
 
 BOOST_FIXTURE_TEST_SUITE(entry_topics, EntryTopicsFixture)
 
+BOOST_AUTO_TEST_CASE(an_entry_registers_again_after_the_store_is_restored)
+{
+  EntryTopic topic(*this->gateway, this->store, this->clock, "10.0.0.1");
+  topic.Start();
+  this->AnswerAll();
+  this->store.Restore(wire::kEntriesTopic, 0);
+  this->store.ReadLatest(wire::kOperatorTopic, "", [](const LatestResponse&) {});
+  this->AnswerAll();
+  BOOST_TEST(RunUntil([&] { return this->store.HasCall(); }));
+  this->AnswerAll();
+  BOOST_REQUIRE(this->store.topics[wire::kEntriesTopic].size() == 1U);
+  BOOST_TEST(this->store.topics[wire::kEntriesTopic][0].key == "10.0.0.1");
+}
+
 // Regression: the order was rewritten at another offset, and the failing version got calls again.
 BOOST_AUTO_TEST_CASE(a_rolled_back_version_gets_no_requests_when_its_order_is_rewritten)
 {
