--- a/tests/soak/odd.py
+++ b/tests/soak/odd.py
@@ -7,7 +7,7 @@
 
 # What may happen to a request that runs, and to a connection.
 EARLY = "early answer"
-RUN_KINDS = ("head cut", "refused after the run", "body cut", "no answer")
+RUN_KINDS = ("head cut", "refused after the run", "body cut", "no answer", "no length")
 AFTER_KINDS = ("extra bytes", "answer repeated", "refusal when idle")
 OPEN_KINDS = ("refusal when open", "closed when open")
 KINDS = (EARLY,) + RUN_KINDS + AFTER_KINDS + OPEN_KINDS
@@ -83,6 +83,8 @@
             await call.answer(run.status, {**head, **retry}, run.body)
             return True
         run.status = 200
+        if kind == "no length":
+            return await self.end_with_connection(call, head, run)
         framing = "Transfer-Encoding: chunked" if self.random.random() < 0.5 else "Content-Length: 100"
         fields = [*(f"{name}: {value}" for name, value in head.items()), framing]
         self.random.shuffle(fields)
@@ -95,6 +97,20 @@
         size = b"64\r\n" if "chunked" in framing else b""
         return await self.break_off(call, data + b"\r\n" + size + run.body)
 
+    async def end_with_connection(self, call, head, run):
+        """An answer without a length, whole or reset on the way."""
+        data = "".join(f"{line}\r\n" for line in ["HTTP/1.1 200 OK", *(f"{name}: {value}" for name, value in head.items())])
+        run.body = f"{call.head['request-id']} ".encode() * 20
+        call.writer.write(f"{data}Connection: close\r\n\r\n".encode() + run.body)
+        await call.writer.drain()
+        await asyncio.sleep(GAP)
+        run.complete = self.random.random() < 0.5
+        if not run.complete:
+            call.reset()
+        run.broken = False
+        call.writer.close()
+        raise ConnectionError("ended by the stand-in")
+
     def after_answer(self, call):
         """A whole answer was written; the connection stays open."""
         kind = self.draw(AFTER_KINDS, request=call.head.get("request-id", ""))
