Let stand-ins notice a caller that resets its connection

The stand-ins' watch for callers that leave took only an orderly close for one; a reset left the slot of a stalled request taken for good. So far clients closed in an orderly way, unless they had unread input.

No functional change: stand-ins only.

--- a/src/standins/http_service.cpp
+++ b/src/standins/http_service.cpp
@@ -7,6 +7,7 @@
 
 #include <sys/socket.h>
 
+#include <cerrno>
 #include <utility>
 
 namespace caraway {
@@ -137,8 +138,9 @@
   auto* self = static_cast<HttpExchange*>(aSelf);
   char byte = 0;
   const ssize_t size = recv(g_socket_get_fd(aSocket), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  const bool isReset = size < 0 && errno != EAGAIN && errno != EWOULDBLOCK;
   g_clear_pointer(&self->watch, g_source_unref);
-  if (size == 0) {
+  if (size == 0 || isReset) {
     self->Gone();
   }
   return G_SOURCE_REMOVE;
