Send the path of a call to a plain service as the caller sent it

A caller's path is decoded by libsoup's server, and the agent put the decoded text into its request's line. With test_runtime -t cut_answer/a_route_cannot_hold_* on the code before: "/a b?c#d%41 ..." arrived as "/a%20b?c", 2 checks failed. No second request was seen; the rest of the text was dropped with the fragment.

The path is percent-encoded again, so the endpoint decodes the same path. Queries of callers are dropped before, as PATH has none.

No functional change in src/core; changes the runtime of the agent.

--- a/src/runtime/endpoint_client.cpp
+++ b/src/runtime/endpoint_client.cpp
@@ -3,8 +3,10 @@
 #include "core/uuid.h"
 #include "runtime/sse_reader.h"
 
+#include <glib.h>
 #include <nlohmann/json.hpp>
 
+#include <memory>
 #include <string_view>
 #include <utility>
 
@@ -33,6 +35,14 @@
   return body.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
+// Percent-encodes a decoded path, so that the endpoint decodes the same path and no query.
+std::string EncodePath(const std::string& aPath)
+{
+  const std::unique_ptr<char, decltype(&g_free)> encoded(
+    g_uri_escape_string(aPath.c_str(), "/:@!$&'()*+,;=", FALSE), &g_free);
+  return encoded.get();
+}
+
 // Completion text from the events of one read.
 struct StreamedText
 {
@@ -161,7 +171,7 @@
   HttpRequest request;
   request.method = "POST";
   request.address = this->address;
-  request.path = aRoute;
+  request.path = EncodePath(aRoute);
   request.headers = { { "Caraway-Request-Id", FormatUuid(aId) } };
   request.body = aKind == WorkKind::kCompletion ? WithStreaming(aBody) : aBody;
   const auto activeRequest = std::make_shared<ActiveRequest>(aId, aKind, *this);
