Read answers of endpoints with one strict reader on the agent's path

Cause: libsoup's client takes an orderly end of the connection for the end of whatever it reads: of the head, if a line of it is complete; of a body that is shorter than its Content-Length; of a body in chunks, between and inside chunk lines. It reports no error, and EndpointClient took that for complete. Probes, orders, the log client, carawayctl and the load tool use the same client.

Change: HttpSession sends through EndpointPool, whose ResponseReader completes a message only by its framing, and by the end of the connection only where the head is done and has no length. Its request is serialized here and refused if a part could end a line. TcpSocket connects to IPv6 as libsoup did (not tested).

Decisions of src/core: No functional change.

--- a/src/runtime/endpoint_client.cpp
+++ b/src/runtime/endpoint_client.cpp
@@ -177,8 +177,8 @@
   const auto activeRequest = std::make_shared<ActiveRequest>(aId, aKind, *this);
   this->activeRequests[aId] = activeRequest;
   HttpHandlers handlers;
-  handlers.head = [activeRequest](std::uint16_t aStatus, SoupMessageHeaders*) {
-    activeRequest->OnHead(aStatus);
+  handlers.head = [activeRequest](const ResponseHead& aHead) {
+    activeRequest->OnHead(aHead.status);
   };
   handlers.data = [activeRequest](std::string_view aData) { activeRequest->OnData(aData); };
   handlers.end = [activeRequest](const HttpEnd& aEnd) { activeRequest->OnEnd(aEnd); };
--- a/src/runtime/http_call.cpp
+++ b/src/runtime/http_call.cpp
@@ -1,242 +1,222 @@
 #include "runtime/http_call.h"
 
+#include "runtime/log.h"
+#include "runtime/timer.h"
+
+#include <algorithm>
+#include <optional>
 #include <utility>
 
 namespace caraway {
 
 namespace {
 
-constexpr gsize kReadBytes = 16384;
-constexpr int kMaxConnections = 20000;
+constexpr Duration kConnectTimeout = std::chrono::seconds(3);
+constexpr Duration kMaxIdle = std::chrono::seconds(4); // of a reused connection
+constexpr std::uint64_t kMaxBodyBytes = std::uint64_t(1) << 30;
 
-guint SecondsRoundedUp(Duration aTime)
+bool HasControlOrSpace(std::string_view aText)
 {
-  return static_cast<guint>(std::chrono::ceil<std::chrono::seconds>(aTime).count());
+  return std::any_of(aText.begin(), aText.end(),
+                     [](unsigned char aByte) { return aByte <= ' ' || aByte == 0x7F; });
 }
 
-std::error_code ToErrorCode(const GError* aError)
+bool HasControl(std::string_view aText)
 {
-  if (aError->domain != G_IO_ERROR) {
-    return std::make_error_code(std::errc::protocol_error);
-  }
-  switch (aError->code) {
-    case G_IO_ERROR_TIMED_OUT:
-      return std::make_error_code(std::errc::timed_out);
-    case G_IO_ERROR_CONNECTION_REFUSED:
-      return std::make_error_code(std::errc::connection_refused);
-    case G_IO_ERROR_CANCELLED:
-      return std::make_error_code(std::errc::operation_canceled);
-    default:
-      return std::make_error_code(std::errc::connection_reset);
-  }
+  return std::any_of(aText.begin(), aText.end(), [](unsigned char aByte) {
+    return (aByte < ' ' && aByte != '\t') || aByte == 0x7F;
+  });
+}
+
+// Whether the request consists of one message only, whatever its parts contain.
+bool IsWellFormed(const HttpRequest& aRequest)
+{
+  return aRequest.path.starts_with('/') && !HasControlOrSpace(aRequest.path) &&
+         std::none_of(aRequest.headers.begin(), aRequest.headers.end(),
+                      [](const HeaderField& aField) {
+                        return HasControlOrSpace(aField.name) || HasControl(aField.value);
+                      });
 }
 
-SoupMessage* MakeMessage(const HttpRequest& aRequest)
+std::string Serialize(const HttpRequest& aRequest)
 {
-  const std::string uri = "http://" + aRequest.address + aRequest.path;
-  SoupMessage* message = soup_message_new(aRequest.method.c_str(), uri.c_str());
-  if (message == nullptr) {
-    return nullptr;
+  std::string out =
+    aRequest.method + " " + aRequest.path + " HTTP/1.1\r\nHost: " + aRequest.address + "\r\n";
+  for (const HeaderField& field : aRequest.headers) {
+    out += field.name + ": " + field.value + "\r\n";
   }
-  SoupMessageHeaders* headers = soup_message_get_request_headers(message);
-  for (const HttpHeader& header : aRequest.headers) {
-    soup_message_headers_replace(headers, header.name.c_str(), header.value.c_str());
+  if (aRequest.hasOwnConnection) {
+    out += "Connection: close\r\n";
   }
   if (!aRequest.body.empty()) {
-    GBytes* bytes = g_bytes_new(aRequest.body.data(), aRequest.body.size());
-    soup_message_set_request_body_from_bytes(message, "application/json", bytes);
-    g_bytes_unref(bytes);
+    out += "Content-Type: application/json\r\n";
   }
-  guint flags = SOUP_MESSAGE_NO_REDIRECT | SOUP_MESSAGE_DO_NOT_USE_AUTH_CACHE;
-  if (aRequest.hasOwnConnection) {
-    flags |= SOUP_MESSAGE_NEW_CONNECTION;
-    soup_message_headers_replace(headers, "Connection", "close");
+  if (!aRequest.body.empty() || aRequest.method != "GET") {
+    out += "Content-Length: " + std::to_string(aRequest.body.size()) + "\r\n";
   }
-  soup_message_set_flags(message, static_cast<SoupMessageFlags>(flags));
-  return message;
+  return out + "\r\n" + aRequest.body;
+}
+
+std::error_code ToErrorCode(ExchangeEnd aEnd)
+{
+  switch (aEnd) {
+    case ExchangeEnd::kComplete:
+      return {};
+    case ExchangeEnd::kUnsent:
+      return std::make_error_code(std::errc::connection_refused);
+    case ExchangeEnd::kBroken:
+      return std::make_error_code(std::errc::connection_reset);
+    case ExchangeEnd::kMalformed:
+      break;
+  }
+  return std::make_error_code(std::errc::protocol_error);
 }
 
 } // namespace
 
-class HttpCall : public std::enable_shared_from_this<HttpCall>
+class HttpCall final
+  : public ExchangeHandler
+  , public std::enable_shared_from_this<HttpCall>
 {
 public:
-  HttpCall(HttpSession& aSession, HttpHandlers aHandlers)
-    : owner(&aSession)
+  HttpCall(HttpSession& aSession, const HttpRequest& aRequest, HttpHandlers aHandlers)
+    : session(aSession)
     , handlers(std::make_shared<HttpHandlers>(std::move(aHandlers)))
-    , cancellable(g_cancellable_new())
+    , mayResend(!aRequest.hasOwnConnection)
   {
+    this->request.address = ParseAddress(aRequest.address).value_or(Address{});
+    this->request.maxBodyBytes = kMaxBodyBytes;
+    this->request.maxIdle = this->mayResend ? kMaxIdle : Duration::zero();
+    this->request.connectTimeout = aSession.ioTimeout == Duration::zero()
+                                     ? kConnectTimeout
+                                     : std::min(kConnectTimeout, aSession.ioTimeout);
+    this->isWellFormed = IsWellFormed(aRequest);
+    this->request.bytes = Serialize(aRequest);
   }
 
-  ~HttpCall()
+  void Start()
   {
-    g_clear_object(&this->stream);
-    g_clear_object(&this->message);
-    g_object_unref(this->cancellable);
-  }
-
-  HttpCall(const HttpCall&) = delete;
-  HttpCall& operator=(const HttpCall&) = delete;
-
-  void Start(SoupSession* aSession, const HttpRequest& aRequest)
-  {
-    this->message = MakeMessage(aRequest);
-    if (this->message == nullptr) {
-      g_idle_add(&HttpCall::OnBadAddress, this->NewReference());
+    if (!this->isWellFormed) {
+      this->Arm(Duration::zero());
       return;
     }
-    g_signal_connect(this->message, "starting", G_CALLBACK(&HttpCall::OnStarting), this);
-    if (aRequest.hasOwnConnection) {
-      g_signal_connect(this->message, "restarted", G_CALLBACK(&HttpCall::OnRestarted), this);
-    }
-    soup_session_send_async(aSession, this->message, G_PRIORITY_DEFAULT, this->cancellable,
-                            &HttpCall::OnSent, this->NewReference());
+    this->ArmTimeout();
+    this->exchange =
+      this->session.pool.Send(this->mayResend ? this->request : std::move(this->request), *this);
   }
 
   // Cancels the call without calling its handlers.
   void Cancel()
   {
+    const auto self = this->shared_from_this();
     this->handlers.reset();
-    this->Detach();
-    g_cancellable_cancel(this->cancellable);
-  }
-
-  void Detach()
-  {
-    if (this->owner != nullptr) {
-      std::exchange(this->owner, nullptr)->calls.erase(this->shared_from_this());
+    if (this->timer) {
+      this->timer->Cancel();
     }
+    this->session.pool.Cancel(this->exchange);
+    this->session.calls.erase(self);
   }
 
-  void ClearOwner() { this->owner = nullptr; }
-
-private:
-  // Owning reference held by a pending main loop operation.
-  using Reference = std::shared_ptr<HttpCall>;
-
-  Reference* NewReference() { return new Reference(this->shared_from_this()); }
-
-  static Reference TakeReference(gpointer aData)
-  {
-    const std::unique_ptr<Reference> reference(static_cast<Reference*>(aData));
-    return *reference;
-  }
-
-  static gboolean OnBadAddress(gpointer aData)
-  {
-    TakeReference(aData)->End(std::make_error_code(std::errc::invalid_argument));
-    return G_SOURCE_REMOVE;
-  }
-
-  static void OnStarting(SoupMessage*, gpointer aData)
+  void OnHead(const ResponseHead& aHead) override
   {
-    static_cast<HttpCall*>(aData)->sent = true;
+    this->ArmTimeout();
+    this->status = aHead.status;
+    const auto current = this->handlers;
+    if (current != nullptr && current->head) {
+      current->head(aHead);
+    }
   }
 
-  // libsoup is about to resend the request: cancels the call before it is sent again.
-  static void OnRestarted(SoupMessage*, gpointer aData)
+  void OnBody(std::string_view aData) override
   {
-    g_cancellable_cancel(static_cast<HttpCall*>(aData)->cancellable);
+    this->ArmTimeout();
+    const auto current = this->handlers;
+    if (current != nullptr && current->data) {
+      current->data(aData);
+    }
   }
 
-  static void OnSent(GObject* aSource, GAsyncResult* aResult, gpointer aData)
+  void OnEnd(ExchangeEnd aEnd) override
   {
-    const Reference call = TakeReference(aData);
-    GError* error = nullptr;
-    call->stream = soup_session_send_finish(SOUP_SESSION(aSource), aResult, &error);
-    if (call->stream == nullptr) {
-      call->EndWithError(error);
+    if (aEnd == ExchangeEnd::kBroken && this->status == 0 &&
+        std::exchange(this->mayResend, false)) {
+      LogEvent(LogLevel::kDebug, "call_resent",
+               { { "address", FormatAddress(this->request.address) } });
+      this->request.maxIdle = Duration::zero();
+      this->Start();
       return;
     }
-    call->status = static_cast<std::uint16_t>(soup_message_get_status(call->message));
-    const auto handlers = call->handlers;
-    if (handlers != nullptr && handlers->head) {
-      handlers->head(call->status, soup_message_get_response_headers(call->message));
-    }
-    call->Read();
+    this->End(HttpEnd{ ToErrorCode(aEnd), aEnd != ExchangeEnd::kUnsent, this->status });
   }
 
-  void Read()
+private:
+  void ArmTimeout()
   {
-    g_input_stream_read_bytes_async(this->stream, kReadBytes, G_PRIORITY_DEFAULT, this->cancellable,
-                                    &HttpCall::OnRead, this->NewReference());
+    if (this->session.ioTimeout > Duration::zero()) {
+      this->Arm(this->session.ioTimeout);
+    }
   }
 
-  static void OnRead(GObject* aSource, GAsyncResult* aResult, gpointer aData)
+  void Arm(Duration aDelay)
   {
-    const Reference call = TakeReference(aData);
-    GError* error = nullptr;
-    GBytes* bytes = g_input_stream_read_bytes_finish(G_INPUT_STREAM(aSource), aResult, &error);
-    if (bytes == nullptr) {
-      call->EndWithError(error);
-      return;
+    if (!this->timer) {
+      this->timer.emplace([this] { this->OnTimer(); });
     }
-    gsize size = 0;
-    const auto* data = static_cast<const char*>(g_bytes_get_data(bytes, &size));
-    const auto handlers = call->handlers;
-    if (size > 0 && handlers != nullptr && handlers->data) {
-      handlers->data(std::string_view(data, size));
-    }
-    g_bytes_unref(bytes);
-    if (size == 0) {
-      call->End(std::error_code());
-      return;
-    }
-    call->Read();
+    this->timer->ArmAfter(aDelay);
   }
 
-  void EndWithError(GError* aError)
+  void OnTimer()
   {
-    const std::error_code error = ToErrorCode(aError);
-    g_error_free(aError);
-    this->End(error);
+    if (!this->isWellFormed) {
+      this->End(HttpEnd{ std::make_error_code(std::errc::invalid_argument), false, 0 });
+      return;
+    }
+    this->session.pool.Cancel(this->exchange);
+    this->End(HttpEnd{ std::make_error_code(std::errc::timed_out), true, this->status });
   }
 
-  void End(std::error_code aError)
+  void End(const HttpEnd& aEnd)
   {
-    this->Detach();
-    if (this->message != nullptr) {
-      g_signal_handlers_disconnect_by_data(this->message, this);
+    const auto self = this->shared_from_this();
+    if (this->timer) {
+      this->timer->Cancel();
     }
-    const auto lastHandlers = std::exchange(this->handlers, nullptr);
-    if (lastHandlers != nullptr && lastHandlers->end) {
-      lastHandlers->end(HttpEnd{ aError, this->sent, this->status });
+    this->session.calls.erase(self);
+    const auto last = std::exchange(this->handlers, nullptr);
+    if (last != nullptr && last->end) {
+      last->end(aEnd);
     }
   }
 
-  HttpSession* owner;
+  HttpSession& session;
   std::shared_ptr<HttpHandlers> handlers; // shared, as a running handler may cancel the call
-  GCancellable* cancellable;
-  SoupMessage* message = nullptr;
-  GInputStream* stream = nullptr;
-  bool sent = false;
+  EndpointRequest request;
+  bool isWellFormed = false;
+  bool mayResend;
+  std::weak_ptr<EndpointExchange> exchange;
   std::uint16_t status = 0;
+  std::optional<Timer> timer; // created on use, as each one is a source of the main loop
 };
 
 HttpSession::HttpSession(Duration aIoTimeout)
-  : session(soup_session_new_with_options("max-conns", kMaxConnections, "max-conns-per-host",
-                                          kMaxConnections, "timeout", SecondsRoundedUp(aIoTimeout),
-                                          "proxy-resolver", nullptr, nullptr))
+  : ioTimeout(aIoTimeout)
+  , pool(this->poller, this->clock)
 {
-  soup_session_remove_feature_by_type(this->session, SOUP_TYPE_CONTENT_DECODER);
-  soup_session_remove_feature_by_type(this->session, SOUP_TYPE_AUTH_MANAGER);
 }
 
 HttpSession::~HttpSession()
 {
   const auto running = std::exchange(this->calls, {});
   for (const std::shared_ptr<HttpCall>& call : running) {
-    call->ClearOwner();
     call->Cancel();
   }
-  g_object_unref(this->session);
 }
 
 std::weak_ptr<HttpCall> HttpSession::Start(const HttpRequest& aRequest, HttpHandlers aHandlers)
 {
-  const auto call = std::make_shared<HttpCall>(*this, std::move(aHandlers));
+  const auto call = std::make_shared<HttpCall>(*this, aRequest, std::move(aHandlers));
   this->calls.insert(call);
-  call->Start(this->session, aRequest);
+  call->Start();
   return call;
 }
 
--- a/src/runtime/socket_address.h
+++ b/src/runtime/socket_address.h
@@ -1,11 +1,13 @@
-// Conversion between Address and sockaddr_in. Supports only IPv4, the only version on the platform.
+// Conversion between Address and socket addresses. Datagrams and listeners use IPv4 only.
 #pragma once
 
 #include "runtime/address.h"
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <sys/socket.h>
 
+#include <cstring>
 #include <optional>
 
 namespace caraway {
@@ -38,4 +40,30 @@
   return reinterpret_cast<sockaddr*>(&aAddress);
 }
 
+// Address of either IP version.
+struct AnySocketAddress
+{
+  sockaddr_storage storage{};
+  socklen_t size = 0;
+};
+
+inline std::optional<AnySocketAddress> ToAnySocketAddress(const Address& aAddress)
+{
+  AnySocketAddress address;
+  auto* v6 = reinterpret_cast<sockaddr_in6*>(&address.storage);
+  if (inet_pton(AF_INET6, aAddress.host.c_str(), &v6->sin6_addr) == 1) {
+    v6->sin6_family = AF_INET6;
+    v6->sin6_port = htons(aAddress.port);
+    address.size = sizeof(sockaddr_in6);
+    return address;
+  }
+  const std::optional<sockaddr_in> v4 = ToSocketAddress(aAddress);
+  if (!v4) {
+    return std::nullopt;
+  }
+  std::memcpy(&address.storage, &*v4, sizeof(*v4));
+  address.size = sizeof(sockaddr_in);
+  return address;
+}
+
 } // namespace caraway
--- a/src/runtime/tcp_socket.cpp
+++ b/src/runtime/tcp_socket.cpp
@@ -45,17 +45,18 @@
 
 bool TcpSocket::Connect(const Address& aAddress)
 {
-  const std::optional<sockaddr_in> target = ToSocketAddress(aAddress);
+  const std::optional<AnySocketAddress> target = ToAnySocketAddress(aAddress);
   if (!target) {
     return false;
   }
-  this->fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  this->fd = socket(target->storage.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (this->fd < 0) {
     return false;
   }
   SetOption(this->fd, IPPROTO_TCP, TCP_NODELAY, 1);
   SetOption(this->fd, IPPROTO_TCP, TCP_USER_TIMEOUT, kUserTimeoutMs);
-  const int result = connect(this->fd, AsGeneric(*target), sizeof(*target));
+  const int result =
+    connect(this->fd, reinterpret_cast<const sockaddr*>(&target->storage), target->size);
   if (result != 0 && errno != EINPROGRESS) {
     close(this->fd);
     this->fd = -1;
--- a/src/standins/load_answer.cpp
+++ b/src/standins/load_answer.cpp
@@ -134,10 +134,10 @@
   return expected;
 }
 
-bool IsEventStream(SoupMessageHeaders* aHeaders)
+bool IsEventStream(const HeaderFields& aFields)
 {
-  const char* type = soup_message_headers_get_content_type(aHeaders, nullptr);
-  return type != nullptr && std::string_view(type) == "text/event-stream";
+  const HeaderField* type = FindField(aFields, "Content-Type");
+  return type != nullptr && type->value.starts_with("text/event-stream");
 }
 
 } // namespace caraway
--- a/src/standins/load_answer.h
+++ b/src/standins/load_answer.h
@@ -1,11 +1,10 @@
 // Checks one answer of a load run against its own request.
 #pragma once
 
+#include "runtime/http_reader.h"
 #include "runtime/sse_reader.h"
 #include "standins/load_plan.h"
 
-#include <libsoup/soup.h>
-
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -61,7 +60,7 @@
   bool done = false;
 };
 
-// True if the answer with these headers is a stream of server-sent events.
-bool IsEventStream(SoupMessageHeaders* aHeaders);
+// True if the answer with these fields is a stream of server-sent events.
+bool IsEventStream(const HeaderFields& aFields);
 
 } // namespace caraway
--- a/src/standins/load_run.cpp
+++ b/src/standins/load_run.cpp
@@ -85,9 +85,7 @@
   flight->id = MakeUuid7(now.wall, this->random);
   flight->sentAt = now.steady;
   HttpHandlers handlers;
-  handlers.head = [this, flight](std::uint16_t aStatus, SoupMessageHeaders* aHeaders) {
-    this->OnHead(*flight, aStatus, aHeaders);
-  };
+  handlers.head = [this, flight](const ResponseHead& aHead) { this->OnHead(*flight, aHead); };
   handlers.data = [this, flight](std::string_view aData) { this->OnData(*flight, aData); };
   handlers.end = [this, flight](const HttpEnd& aEnd) { this->OnEnd(*flight, aEnd); };
   this->session.Start(this->RequestOf(*flight), std::move(handlers));
@@ -117,11 +115,11 @@
   return request;
 }
 
-void LoadRun::OnHead(Flight& aFlight, std::uint16_t aStatus, SoupMessageHeaders* aHeaders)
+void LoadRun::OnHead(Flight& aFlight, const ResponseHead& aHead)
 {
-  aFlight.answer.OnHead(aStatus, IsEventStream(aHeaders));
-  if (const char* retry = soup_message_headers_get_one(aHeaders, "Caraway-Retry-After-Ms")) {
-    aFlight.retryAfter = milliseconds(std::strtoll(retry, nullptr, 10));
+  aFlight.answer.OnHead(aHead.status, IsEventStream(aHead.fields));
+  if (const HeaderField* retry = FindField(aHead.fields, "Caraway-Retry-After-Ms")) {
+    aFlight.retryAfter = milliseconds(std::strtoll(retry->value.c_str(), nullptr, 10));
   }
 }
 
--- a/src/standins/load_run.h
+++ b/src/standins/load_run.h
@@ -46,7 +46,7 @@
   void SendDue();
   void Send(std::size_t aIndex, bool aIsRetry);
   HttpRequest RequestOf(const Flight& aFlight);
-  void OnHead(Flight& aFlight, std::uint16_t aStatus, SoupMessageHeaders* aHeaders);
+  void OnHead(Flight& aFlight, const ResponseHead& aHead);
   void OnData(Flight& aFlight, std::string_view aData);
   void OnEnd(Flight& aFlight, const HttpEnd& aEnd);
   void Record(const Flight& aFlight, LoadResult aResult);
--- a/src/standins/overhead.cpp
+++ b/src/standins/overhead.cpp
@@ -105,8 +105,8 @@
 HttpHandlers OverheadRun::HandlersOf(const std::shared_ptr<Flight>& aFlight)
 {
   HttpHandlers handlers;
-  handlers.head = [aFlight](std::uint16_t aStatus, SoupMessageHeaders* aHeaders) {
-    aFlight->answer.OnHead(aStatus, IsEventStream(aHeaders));
+  handlers.head = [aFlight](const ResponseHead& aHead) {
+    aFlight->answer.OnHead(aHead.status, IsEventStream(aHead.fields));
   };
   handlers.data = [this, aFlight](std::string_view aData) {
     OverheadPair& times = this->pairs[aFlight->pair];
--- a/tests/runtime/cut_answer_test.cpp
+++ b/tests/runtime/cut_answer_test.cpp
@@ -121,6 +121,116 @@
 
 BOOST_FIXTURE_TEST_SUITE(cut_answer, CutAnswer)
 
+BOOST_AUTO_TEST_CASE(an_answer_with_a_length_that_is_cut_is_not_complete)
+{
+  this->CheckEveryCut(WorkKind::kService, kJsonHead + "Content-Length: 12\r\n\r\n{\"ran\":true}");
+  BOOST_TEST(this->handler.result->body == "{\"ran\":true}");
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_without_a_body_that_is_cut_is_not_complete)
+{
+  this->CheckEveryCut(WorkKind::kService, kJsonHead + "Content-Length: 0\r\n\r\n");
+  this->CheckEveryCut(WorkKind::kService, "HTTP/1.1 204 No Content\r\nX: y\r\n\r\n");
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_in_chunks_that_is_cut_is_not_complete)
+{
+  this->CheckEveryCut(
+    WorkKind::kService,
+    kJsonHead +
+      "Transfer-Encoding: chunked\r\n\r\n7\r\n{\"ran\":\r\n5\r\ntrue}\r\n0\r\nX: y\r\n\r\n");
+  BOOST_TEST(this->handler.result->body == "{\"ran\":true}");
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_that_is_cut_after_an_interim_one_is_not_complete)
+{
+  this->CheckEveryCut(WorkKind::kService,
+                      "HTTP/1.1 100 Continue\r\n\r\n" + kJsonHead + "Content-Length: 2\r\n\r\n{}");
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_until_close_is_complete_only_after_its_head_and_a_clean_end)
+{
+  for (const std::string version : { "1.0", "1.1" }) {
+    const std::string head = "HTTP/" + version + " 200 OK\r\nServer: x\r\n\r\n";
+    const std::string answer = head + "{\"ran\":true}";
+    for (std::size_t length = 0; length < answer.size(); length++) {
+      const bool isHeadComplete = length >= head.size();
+      const WorkResult closed = this->Dispatch(WorkKind::kService, answer.substr(0, length), false);
+      BOOST_TEST((closed.end == WorkEnd::kComplete) == isHeadComplete);
+      const WorkResult reset = this->Dispatch(WorkKind::kService, answer.substr(0, length), true);
+      BOOST_TEST((reset.end == WorkEnd::kBroken), "reset after " << length << " bytes");
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_that_is_cut_before_its_last_event_is_not_complete)
+{
+  const std::string head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n";
+  char size[16];
+  std::snprintf(size, sizeof(size), "%zx", kEvents.size());
+  std::vector<std::string> answers = { head, head, head };
+  answers[0].append("\r\n").append(kEvents);
+  answers[1].append("Transfer-Encoding: chunked\r\n\r\n").append(size).append("\r\n");
+  answers[1].append(kEvents).append("\r\n0\r\n\r\n");
+  answers[2].append("Content-Length: ").append(std::to_string(kEvents.size())).append("\r\n\r\n");
+  answers[2].append(kEvents);
+  for (const std::string& answer : answers) {
+    const std::size_t marker = answer.find("[DONE]\n") + 7;
+    for (std::size_t length = 0; length < marker; length++) {
+      for (const bool isReset : { false, true }) {
+        const WorkResult result =
+          this->Dispatch(WorkKind::kCompletion, answer.substr(0, length), isReset);
+        BOOST_TEST((result.end == WorkEnd::kBroken), "cut after " << length << " bytes");
+      }
+    }
+    BOOST_TEST((this->Dispatch(WorkKind::kCompletion, answer, false).end == WorkEnd::kComplete));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_of_ambiguous_framing_is_not_complete)
+{
+  for (const std::string fields :
+       { "Content-Length: 2, 2\r\n", "Content-Length: 2\r\nContent-Length: 2\r\n",
+         "Content-Length: 2\r\nContent-Length: 3\r\n", "Content-Length: +2\r\n",
+         "Content-Length: -2\r\n", "Content-Length: 0x2\r\n", "Content-Length:\r\n",
+         "Content-Length : 2\r\n", "Content-Length: 18446744073709551618\r\n",
+         "Transfer-Encoding: identity\r\n", "Transfer-Encoding: gzip, chunked\r\n",
+         "Transfer-Encoding: chunked\r\nContent-Length: 2\r\n", "X: y\nContent-Length: 2\r\n" }) {
+    const WorkResult result =
+      this->Dispatch(WorkKind::kService, kJsonHead + fields + "\r\n{}", false);
+    BOOST_TEST((result.end == WorkEnd::kBroken), fields << " ended as " << int(result.end));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_cut_answer_is_no_sign_of_health_and_accepts_no_order)
+{
+  const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+  for (std::size_t length = 0; length <= answer.size(); length++) {
+    this->endpoint.answer = answer.substr(0, length);
+    this->handler.isReachable.reset();
+    this->handler.isAccepted.reset();
+    this->client.Probe();
+    this->client.Order(1, "{}");
+    BOOST_REQUIRE(RunUntil([&] { return this->handler.isReachable && this->handler.isAccepted; }));
+    BOOST_TEST(*this->handler.isReachable == (length == answer.size()));
+    BOOST_TEST(*this->handler.isAccepted == (length == answer.size()));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_cut_answer_of_the_log_appends_nothing_for_certain)
+{
+  LogClient log(this->endpoint.Address());
+  const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 11\r\n\r\n{\"first\":3}";
+  for (std::size_t length = 0; length <= answer.size(); length++) {
+    this->endpoint.answer = answer.substr(0, length);
+    std::optional<AppendResult> result;
+    log.Append({ "r" }, [&](AppendResult aResult, LogOffset) { result = aResult; });
+    BOOST_REQUIRE(RunUntil([&] { return result.has_value(); }));
+    BOOST_TEST(
+      (*result == (length == answer.size() ? AppendResult::kAppended : AppendResult::kUnknown)));
+  }
+}
+
 // The route is what the caller's path decodes to.
 BOOST_AUTO_TEST_CASE(a_route_cannot_hold_a_request_of_its_own)
 {
