Take a caller's error for broken if its answer broke

The agent looked at the status before the end of the answer: a 4xx that was cut after any byte of its body, by a close or a reset, was passed on with the part that had come, framed as whole. So was the body of one over 64 KiB, which is kept in part.

Both end as broken now (the service may have run); a 5xx, whose body is not passed on, stays an error.

test_runtime -t cut_answer/an_error_answer_that_is_cut_* on: 27 failures; now none. The case of the long body was not run on the old code.

--- a/src/runtime/endpoint_client.cpp
+++ b/src/runtime/endpoint_client.cpp
@@ -70,8 +70,9 @@
   void OnData(std::string_view aData)
   {
     if (this->result.status >= kFirstErrorStatus) {
-      this->result.body.append(aData.substr(
-        0, kMaxErrorBodyBytes - std::min(kMaxErrorBodyBytes, this->result.body.size())));
+      const std::size_t room = kMaxErrorBodyBytes - this->result.body.size();
+      this->isBodyCut |= aData.size() > room;
+      this->result.body.append(aData.substr(0, room));
       return;
     }
     if (this->kind == WorkKind::kCompletion) {
@@ -93,14 +94,20 @@
     if (!aEnd.sent) {
       return WorkEnd::kUnsent;
     }
-    if (this->hasFailed || aEnd.status >= kFirstErrorStatus) {
+    if (this->hasFailed) {
       return WorkEnd::kError;
     }
     if (this->hasDoneMarker) {
       return WorkEnd::kComplete;
     }
-    const bool isComplete = !aEnd.error && this->kind != WorkKind::kCompletion;
-    return isComplete ? WorkEnd::kComplete : WorkEnd::kBroken;
+    if (aEnd.error) {
+      return WorkEnd::kBroken;
+    }
+    if (aEnd.status >= kFirstErrorStatus) {
+      const bool isPassedOn = aEnd.status < kFirstServerError;
+      return isPassedOn && this->isBodyCut ? WorkEnd::kBroken : WorkEnd::kError;
+    }
+    return this->kind == WorkKind::kCompletion ? WorkEnd::kBroken : WorkEnd::kComplete;
   }
 
   // Delivers the text of all events completed by this read as one chunk.
@@ -152,6 +159,7 @@
   WorkResult result;
   SseReader reader;
   bool hasDoneMarker = false;
+  bool isBodyCut = false; // the body of an error exceeds its limit
   bool hasFailed = false; // the stream contained an error or is malformed
 };
 
--- a/tests/runtime/cut_answer_test.cpp
+++ b/tests/runtime/cut_answer_test.cpp
@@ -187,6 +187,32 @@
   }
 }
 
+// A caller's error is passed on with its body, so it must be whole too.
+BOOST_AUTO_TEST_CASE(an_error_answer_that_is_cut_is_not_complete)
+{
+  const std::string answer =
+    "HTTP/1.1 422 X\r\nContent-Type: application/json\r\nContent-Length: 12\r\n\r\n{\"bad\":true}";
+  for (std::size_t length = 0; length < answer.size(); length++) {
+    for (const bool isReset : { false, true }) {
+      const WorkResult result =
+        this->Dispatch(WorkKind::kService, answer.substr(0, length), isReset);
+      BOOST_TEST((result.end == WorkEnd::kBroken), "cut after " << length << " bytes");
+    }
+  }
+  BOOST_TEST((this->Dispatch(WorkKind::kService, answer, false).end == WorkEnd::kError));
+  BOOST_TEST(this->handler.result->body == "{\"bad\":true}");
+}
+
+BOOST_AUTO_TEST_CASE(an_error_answer_over_its_limit_is_not_passed_on_in_part)
+{
+  const std::string body(70000, 'x');
+  const std::string rest = " X\r\nContent-Length: 70000\r\n\r\n" + body;
+  BOOST_TEST(
+    (this->Dispatch(WorkKind::kService, "HTTP/1.1 422" + rest, false).end == WorkEnd::kBroken));
+  BOOST_TEST(
+    (this->Dispatch(WorkKind::kService, "HTTP/1.1 500" + rest, false).end == WorkEnd::kError));
+}
+
 BOOST_AUTO_TEST_CASE(an_answer_of_ambiguous_framing_is_not_complete)
 {
   for (const std::string fields :
