Refuse requests of ambiguous length at caraway-entry

Callers of the product's own path could hide a request in another one: libsoup's server accepts several Content-Length fields, an empty one, a sign, and a second or other transfer coding, takes the body as empty, and reads the bytes after the head as the next request.

The entry checks the fields as received by the rule of framing.h before it looks at anything else, answers 400 and takes the connection from libsoup, so that nothing that follows on it is read.

Decisions of src/core: No functional change.

--- a/src/runtime/caller_exchange.cpp
+++ b/src/runtime/caller_exchange.cpp
@@ -1,6 +1,7 @@
 #include "runtime/caller_exchange.h"
 
 #include "core/uuid.h"
+#include "runtime/framing.h"
 #include "runtime/soup_listen.h"
 
 #include <glib-unix.h>
@@ -19,6 +20,20 @@
   return aRoute == CallRoute::kCompletion || aRoute == CallRoute::kService;
 }
 
+// The fields as received: libsoup accepts several lengths, signs and unknown codings.
+HeaderFields FieldsOf(SoupMessageHeaders* aHeaders)
+{
+  HeaderFields fields;
+  SoupMessageHeadersIter iterator;
+  const char* name = nullptr;
+  const char* value = nullptr;
+  soup_message_headers_iter_init(&iterator, aHeaders);
+  while (soup_message_headers_iter_next(&iterator, &name, &value) != FALSE) {
+    fields.push_back({ name, value });
+  }
+  return fields;
+}
+
 } // namespace
 
 CallerExchange::CallerExchange(SoupServerMessage* aMessage, const CallerLimits& aLimits,
@@ -57,6 +72,13 @@
 {
   this->hasHead = true;
   this->head = this->ReadHead();
+  SoupMessageHeaders* headers = soup_server_message_get_request_headers(this->message.get());
+  const bool isHttp11 = soup_server_message_get_http_version(this->message.get()) == SOUP_HTTP_1_1;
+  if (!IsFramingUnambiguous(FieldsOf(headers), isHttp11)) {
+    this->ScheduleRefusal(
+      Rejection{ 400, "malformed", "the length of the request body is ambiguous" });
+    return;
+  }
   const auto route = FindRoute(this->head.method, this->head.path);
   if (const auto* rejection = std::get_if<Rejection>(&route)) {
     this->ScheduleRefusal(*rejection);
@@ -70,7 +92,6 @@
     this->ScheduleRefusal(*rejection);
     return;
   }
-  SoupMessageHeaders* headers = soup_server_message_get_request_headers(this->message.get());
   const goffset length = soup_message_headers_get_content_length(headers);
   if (length > static_cast<goffset>(this->limits.maxBodyBytes)) {
     this->ScheduleRefusal(Rejection{ 413, "too_large", "the request body exceeds the size limit" });
--- a/tests/runtime/caller_test.cpp
+++ b/tests/runtime/caller_test.cpp
@@ -38,6 +38,32 @@
   return settings;
 }
 
+const std::vector<std::string> kOddFramings = {
+  "Content-Length: 0, 0\r\n",
+  "Content-Length: 0,0\r\n",
+  "Content-Length: 0,\r\n",
+  "Content-Length: ,0\r\n",
+  "Content-Length: 0\r\nContent-Length: 0\r\n",
+  "Content-Length: 0\r\nContent-Length: 2\r\n",
+  "Content-Length: 2\r\nContent-Length: 0\r\n",
+  "Content-Length: +0\r\n",
+  "Content-Length: -0\r\n",
+  "Content-Length: 0x0\r\n",
+  "Content-Length: 0 0\r\n",
+  "Content-Length: 0;x\r\n",
+  "Content-Length:\r\n",
+  "Content-Length: \v0\r\n",
+  "Content-Length: 18446744073709551616\r\n",
+  "Content-Length: -18446744073709551616\r\n",
+  "Transfer-Encoding: chunked, identity\r\n",
+  "Transfer-Encoding: identity\r\n",
+  "Transfer-Encoding:\r\n",
+  "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n",
+  "Transfer-Encoding: identity\r\nTransfer-Encoding: chunked\r\n",
+  "Content-Length: 0\r\nTransfer-Encoding: identity\r\n",
+  "Transfer-Encoding: identity\r\nContent-Length: 0\r\n",
+};
+
 // An entry with its server for callers, a platform and one agent per pool.
 struct EntryFixture
 {
@@ -323,6 +349,43 @@
   }
 }
 
+// Guards against a length or coding that others read differently: the bytes after the head ran as a
+// request of their own.
+BOOST_AUTO_TEST_CASE(a_request_of_odd_framing_and_the_one_hidden_in_it_do_not_run)
+{
+  EntryFixture fixture;
+  const std::string hidden = Call::Post("/services/orders/status", "{}");
+  for (const std::string& fields : kOddFramings) {
+    std::string request = "POST /services/orders/status HTTP/1.1\r\nHost: x\r\n"
+                          "Authorization: Bearer key-a\r\n";
+    request.append(fields).append("\r\n").append(hidden);
+    Call call(fixture, request);
+    const int status = call.Status();
+    BOOST_TEST((status == 400 || status == 501), "status " << status << " for " << fields);
+    BOOST_TEST(call.client.Received().find("HTTP/1.1 ", 1) == std::string::npos,
+               "two answers for " << fields);
+  }
+  BOOST_TEST(fixture.service.grants.empty(), fixture.service.grants.size() << " ran");
+}
+
+BOOST_AUTO_TEST_CASE(a_request_whose_caller_closes_before_its_end_does_not_run)
+{
+  EntryFixture fixture;
+  const std::string head = "POST /services/orders/status HTTP/1.1\r\nHost: x\r\n"
+                           "Authorization: Bearer key-a\r\n";
+  std::size_t whole = 0;
+  for (const std::string rest :
+       { "Content-Length: 9\r\n", "Content-Length: 9\r\n\r\n{\"a\":1}",
+         "Transfer-Encoding: chunked\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\n2\r\n",
+         "Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n" }) {
+    Call call(fixture, head + rest);
+    call.client.Close();
+    BOOST_TEST(StatusOf(fixture, Call::Post("/services/orders/status", "{}")) == 200);
+    BOOST_TEST(fixture.service.grants.size() == ++whole, "ran: " << rest);
+    whole = fixture.service.grants.size();
+  }
+}
+
 BOOST_AUTO_TEST_CASE(incomplete_requests_time_out)
 {
   EntryFixture fixture(100);
