Log whose answer an attempt got, and count attempts by their end

A refusal that belongs to another request, a status that only callers take for a promise, and a true refusal looked the same in the logs: 'attempt_failed' had the status alone. It and 'answered' now tell what the answer states, whether it echoed the id, whether the connection was new or kept, and how many answers to others were skipped before it. The counter caraway_entry_attempts_total was declared and never counted; it is, by end, connection and echo (bounded). No functional change

--- a/src/gateway/flow.cpp
+++ b/src/gateway/flow.cpp
@@ -151,6 +151,7 @@
            { { "request", this->request.id },
              { "cause", std::string(aCause) },
              { "held_bytes", std::to_string(this->gateway.heldBytes) } });
+  const std::shared_ptr<EndpointExchange> cancelled = this->attempt.lock(); // for its trace
   this->gateway.pool.Cancel(this->attempt);
   this->OnEnd(ExchangeEnd::kMalformed);
 }
@@ -196,9 +197,26 @@
 void Gateway::Flow::OnEnd(ExchangeEnd aEnd)
 {
   this->isAttemptOpen = false;
+  this->trace = EndpointPool::TraceOf(this->attempt);
   this->FinishAttempt(this->EndOf(aEnd));
 }
 
+// The pool skips answers that carry the id of another request.
+bool Gateway::Flow::HasEchoedId() const
+{
+  return this->hasHead &&
+         FindField(this->head.fields, this->gateway.protocol.CorrelationField()) != nullptr;
+}
+
+// Log fields that tell whose answer it was and what it states.
+std::vector<EventField> Gateway::Flow::AnswerFields() const
+{
+  return { { "states", this->hasHead ? std::string(ToString(this->kind)) : "" },
+           { "echoed", this->HasEchoedId() ? "true" : "false" },
+           { "connection", std::string(ToString(this->trace.connection)) },
+           { "skipped", std::to_string(this->trace.skippedAnswers) } };
+}
+
 AttemptEnd Gateway::Flow::EndOf(ExchangeEnd aEnd) const
 {
   if (aEnd == ExchangeEnd::kUnsent) {
@@ -224,16 +242,21 @@
 {
   this->mayHaveRun = this->mayHaveRun || !HasNotRun(aEnd);
   const direct::EndpointInfo* endpoint = this->gateway.dispatcher.EndpointOf(this->number);
+  this->gateway.metrics.CountAttempt(aEnd, this->trace.connection, this->HasEchoedId());
   if (aEnd != AttemptEnd::kAnswered) {
-    LogEvent(LogLevel::kInfo, "attempt_failed",
-             { { "request", this->request.id },
-               { "fingerprint", std::to_string(this->spec.fingerprint) },
-               { "parts", HexList(this->spec.promptParts) },
-               { "endpoint", endpoint == nullptr ? "" : endpoint->id },
-               { "born_ms", std::to_string(endpoint == nullptr ? 0 : endpoint->bornMs) },
-               { "end", std::string(ToString(aEnd)) },
-               { "status", std::to_string(this->hasHead ? this->head.status : 0) },
-               { "delivered", std::to_string(this->lastDeliveredId.value_or(0)) } });
+    std::vector<EventField> fields = {
+      { "request", this->request.id },
+      { "fingerprint", std::to_string(this->spec.fingerprint) },
+      { "parts", HexList(this->spec.promptParts) },
+      { "endpoint", endpoint == nullptr ? "" : endpoint->id },
+      { "born_ms", std::to_string(endpoint == nullptr ? 0 : endpoint->bornMs) },
+      { "end", std::string(ToString(aEnd)) },
+      { "status", std::to_string(this->hasHead ? this->head.status : 0) },
+      { "delivered", std::to_string(this->lastDeliveredId.value_or(0)) },
+    };
+    const std::vector<EventField> answer = this->AnswerFields();
+    fields.insert(fields.end(), answer.begin(), answer.end());
+    LogEvent(LogLevel::kInfo, "attempt_failed", fields);
   }
   if (!HasNotRun(aEnd)) {
     // A rejection of the request itself (4xx) does not count against the version.
@@ -289,13 +312,17 @@
   const bool isSuccess = this->kind == ResponseKind::kSuccess;
   this->RecordFirstLatency();
   this->gateway.metrics.CountAnswer(isSuccess);
-  LogEvent(LogLevel::kInfo, "answered",
-           { { "request", this->request.id },
-             { "status", std::to_string(this->head.status) },
-             { "events", std::to_string(this->events.EventCount()) },
-             { "first_ms", std::to_string(this->firstLatency / std::chrono::milliseconds(1)) },
-             { "total_ms", std::to_string((this->gateway.Now() - this->ingress.readAt) /
-                                          std::chrono::milliseconds(1)) } });
+  std::vector<EventField> fields = {
+    { "request", this->request.id },
+    { "status", std::to_string(this->head.status) },
+    { "events", std::to_string(this->events.EventCount()) },
+    { "first_ms", std::to_string(this->firstLatency / std::chrono::milliseconds(1)) },
+    { "total_ms",
+      std::to_string((this->gateway.Now() - this->ingress.readAt) / std::chrono::milliseconds(1)) },
+  };
+  const std::vector<EventField> answer = this->AnswerFields();
+  fields.insert(fields.end(), answer.begin(), answer.end());
+  LogEvent(LogLevel::kInfo, "answered", fields);
   this->gateway.Remove(*this);
 }
 
--- a/src/gateway/flow.h
+++ b/src/gateway/flow.h
@@ -1,6 +1,7 @@
 // Processing state of one caller's request: its attempts at endpoints and its answer.
 #pragma once
 
+#include "core/event.h"
 #include "gateway/event_splitter.h"
 #include "gateway/gateway.h"
 
@@ -55,6 +56,8 @@
   direct::AttemptEnd EndOf(ExchangeEnd aEnd) const;
 
   void RecordRunEnd(bool aIsBad);
+  bool HasEchoedId() const;
+  std::vector<EventField> AnswerFields() const;
 
   std::weak_ptr<EndpointExchange> attempt;
   std::string attemptVersion; // of the endpoint's software
@@ -63,6 +66,7 @@
   ResponseHead head; // of the current attempt
   bool hasHead = false;
   ResponseKind kind = ResponseKind::kInvalid;
+  ExchangeTrace trace;       // of the last attempt that ended
   std::string body;          // of an answer that is buffered until it is complete
   std::size_t heldBytes = 0; // memory of the body and of the partial event
   EventSplitter events;
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -47,7 +47,7 @@
                                  "Callers that left before their answer")
                   .Add({}))
   , attempts(AddCounterFamily(this->registry, "caraway_entry_attempts_total",
-                              "Attempts at endpoints, by how they ended"))
+                              "Attempts at endpoints, by end, connection and echoed id"))
   , configVersion(
       AddGauge(this->registry, "caraway_entry_config_version", "Configuration in force"))
   , configAge(AddGauge(this->registry, "caraway_entry_config_age_seconds",
@@ -87,9 +87,14 @@
   this->cuts.Add({ { "cause", std::string(aCause) } }).Increment();
 }
 
-void GatewayMetrics::CountAttempt(direct::AttemptEnd aEnd)
+void GatewayMetrics::CountAttempt(direct::AttemptEnd aEnd, ConnectionUse aConnection,
+                                  bool aIsEchoed)
 {
-  this->attempts.Add({ { "end", std::string(ToString(aEnd)) } }).Increment();
+  this->attempts
+    .Add({ { "end", std::string(ToString(aEnd)) },
+           { "connection", std::string(ToString(aConnection)) },
+           { "echoed", aIsEchoed ? "true" : "false" } })
+    .Increment();
 }
 
 void GatewayMetrics::ObserveWait(Tier aRank, Duration aTime)
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "direct/call.h"
+#include "runtime/endpoint_pool.h"
 
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
@@ -28,7 +29,8 @@
   // A stream was aborted before it was complete.
   void CountCut(std::string_view aCause);
   void CountCallerGone() { this->callersGone.Increment(); }
-  void CountAttempt(direct::AttemptEnd aEnd);
+  // aIsEchoed: an answer with the id of the request was received.
+  void CountAttempt(direct::AttemptEnd aEnd, ConnectionUse aConnection, bool aIsEchoed);
   // Time from the request to an attempt.
   void ObserveWait(Tier aRank, Duration aTime);
   // Time from the request to the first event or the complete answer.
--- a/src/gateway/protocol_adapter.h
+++ b/src/gateway/protocol_adapter.h
@@ -52,6 +52,23 @@
   kInvalid,     // not a response of an endpoint, whatever its status
 };
 
+inline std::string_view ToString(ResponseKind aKind)
+{
+  switch (aKind) {
+    case ResponseKind::kSuccess:
+      return "success";
+    case ResponseKind::kFailure:
+      return "failure";
+    case ResponseKind::kNotRun:
+      return "not_run";
+    case ResponseKind::kMisdirected:
+      return "misdirected";
+    case ResponseKind::kInvalid:
+      return "invalid";
+  }
+  return "unknown";
+}
+
 class ProtocolAdapter
 {
 public:
--- a/src/runtime/endpoint_pool.cpp
+++ b/src/runtime/endpoint_pool.cpp
@@ -61,6 +61,19 @@
   return "invalid";
 }
 
+std::string_view ToString(ConnectionUse aUse)
+{
+  switch (aUse) {
+    case ConnectionUse::kNone:
+      return "none";
+    case ConnectionUse::kNew:
+      return "new";
+    case ConnectionUse::kKept:
+      return "kept";
+  }
+  return "invalid";
+}
+
 // A connection without an exchange. Received data belongs to no request, so it marks the
 // connection for closing.
 class EndpointPool::IdleConnection final : public TcpOwner
@@ -144,8 +157,15 @@
     this->socket->Close(true);
   }
 
+  ExchangeTrace Trace() const
+  {
+    const ConnectionUse first = this->hasConnected ? ConnectionUse::kNew : ConnectionUse::kNone;
+    return { this->isReused ? ConnectionUse::kKept : first, this->skippedAnswers };
+  }
+
   void OnConnected() override
   {
+    this->hasConnected = true;
     this->socket->Write(this->request.bytes);
     this->FreeRequest();
   }
@@ -276,6 +296,7 @@
   bool isHeadReported = false;
   unsigned skippedAnswers = 0;
   bool isReused = false;
+  bool hasConnected = false;
   std::vector<std::string> rejected; // correlation values of requests rejected on the connection
   TimePoint connectDeadline;
 };
@@ -308,6 +329,12 @@
   }
 }
 
+ExchangeTrace EndpointPool::TraceOf(const std::weak_ptr<EndpointExchange>& aExchange)
+{
+  const std::shared_ptr<EndpointExchange> exchange = aExchange.lock();
+  return exchange == nullptr ? ExchangeTrace{} : exchange->Trace();
+}
+
 void EndpointPool::CloseIdle(const Address& aAddress)
 {
   this->idle.erase(aAddress);
--- a/src/runtime/endpoint_pool.h
+++ b/src/runtime/endpoint_pool.h
@@ -45,6 +45,23 @@
 
 std::string_view ToString(ExchangeEnd aEnd);
 
+// The connection that an exchange used.
+enum class ConnectionUse : std::uint8_t
+{
+  kNone, // it was not established
+  kNew,
+  kKept, // it had carried earlier requests
+};
+
+std::string_view ToString(ConnectionUse aUse);
+
+// Evidence for logs of whose answer an exchange received.
+struct ExchangeTrace
+{
+  ConnectionUse connection = ConnectionUse::kNone;
+  unsigned skippedAnswers = 0; // interim answers and answers to other requests
+};
+
 // Receives the parts of an answer from the main loop; OnEnd is the last call.
 class ExchangeHandler
 {
@@ -70,6 +87,8 @@
   std::weak_ptr<EndpointExchange> Send(EndpointRequest aRequest, ExchangeHandler& aHandler);
   // Closes the connection of an exchange; its handler is no longer called.
   void Cancel(const std::weak_ptr<EndpointExchange>& aExchange);
+  // Can be called until the exchange has ended, from OnEnd too.
+  static ExchangeTrace TraceOf(const std::weak_ptr<EndpointExchange>& aExchange);
   // Closes all idle connections to an endpoint.
   void CloseIdle(const Address& aAddress);
   std::size_t IdleCount() const;
