Refuse folded lines in the head of a request

The parser library joins a field that goes on in the next line; another reader before this one may end the field there and read a length or a coding in the second line (RFC 9112, section 5.2, lets a server refuse it or replace it). RequestReader refuses it with 400 now. Answers are joined as before, as the same section asks of a gateway.

Decisions of src/core: No functional change.

--- a/src/runtime/http_reader.cpp
+++ b/src/runtime/http_reader.cpp
@@ -31,6 +31,16 @@
   return aError == http::error::body_limit ? ReadState::kBodyTooBig : ReadState::kMalformed;
 }
 
+// Whether the unread part of a head has a folded line. The parser replaces the fold by a space;
+// others may end the field before it (RFC 9112, section 5.2).
+bool HasFoldedLine(std::string_view aInput)
+{
+  const std::string_view head =
+    aInput.substr(0, aInput.starts_with("\r\n") ? 0 : aInput.find("\r\n\r\n"));
+  return head.find("\r\n ") != std::string_view::npos ||
+         head.find("\r\n\t") != std::string_view::npos;
+}
+
 // Feeds a parser from the front of aInput until it is done, needs more bytes or fails.
 // aMaxLineBytes: limit of an incomplete line, as the parser does not limit chunk extensions.
 template<class Parser>
@@ -169,6 +179,9 @@
 
 ReadState RequestReader::Read(std::string& aInput)
 {
+  if (!this->IsHeadDone() && HasFoldedLine(aInput)) {
+    return ReadState::kMalformed;
+  }
   return Feed(this->impl->collector, aInput, this->impl->maxHeadBytes);
 }
 
--- a/tests/runtime/http_reader_test.cpp
+++ b/tests/runtime/http_reader_test.cpp
@@ -134,6 +134,29 @@
   }
 }
 
+// A folded line is one field here and two lines for others, which may read a length in it.
+BOOST_AUTO_TEST_CASE(a_folded_line_in_a_request_is_rejected)
+{
+  for (const std::string fields :
+       { " Content-Length: 0\r\n", "X: y\r\n Content-Length: 0\r\n",
+         "X: y\r\n\tContent-Length: 0\r\n", "Content-Length:\r\n 0\r\n", "X: y\r\n \r\n",
+         "Transfer-Encoding:\r\n chunked\r\n", "X:\r\n\t\r\n" }) {
+    for (const bool isByteByByte : { false, true }) {
+      BOOST_TEST((ReadRequest(fields, kHidden, isByteByByte) == ReadState::kMalformed), fields);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_body_may_look_like_a_folded_line)
+{
+  for (const bool isByteByByte : { false, true }) {
+    RequestReader reader(kMaxHeadBytes, kMaxBodyBytes);
+    BOOST_TEST((ReadRequest(reader, "Content-Length: 8\r\n", "a\r\n b\r\n\t", isByteByByte) ==
+                ReadState::kDone));
+    BOOST_TEST(reader.Body() == "a\r\n b\r\n\t");
+  }
+}
+
 // A coding that is not decoded here would be dropped with its field, which changes the body.
 BOOST_AUTO_TEST_CASE(a_body_with_a_second_coding_is_rejected)
 {
