Refuse control characters in a chunk extension

The parser library accepts any byte in a quoted value of a chunk extension, so also a bare LF, which another reader takes for the end of the line, with other data after it. Requests get 400, answers are broken.

--- a/src/runtime/http_reader.cpp
+++ b/src/runtime/http_reader.cpp
@@ -7,6 +7,8 @@
 
 #include <strings.h>
 
+#include <algorithm>
+
 namespace caraway {
 
 namespace {
@@ -41,6 +43,13 @@
          head.find("\r\n\t") != std::string_view::npos;
 }
 
+bool HasControl(string_view aText)
+{
+  return std::any_of(aText.begin(), aText.end(), [](unsigned char aByte) {
+    return (aByte < ' ' && aByte != '\t') || aByte == 0x7F;
+  });
+}
+
 // Feeds a parser from the front of aInput until it is done, needs more bytes or fails.
 // aMaxLineBytes: limit of an incomplete line, as the parser does not limit chunk extensions.
 template<class Parser>
@@ -111,7 +120,14 @@
     this->body.append(aData.data(), aData.size());
     return aData.size();
   }
-  void on_chunk_header_impl(std::uint64_t, string_view, error_code&) override {}
+  // The parser accepts any byte in a quoted value, also a bare LF, which others take for the end of
+  // the line.
+  void on_chunk_header_impl(std::uint64_t, string_view aExtension, error_code& aError) override
+  {
+    if (HasControl(aExtension)) {
+      aError = http::error::bad_chunk_extension;
+    }
+  }
   std::size_t on_chunk_body_impl(std::uint64_t, string_view aData, error_code&) override
   {
     this->body.append(aData.data(), aData.size());
--- a/tests/runtime/http_reader_test.cpp
+++ b/tests/runtime/http_reader_test.cpp
@@ -157,6 +157,25 @@
   }
 }
 
+// A chunk whose line others may read differently.
+BOOST_AUTO_TEST_CASE(a_malformed_chunk_is_rejected)
+{
+  for (const std::string body :
+       { "0x1\r\nx\r\n0\r\n\r\n", "+1\r\nx\r\n0\r\n\r\n", "-1\r\nx\r\n0\r\n\r\n",
+         " 1\r\nx\r\n0\r\n\r\n", "1 \r\nx\r\n0\r\n\r\n", "\r\nx\r\n0\r\n\r\n",
+         "g\r\nx\r\n0\r\n\r\n", "1\nx\r\n0\r\n\r\n", "1\r\nxy\r\n0\r\n\r\n", "1\r\nx\n0\r\n\r\n",
+         "10000000000000000\r\nx\r\n0\r\n\r\n", "1;\r\nx\r\n0\r\n\r\n",
+         "1;a=\"\n\"\r\nx\r\n0\r\n\r\n", "1;a=\"\x01\"\r\nx\r\n0\r\n\r\n",
+         "1;a\n\r\nx\r\n0\r\n\r\n", "0;a=\"\n\"\r\n\r\n", "0\r\nContent-Length: 3\r\n\r\n",
+         "0\r\nTransfer-Encoding: chunked\r\n\r\n", "0\r\nX: y\nZ: z\r\n\r\n" }) {
+    for (const bool isByteByByte : { false, true }) {
+      BOOST_TEST((ReadRequest("Transfer-Encoding: chunked\r\n", body, isByteByByte) ==
+                  ReadState::kMalformed),
+                 body);
+    }
+  }
+}
+
 // A coding that is not decoded here would be dropped with its field, which changes the body.
 BOOST_AUTO_TEST_CASE(a_body_with_a_second_coding_is_rejected)
 {
