Take an answer with a status outside 100 to 599 for broken

A status below 100 was skipped like an interim answer where the body had a length, and ended the exchange as complete without a head where it had none. No caller got a success by it; a status over 599 reached callers as it was.

test_runtime -t http_reader/an_answer_with_an_invalid_status_is_rejected before: 4 failures; after: none.

--- a/src/runtime/http_reader.cpp
+++ b/src/runtime/http_reader.cpp
@@ -19,6 +19,8 @@
 
 constexpr std::uint32_t kMaxResponseHeadBytes = 64 * 1024; // bytes
 constexpr int kHttp11 = 11;                                // as the parser reports it
+constexpr int kFirstStatus = 100;
+constexpr int kLastStatus = 599;
 
 std::string ToStdString(string_view aView)
 {
@@ -151,8 +153,12 @@
 class ResponseCollector final : public Collector<false, ResponseHead>
 {
   void on_request_impl(http::verb, string_view, string_view, int, error_code&) override {}
-  void on_response_impl(int aStatus, string_view aReason, int aVersion, error_code&) override
+  void on_response_impl(int aStatus, string_view aReason, int aVersion, error_code& aError) override
   {
+    if (aStatus < kFirstStatus || aStatus > kLastStatus) {
+      aError = http::error::bad_status;
+      return;
+    }
     this->isHttp11 = aVersion == kHttp11;
     this->head.status = static_cast<std::uint16_t>(aStatus);
     this->head.reason = ToStdString(aReason);
--- a/tests/runtime/http_reader_test.cpp
+++ b/tests/runtime/http_reader_test.cpp
@@ -176,6 +176,15 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(an_answer_with_an_invalid_status_is_rejected)
+{
+  for (const std::string status : { "000", "099", "600", "999" }) {
+    ResponseReader reader(false, kMaxBodyBytes);
+    std::string input = "HTTP/1.1 " + status + " X\r\nContent-Length: 0\r\n\r\n";
+    BOOST_TEST((reader.Read(input) == ReadState::kMalformed), status);
+  }
+}
+
 // A coding that is not decoded here would be dropped with its field, which changes the body.
 BOOST_AUTO_TEST_CASE(a_body_with_a_second_coding_is_rejected)
 {
