--- a/src/runtime/caller_exchange.cpp
+++ b/src/runtime/caller_exchange.cpp
@@ -74,7 +74,14 @@
   this->head = this->ReadHead();
   SoupMessageHeaders* headers = soup_server_message_get_request_headers(this->message.get());
   const bool isHttp11 = soup_server_message_get_http_version(this->message.get()) == SOUP_HTTP_1_1;
-  if (!IsFramingUnambiguous(FieldsOf(headers), isHttp11)) {
+  const HeaderFields fields = FieldsOf(headers);
+  // libsoup skips fields and chunk lines that it can't read, so that only a stated length tells
+  // where the next request begins.
+  if (FindField(fields, "Content-Length") == nullptr) {
+    soup_message_headers_replace(soup_server_message_get_response_headers(this->message.get()),
+                                 "Connection", "close");
+  }
+  if (!IsFramingUnambiguous(fields, isHttp11)) {
     this->ScheduleRefusal(
       Rejection{ 400, "malformed", "the length of the request body is ambiguous" });
     return;
--- a/tests/runtime/caller_test.cpp
+++ b/tests/runtime/caller_test.cpp
@@ -230,6 +230,23 @@
          FormatUuid(MakeUuid7(clock.Read().wall, random)) + "\r\n";
 }
 
+// Sends a request with each of aForms after its first fields, and another one behind it.
+void CheckNoneRunsBehind(const std::vector<std::string>& aForms)
+{
+  EntryFixture fixture;
+  const std::string hidden = Call::Post("/services/orders/hidden", "{}");
+  for (const std::string& form : aForms) {
+    std::string request = "POST /services/orders/outer HTTP/1.1\r\nHost: x\r\n"
+                          "Authorization: Bearer key-a\r\n";
+    Call call(fixture, request.append(form).append(hidden));
+    const std::string& answer = call.CompleteResponse();
+    BOOST_TEST(answer.find("HTTP/1.1 ", 1) == std::string::npos, "two answers for " << form);
+  }
+  for (const Reserve& reserve : fixture.service.reserves) {
+    BOOST_TEST(reserve.route == "/outer");
+  }
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(callers)
@@ -368,6 +385,28 @@
   BOOST_TEST(fixture.service.grants.empty(), fixture.service.grants.size() << " ran");
 }
 
+// libsoup skips what it can't read, so the length that the caller stated is not known.
+BOOST_AUTO_TEST_CASE(a_request_behind_a_malformed_one_does_not_run)
+{
+  CheckNoneRunsBehind(
+    { "Content-Length : 9\r\n\r\n", "Content-Length\t: 9\r\n\r\n",
+      "X: y\r\n Content-Length: 9\r\n\r\n", "Transfer-Encoding : chunked\r\n\r\n",
+      "Transfer-Encoding: chunked\r\n\r\ng\r\n\r\n",
+      "Transfer-Encoding: chunked\r\n\r\n0x0\r\n\r\n",
+      "Transfer-Encoding: chunked\r\n\r\n-0\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\n\r\n\r\n",
+      "Transfer-Encoding: chunked\r\n\r\n0;a=\n\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\n0\n\n",
+      "Transfer-Encoding: chunked\r\n\r\n2\r\n{}x\r\n0\r\n\r\n",
+      "Transfer-Encoding: chunked\r\n\r\n10000000000000000\r\n\r\n",
+      std::string("Content-Length\0: 9\r\n\r\n", 22),
+      std::string("Transfer-Encoding\0: chunked\r\n\r\n", 32),
+      std::string("Content-Length: 0\0\r\n\r\n", 22) });
+}
+
+BOOST_AUTO_TEST_CASE(a_request_behind_a_bare_line_feed_does_not_run)
+{
+  CheckNoneRunsBehind({ "X: y\nContent-Length: 0\r\n\r\n", "Content-Length: 0\n\n" });
+}
+
 BOOST_AUTO_TEST_CASE(a_request_whose_caller_closes_before_its_end_does_not_run)
 {
   EntryFixture fixture;
