--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -221,6 +221,25 @@
        .has_value());
 }
 
+// Such a field would be dropped, and the endpoint would run another request than the caller's.
+BOOST_AUTO_TEST_CASE(connection_options_that_name_fields_of_the_request_are_rejected)
+{
+  const PlatformDialect dialect;
+  for (const char* options :
+       { "Model", "close, model", "keep-alive,\ttoken-counts", "Prompt-Prefix\t", "Request-Id",
+         "Host", "Content-Length", "x, Transfer-Encoding" }) {
+    BOOST_TEST(!dialect
+                  .ReadRequest(MakeHead({ { "Host", "h" },
+                                          { "Request-Id", "r1" },
+                                          { "Model", "m" },
+                                          { "Token-Counts", "1,2" },
+                                          { "Prompt-Prefix", "a:1" },
+                                          { "Connection", options } }))
+                  .has_value(),
+               options);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(reads_all_parts_of_a_prompt_but_the_last)
 {
   const PlatformDialect dialect;
