--- a/src/runtime/http_reader.cpp
+++ b/src/runtime/http_reader.cpp
@@ -7,6 +7,8 @@
 
 #include <strings.h>
 
+#include <algorithm>
+
 namespace caraway {
 
 namespace {
@@ -17,6 +19,8 @@
 
 constexpr std::uint32_t kMaxResponseHeadBytes = 64 * 1024; // bytes
 constexpr int kHttp11 = 11;                                // as the parser reports it
+constexpr int kFirstStatus = 100;
+constexpr int kLastStatus = 599;
 
 std::string ToStdString(string_view aView)
 {
@@ -31,6 +35,23 @@
   return aError == http::error::body_limit ? ReadState::kBodyTooBig : ReadState::kMalformed;
 }
 
+// Whether the unread part of a head has a folded line. The parser replaces the fold by a space;
+// others may end the field before it (RFC 9112, section 5.2).
+bool HasFoldedLine(std::string_view aInput)
+{
+  const std::string_view head =
+    aInput.substr(0, aInput.starts_with("\r\n") ? 0 : aInput.find("\r\n\r\n"));
+  return head.find("\r\n ") != std::string_view::npos ||
+         head.find("\r\n\t") != std::string_view::npos;
+}
+
+bool HasControl(string_view aText)
+{
+  return std::any_of(aText.begin(), aText.end(), [](unsigned char aByte) {
+    return (aByte < ' ' && aByte != '\t') || aByte == 0x7F;
+  });
+}
+
 // Feeds a parser from the front of aInput until it is done, needs more bytes or fails.
 // aMaxLineBytes: limit of an incomplete line, as the parser does not limit chunk extensions.
 template<class Parser>
@@ -101,7 +122,14 @@
     this->body.append(aData.data(), aData.size());
     return aData.size();
   }
-  void on_chunk_header_impl(std::uint64_t, string_view, error_code&) override {}
+  // The parser accepts any byte in a quoted value, also a bare LF, which others take for the end of
+  // the line.
+  void on_chunk_header_impl(std::uint64_t, string_view aExtension, error_code& aError) override
+  {
+    if (HasControl(aExtension)) {
+      aError = http::error::bad_chunk_extension;
+    }
+  }
   std::size_t on_chunk_body_impl(std::uint64_t, string_view aData, error_code&) override
   {
     this->body.append(aData.data(), aData.size());
@@ -125,8 +153,12 @@
 class ResponseCollector final : public Collector<false, ResponseHead>
 {
   void on_request_impl(http::verb, string_view, string_view, int, error_code&) override {}
-  void on_response_impl(int aStatus, string_view aReason, int aVersion, error_code&) override
+  void on_response_impl(int aStatus, string_view aReason, int aVersion, error_code& aError) override
   {
+    if (aStatus < kFirstStatus || aStatus > kLastStatus) {
+      aError = http::error::bad_status;
+      return;
+    }
     this->isHttp11 = aVersion == kHttp11;
     this->head.status = static_cast<std::uint16_t>(aStatus);
     this->head.reason = ToStdString(aReason);
@@ -169,6 +201,9 @@
 
 ReadState RequestReader::Read(std::string& aInput)
 {
+  if (!this->IsHeadDone() && HasFoldedLine(aInput)) {
+    return ReadState::kMalformed;
+  }
   return Feed(this->impl->collector, aInput, this->impl->maxHeadBytes);
 }
 
