--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "direct/call.h"
+#include "runtime/endpoint_pool.h"
 
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
@@ -28,12 +29,15 @@
   // A stream was aborted before it was complete.
   void CountCut(std::string_view aCause);
   void CountCallerGone() { this->callersGone.Increment(); }
-  void CountAttempt(direct::AttemptEnd aEnd);
+  // aIsEchoed: an answer with the id of the request was received.
+  void CountAttempt(direct::AttemptEnd aEnd, ConnectionUse aConnection, bool aIsEchoed);
   // Time from the request to an attempt.
   void ObserveWait(Tier aRank, Duration aTime);
   // Time from the request to the first event or the complete answer.
   void ObserveFirstLatency(Tier aRank, Duration aTime);
   void SetConfig(std::uint64_t aVersion, Duration aAge);
+  void CountStoreRestore() { this->storeRestores.Increment(); }
+  void SetStoreEra(std::uint64_t aEra);
   void SetEndpoints(std::size_t aCount, Duration aAge);
   void SetOpenRequests(std::size_t aCount);
   // Number of requests suspected of crashing endpoints.
@@ -54,6 +58,8 @@
   prometheus::Family<prometheus::Counter>& attempts;
   prometheus::Gauge& configVersion;
   prometheus::Gauge& configAge;
+  prometheus::Counter& storeRestores;
+  prometheus::Gauge& storeEra;
   prometheus::Gauge& endpoints;
   prometheus::Gauge& endpointsAge;
   prometheus::Gauge& openRequests;
