Cover the store's era and moves in the round trip of datagrams

Change: the test names the era, and a state of a move, which was empty before.

Measured: test_direct did not compile before; build/test_direct after: all tests passed.

No functional change: tests only.

--- a/tests/direct/retry_config_messages_test.cpp
+++ b/tests/direct/retry_config_messages_test.cpp
@@ -188,10 +188,11 @@
                           15,
                           16,
                           true,
+                          24,
                           21,
                           { AccountUsage{ 17, 18 } },
                           { AccountUsage{ 19, 20 } },
-                          {},
+                          { MoveState{ 25, MoveStage::kShift, 26, {}, 27, 28 } },
                           { EndpointIncarnation{ 22, 23 } } };
   const Datagram sent{ Peer{ NodeId{ 1 }, Incarnation{ 2 } },
                        { reserve, WithdrawSlot{ 5 }, OfferSlot{ 8 }, use, BeginAnswer{ 6 },
