Don't pass on a status that promises 'not run' for a run that failed

What callers saw: 503, 429 or 408 with the endpoint's proof for a request that must run at most once and had run. These statuses promise that it has not run and never will, so the caller sends it again. Cause: only the field that states 'not run' says so for an endpoint's answer; without it such a status is a failure of a run, which was passed on unchanged. The entry and the caller read the same status differently. Change: such an answer ends a request that may not repeat with 502, without the proof, as any lost run does. Repeatable requests get the endpoint's answer as before.

--- a/src/gateway/flow.cpp
+++ b/src/gateway/flow.cpp
@@ -274,7 +274,7 @@
       this->ForwardAnswer();
       break;
     case AttemptEnd::kFailed:
-      if (!this->isStreaming) {
+      if (this->MayForwardFailure()) {
         this->ForwardAnswer();
         break;
       }
@@ -288,6 +288,14 @@
   this->gateway.AfterInput();
 }
 
+// A status that promises "not run" must not reach the caller of a request that may have run, as the
+// caller repeats it.
+bool Gateway::Flow::MayForwardFailure() const
+{
+  return !this->isStreaming &&
+         (this->spec.MayRepeat() || !this->gateway.protocol.PromisesNotRun(this->head.status));
+}
+
 // Records the latency of the first part of the answer, once per request.
 void Gateway::Flow::RecordFirstLatency()
 {
--- a/src/gateway/flow.h
+++ b/src/gateway/flow.h
@@ -57,6 +57,7 @@
 
   void RecordRunEnd(bool aIsBad);
   bool HasEchoedId() const;
+  bool MayForwardFailure() const;
   std::vector<EventField> AnswerFields() const;
 
   std::weak_ptr<EndpointExchange> attempt;
--- a/src/gateway/protocol_adapter.h
+++ b/src/gateway/protocol_adapter.h
@@ -80,6 +80,8 @@
   // Name of the header field that an endpoint echoes from the request.
   virtual std::string CorrelationField() const = 0;
   virtual ResponseKind Classify(const ResponseHead& aHead) const = 0;
+  // Whether the status alone tells a caller that its request has not run and never will.
+  virtual bool PromisesNotRun(std::uint16_t aStatus) const = 0;
   virtual direct::EndpointNotice ParseNotice(const ResponseHead& aHead) const = 0;
   // Header fields of an endpoint's response that are forwarded to the caller.
   virtual HeaderFields ForwardedFields(const ResponseHead& aHead) const = 0;
--- a/tests/gateway/fixture.h
+++ b/tests/gateway/fixture.h
@@ -64,6 +64,10 @@
     }
     return aHead.status < 300 ? ResponseKind::kSuccess : ResponseKind::kFailure;
   }
+  bool PromisesNotRun(std::uint16_t aStatus) const override
+  {
+    return aStatus == 408 || aStatus == 421 || aStatus == 429 || aStatus == 503;
+  }
   direct::EndpointNotice ParseNotice(const ResponseHead& aHead) const override
   {
     const HeaderField* rest = FindField(aHead.fields, "Rest");
--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -273,6 +273,17 @@
   BOOST_TEST((dialect.Classify(MakeAnswer(421, {})) == ResponseKind::kMisdirected));
 }
 
+BOOST_AUTO_TEST_CASE(statuses_that_promise_not_run)
+{
+  const PlatformDialect dialect;
+  for (const std::uint16_t status : { 408, 421, 429, 503 }) {
+    BOOST_TEST(dialect.PromisesNotRun(status));
+  }
+  for (const std::uint16_t status : { 200, 400, 404, 500, 502, 504 }) {
+    BOOST_TEST(!dialect.PromisesNotRun(status));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(reads_endpoint_notices)
 {
   const PlatformDialect dialect;
