Believe a refusal only if it names the request

What callers saw: 503 or a second run for a request that must run at most once and ran, where an endpoint wrote another request's refusal on a new connection without an id, or with several. Cause: on a new connection an answer without the id was taken as the exchange's own, as only one request was sent there; that holds for a correct endpoint, not for one that writes strangers' refusals. With several ids only the first was read. Change: a refusal (not run, misdirected) of a request that may not repeat counts as a lost run unless it has the id of the request and no other; the caller gets 502. Repeatable requests are sent again as before. The case that believed a refusal without the id on a new connection is replaced: endpoints echo the id, so such a refusal proves nothing; a refusal with the id on a new connection is still believed (new case). The endpoint in gateway/not_run_is_answered_with_retry_after now echoes the id, as the protocol says; what is checked stays.

--- a/src/gateway/flow.cpp
+++ b/src/gateway/flow.cpp
@@ -201,11 +201,20 @@
   this->FinishAttempt(this->EndOf(aEnd));
 }
 
-// The pool skips answers that carry the id of another request.
+// Whether the answer names this request and no other.
 bool Gateway::Flow::HasEchoedId() const
 {
-  return this->hasHead &&
-         FindField(this->head.fields, this->gateway.protocol.CorrelationField()) != nullptr;
+  const std::string field = this->gateway.protocol.CorrelationField();
+  std::size_t count = 0;
+  for (const HeaderField& one : this->head.fields) {
+    if (FieldNamesEqual(one.name, field)) {
+      if (one.value != this->request.id) {
+        return false;
+      }
+      count++;
+    }
+  }
+  return this->hasHead && count > 0;
 }
 
 // Log fields that tell whose answer it was and what it states.
@@ -222,6 +231,12 @@
   if (aEnd == ExchangeEnd::kUnsent) {
     return AttemptEnd::kUnsent;
   }
+  const bool isRefusal =
+    this->kind == ResponseKind::kNotRun || this->kind == ResponseKind::kMisdirected;
+  // Without the id it may be another request's refusal, also on a new connection.
+  if (this->hasHead && isRefusal && !this->spec.MayRepeat() && !this->HasEchoedId()) {
+    return AttemptEnd::kBroken;
+  }
   // A head that reports "not run" is sufficient, even if the connection broke after it.
   if (this->hasHead && this->kind == ResponseKind::kNotRun) {
     return AttemptEnd::kRefused;
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -162,8 +162,9 @@
 BOOST_AUTO_TEST_CASE(not_run_is_answered_with_retry_after)
 {
   this->Configure();
-  this->AddEndpoint([](Connection& aTo, const RequestHead&) {
-    aTo.Write("HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n");
+  this->AddEndpoint([](Connection& aTo, const RequestHead& aHead) {
+    aTo.Write("HTTP/1.1 503 Full\r\nId: " + FindField(aHead.fields, "Id")->value +
+              "\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n");
   });
   std::string answer;
   RawTcpClient client(this->gateway->Port());
--- a/tests/gateway/repeated_refusal_test.cpp
+++ b/tests/gateway/repeated_refusal_test.cpp
@@ -73,16 +73,44 @@
   BOOST_TEST(answer.find("HTTP/1.1 200 ") == 0U, answer);
 }
 
-// An answer on a new connection can only be to the one request that was sent on it.
-BOOST_AUTO_TEST_CASE(a_refusal_without_an_id_on_a_new_connection_is_believed)
+// A refusal that does not name its request, and no other, may be another request's.
+BOOST_AUTO_TEST_CASE(a_refusal_without_the_id_on_a_new_connection_promises_nothing)
+{
+  for (const std::string refused : { "", "only\r\nId: other" }) {
+    this->runs.clear();
+    this->endpointInfos.clear();
+    this->AddEndpoint([&](Connection& aTo, const RequestHead& aHead) {
+      this->runs.push_back("only");
+      aTo.Write(Refusal(refused) + CompleteResponse(aHead, "ran"));
+    });
+    const std::string answer = this->Send("only");
+    BOOST_TEST(answer.find("HTTP/1.1 502 ") == 0U, answer);
+    BOOST_TEST(this->runs.size() == 1U);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_refusal_with_the_id_on_a_new_connection_is_believed)
 {
   int count = 0;
   this->AddEndpoint([&](Connection& aTo, const RequestHead& aHead) {
-    aTo.Write(count++ == 0 ? Refusal("") : CompleteResponse(aHead, "ran"));
+    aTo.Write(count++ == 0 ? Refusal("only") : CompleteResponse(aHead, "ran"));
   });
   BOOST_TEST(this->Send("only").find("HTTP/1.1 200 ") == 0U);
 }
 
+// Running a repeatable request again breaks no promise, whoever was refused.
+BOOST_AUTO_TEST_CASE(a_repeatable_request_is_sent_again_after_a_refusal_without_the_id)
+{
+  int count = 0;
+  this->AddEndpoint([&](Connection& aTo, const RequestHead& aHead) {
+    aTo.Write(count++ == 0 ? Refusal("") : CompleteResponse(aHead, "ran"));
+  });
+  this->clock.Advance(seconds(15));
+  this->gateway->ConfirmConfig(1, this->clock.Read().steady);
+  const std::string answer = this->SendAndWait(Request("/safe/x", "only"), "\r\n\r\n");
+  BOOST_TEST(answer.find("HTTP/1.1 200 ") == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace caraway::gateway
