--- a/src/gateway/gateway_peers.cpp
+++ b/src/gateway/gateway_peers.cpp
@@ -235,6 +235,7 @@
 void Gateway::SaveQuotaUsage()
 {
   this->saveTimer.ArmAfter(this->settings.savePeriod);
+  this->SaveLostSuspicions();
   const caraway::Now now = this->clock.Read();
   if (this->quotaStore == nullptr || !this->IsStoreReader() || !this->quota.NeedsSave(now.steady)) {
     return;
@@ -251,6 +252,16 @@
   }
 }
 
+// What entries wrote to the store may be lost.
+void Gateway::RewriteLostState()
+{
+  const TimePoint now = this->Now();
+  this->moves.OnLogRestored(now);
+  this->quota.OnSavesLost(now);
+  this->hasSavedUsage = true; // the copy may hold usage that has ended since
+  this->areSuspicionsLost = true;
+}
+
 void Gateway::SetMoveOrder(const direct::MoveOrder& aOrder, bool aIsFresh)
 {
   if (!this->moves.SetOrder(this->Now(), aOrder, aIsFresh)) {
--- a/src/runtime/endpoint_client.cpp
+++ b/src/runtime/endpoint_client.cpp
@@ -3,8 +3,10 @@
 #include "core/uuid.h"
 #include "runtime/sse_reader.h"
 
+#include <glib.h>
 #include <nlohmann/json.hpp>
 
+#include <memory>
 #include <string_view>
 #include <utility>
 
@@ -33,6 +35,14 @@
   return body.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
+// Percent-encodes a decoded path, so that the endpoint decodes the same path and no query.
+std::string EncodePath(const std::string& aPath)
+{
+  const std::unique_ptr<char, decltype(&g_free)> encoded(
+    g_uri_escape_string(aPath.c_str(), "/:@!$&'()*+,;=", FALSE), &g_free);
+  return encoded.get();
+}
+
 // Completion text from the events of one read.
 struct StreamedText
 {
@@ -60,8 +70,9 @@
   void OnData(std::string_view aData)
   {
     if (this->result.status >= kFirstErrorStatus) {
-      this->result.body.append(aData.substr(
-        0, kMaxErrorBodyBytes - std::min(kMaxErrorBodyBytes, this->result.body.size())));
+      const std::size_t room = kMaxErrorBodyBytes - this->result.body.size();
+      this->isBodyCut |= aData.size() > room;
+      this->result.body.append(aData.substr(0, room));
       return;
     }
     if (this->kind == WorkKind::kCompletion) {
@@ -83,14 +94,20 @@
     if (!aEnd.sent) {
       return WorkEnd::kUnsent;
     }
-    if (this->hasFailed || aEnd.status >= kFirstErrorStatus) {
+    if (this->hasFailed) {
       return WorkEnd::kError;
     }
     if (this->hasDoneMarker) {
       return WorkEnd::kComplete;
     }
-    const bool isComplete = !aEnd.error && this->kind != WorkKind::kCompletion;
-    return isComplete ? WorkEnd::kComplete : WorkEnd::kBroken;
+    if (aEnd.error) {
+      return WorkEnd::kBroken;
+    }
+    if (aEnd.status >= kFirstErrorStatus) {
+      const bool isPassedOn = aEnd.status < kFirstServerError;
+      return isPassedOn && this->isBodyCut ? WorkEnd::kBroken : WorkEnd::kError;
+    }
+    return this->kind == WorkKind::kCompletion ? WorkEnd::kBroken : WorkEnd::kComplete;
   }
 
   // Delivers the text of all events completed by this read as one chunk.
@@ -142,6 +159,7 @@
   WorkResult result;
   SseReader reader;
   bool hasDoneMarker = false;
+  bool isBodyCut = false; // the body of an error exceeds its limit
   bool hasFailed = false; // the stream contained an error or is malformed
 };
 
@@ -161,14 +179,14 @@
   HttpRequest request;
   request.method = "POST";
   request.address = this->address;
-  request.path = aRoute;
+  request.path = EncodePath(aRoute);
   request.headers = { { "Caraway-Request-Id", FormatUuid(aId) } };
   request.body = aKind == WorkKind::kCompletion ? WithStreaming(aBody) : aBody;
   const auto activeRequest = std::make_shared<ActiveRequest>(aId, aKind, *this);
   this->activeRequests[aId] = activeRequest;
   HttpHandlers handlers;
-  handlers.head = [activeRequest](std::uint16_t aStatus, SoupMessageHeaders*) {
-    activeRequest->OnHead(aStatus);
+  handlers.head = [activeRequest](const ResponseHead& aHead) {
+    activeRequest->OnHead(aHead.status);
   };
   handlers.data = [activeRequest](std::string_view aData) { activeRequest->OnData(aData); };
   handlers.end = [activeRequest](const HttpEnd& aEnd) { activeRequest->OnEnd(aEnd); };
