--- a/tests/direct/retry_config_messages_test.cpp
+++ b/tests/direct/retry_config_messages_test.cpp
@@ -188,6 +188,7 @@
                           15,
                           16,
                           true,
+                          24,
                           21,
                           { AccountUsage{ 17, 18 } },
                           { AccountUsage{ 19, 20 } },
