--- a/tests/runtime/http_reader_test.cpp
+++ b/tests/runtime/http_reader_test.cpp
@@ -134,6 +134,57 @@
   }
 }
 
+// A folded line is one field here and two lines for others, which may read a length in it.
+BOOST_AUTO_TEST_CASE(a_folded_line_in_a_request_is_rejected)
+{
+  for (const std::string fields :
+       { " Content-Length: 0\r\n", "X: y\r\n Content-Length: 0\r\n",
+         "X: y\r\n\tContent-Length: 0\r\n", "Content-Length:\r\n 0\r\n", "X: y\r\n \r\n",
+         "Transfer-Encoding:\r\n chunked\r\n", "X:\r\n\t\r\n" }) {
+    for (const bool isByteByByte : { false, true }) {
+      BOOST_TEST((ReadRequest(fields, kHidden, isByteByByte) == ReadState::kMalformed), fields);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_body_may_look_like_a_folded_line)
+{
+  for (const bool isByteByByte : { false, true }) {
+    RequestReader reader(kMaxHeadBytes, kMaxBodyBytes);
+    BOOST_TEST((ReadRequest(reader, "Content-Length: 8\r\n", "a\r\n b\r\n\t", isByteByByte) ==
+                ReadState::kDone));
+    BOOST_TEST(reader.Body() == "a\r\n b\r\n\t");
+  }
+}
+
+// A chunk whose line others may read differently.
+BOOST_AUTO_TEST_CASE(a_malformed_chunk_is_rejected)
+{
+  for (const std::string body :
+       { "0x1\r\nx\r\n0\r\n\r\n", "+1\r\nx\r\n0\r\n\r\n", "-1\r\nx\r\n0\r\n\r\n",
+         " 1\r\nx\r\n0\r\n\r\n", "1 \r\nx\r\n0\r\n\r\n", "\r\nx\r\n0\r\n\r\n",
+         "g\r\nx\r\n0\r\n\r\n", "1\nx\r\n0\r\n\r\n", "1\r\nxy\r\n0\r\n\r\n", "1\r\nx\n0\r\n\r\n",
+         "10000000000000000\r\nx\r\n0\r\n\r\n", "1;\r\nx\r\n0\r\n\r\n",
+         "1;a=\"\n\"\r\nx\r\n0\r\n\r\n", "1;a=\"\x01\"\r\nx\r\n0\r\n\r\n",
+         "1;a\n\r\nx\r\n0\r\n\r\n", "0;a=\"\n\"\r\n\r\n", "0\r\nContent-Length: 3\r\n\r\n",
+         "0\r\nTransfer-Encoding: chunked\r\n\r\n", "0\r\nX: y\nZ: z\r\n\r\n" }) {
+    for (const bool isByteByByte : { false, true }) {
+      BOOST_TEST((ReadRequest("Transfer-Encoding: chunked\r\n", body, isByteByByte) ==
+                  ReadState::kMalformed),
+                 body);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_with_an_invalid_status_is_rejected)
+{
+  for (const std::string status : { "000", "099", "600", "999" }) {
+    ResponseReader reader(false, kMaxBodyBytes);
+    std::string input = "HTTP/1.1 " + status + " X\r\nContent-Length: 0\r\n\r\n";
+    BOOST_TEST((reader.Read(input) == ReadState::kMalformed), status);
+  }
+}
+
 // A coding that is not decoded here would be dropped with its field, which changes the body.
 BOOST_AUTO_TEST_CASE(a_body_with_a_second_coding_is_rejected)
 {
