--- a/tests/system/soak_processes.sh
+++ b/tests/system/soak_processes.sh
@@ -15,5 +15,6 @@
   --kinds terminate_repeatedly & alone+=($!)
 scripts/soak-processes --seed 60023 --runs 1 --seconds 12 --jobs 1 --generation 5 \
   --kinds restore_store,change_config,withdraw_key,leave & alone+=($!)
+scripts/soak-processes --seed 60520 --runs 1 --seconds 10 --jobs 1 --generation 5 --kinds odd_answers & alone+=($!)
 for run in "${alone[@]}"; do wait "$run"; done
 scripts/soak-processes --regressions --jobs 3
