--- a/tests/runtime/caller_test.cpp
+++ b/tests/runtime/caller_test.cpp
@@ -398,7 +398,7 @@
       "Transfer-Encoding: chunked\r\n\r\n2\r\n{}x\r\n0\r\n\r\n",
       "Transfer-Encoding: chunked\r\n\r\n10000000000000000\r\n\r\n",
       std::string("Content-Length\0: 9\r\n\r\n", 22),
-      std::string("Transfer-Encoding\0: chunked\r\n\r\n", 32),
+      std::string("Transfer-Encoding\0: chunked\r\n\r\n", 31),
       std::string("Content-Length: 0\0\r\n\r\n", 22) });
 }
 
