Find the files of two tests by the source folder, not by __FILE__

Cause: under a compiler cache with relative paths (ccache, CCACHE_BASEDIR), __FILE__ is relative to the build folder, and scripts/run-test starts in the root: callers/callers_may_use_tls and settings/reference_page_matches_the_code failed there and passed in build/.

The checks are the same.

No functional change

--- a/tests/runtime/caller_test.cpp
+++ b/tests/runtime/caller_test.cpp
@@ -600,7 +600,7 @@
 
 BOOST_AUTO_TEST_CASE(callers_may_use_tls)
 {
-  const auto folder = std::filesystem::path(__FILE__).parent_path();
+  const std::filesystem::path folder = CARAWAY_SOURCE_DIR "/tests/runtime";
   EntryFixture fixture(10000, TlsFiles{ folder / "test_certificate.pem", folder / "test_key.pem" });
   HttpsCall call(fixture.callers->Port(), Call::Post("/v1/chat/completions", kStreamBody));
   BOOST_REQUIRE(RunUntil([&] { return call.hasEnded; }));
--- a/tests/runtime/settings_test.cpp
+++ b/tests/runtime/settings_test.cpp
@@ -4,7 +4,6 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
-#include <filesystem>
 #include <fstream>
 #include <iterator>
 #include <vector>
@@ -137,8 +136,7 @@
 
 BOOST_AUTO_TEST_CASE(reference_page_matches_the_code)
 {
-  const auto folder = std::filesystem::path(__FILE__).parent_path();
-  std::ifstream file(folder / "../../docs/SETTINGS.md");
+  std::ifstream file(CARAWAY_SOURCE_DIR "/docs/SETTINGS.md");
   const std::string page(std::istreambuf_iterator<char>(file), {});
   BOOST_TEST(page == SettingsReference());
 }
