Forget withheld endpoints that the restored list drops

Cause: EndpointFeed looked for the endpoint of a removal only among those in use. A withheld registration was never dropped, so 10 s after a restore an endpoint that had left came into use, although the store listed it no more.

What callers would see: requests sent to endpoints that have stopped (DRAIN).

No functional change in src/core

--- a/src/direct/endpoint_table.h
+++ b/src/direct/endpoint_table.h
@@ -44,6 +44,7 @@
   // Adds or replaces an endpoint. Returns false if the registration is older than the known one, or
   // is withheld after OnRestored.
   bool Put(const EndpointInfo& aInfo);
+  // Also forgets a withheld registration. Returns false if the endpoint is not listed.
   bool Remove(const std::string& aId);
   // The list was restored from an older copy. Until ReleaseWithheld, a registration of an endpoint
   // that had left is withheld unless it is newer than the last one known.
@@ -52,7 +53,7 @@
   bool ReleaseWithheld();
 
   const std::map<std::string, EndpointInfo>& All() const { return this->endpoints; }
-  std::size_t WithheldCount() const { return this->withheld.size(); }
+  const std::map<std::string, EndpointInfo>& Withheld() const { return this->withheld; }
 
 private:
   void Insert(const EndpointInfo& aInfo);
--- a/tests/direct/endpoint_restore_test.cpp
+++ b/tests/direct/endpoint_restore_test.cpp
@@ -75,7 +75,7 @@
   table.Remove("a");
   table.OnRestored();
   table.Put(Registration(5));
-  BOOST_TEST(table.WithheldCount() == 1U);
+  BOOST_TEST(table.Withheld().size() == 1U);
   BOOST_TEST(table.ReleaseWithheld());
   BOOST_TEST(table.All().contains("a"));
 }
--- a/tests/platform/endpoint_feed_test.cpp
+++ b/tests/platform/endpoint_feed_test.cpp
@@ -75,6 +75,22 @@
   BOOST_TEST(this->IsListed("a"));
 }
 
+// "a" is dropped by a record, "bb" by a snapshot; "ccc" stays in the restored list.
+BOOST_AUTO_TEST_CASE(an_endpoint_that_left_is_not_used_after_the_restored_list_drops_it)
+{
+  const std::vector<KeyedRecord> copy = { this->Registration("a", 5), this->Registration("bb", 5),
+                                          this->Registration("ccc", 5) };
+  this->Load(copy);
+  this->Load({});
+  this->feed.OnRestored();
+  this->Load(copy);
+  this->feed.OnRecord({ ++this->lastOffset, "a", std::nullopt });
+  this->Load({ this->Registration("ccc", 5) });
+  BOOST_TEST(AdvanceUntil(this->clock, [&] { return this->IsListed("ccc"); }));
+  BOOST_TEST(!this->IsListed("a"));
+  BOOST_TEST(!this->IsListed("bb"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace caraway::platform
