--- a/tests/platform/endpoint_feed_test.cpp
+++ b/tests/platform/endpoint_feed_test.cpp
@@ -91,6 +91,20 @@
   BOOST_TEST(!this->IsListed("bb"));
 }
 
+BOOST_AUTO_TEST_CASE(an_older_registration_does_not_cancel_a_removal)
+{
+  this->Load({ this->Registration("a", 9), this->Registration("bb", 9) });
+  this->feed.OnRestored();
+  this->Load({ this->Registration("bb", 9) }); // "a" is kept for the grace
+  this->feed.OnRestored();
+  this->Load({ this->Registration("a", 7), this->Registration("bb", 9) });
+  const TimePoint end = this->clock.Read().steady + seconds(4);
+  AdvanceUntil(this->clock,
+               [&] { return !this->IsListed("a") || this->clock.Read().steady >= end; });
+  BOOST_TEST(!this->IsListed("a"));
+  BOOST_TEST(this->IsListed("bb"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace caraway::platform
