Serve nothing by a configuration that another entry has replaced, after a start

Cause: an entry that starts between the restore of the store and the rewriting takes the copy's configuration and confirms it before it hears of the others. It was ready and ran requests by it for seconds, also after another entry had told it of a newer version: only definite denials looked at that.

What callers would see: requests run by a dropped route or with a withdrawn key (CONFIG).

No functional change in src/core

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -213,7 +213,8 @@
 
 bool Gateway::IsReady() const
 {
-  return !this->isLeaving && this->config != nullptr && !this->endpoints.empty() &&
+  return !this->isLeaving && this->config != nullptr && !this->IsConfigSuperseded() &&
+         !this->endpoints.empty() &&
          this->freshness.Age(this->Now()) < this->settings.maxReadyConfigAge;
 }
 
@@ -265,6 +266,10 @@
     this->Refuse(aFlow, 503, "no_config", this->settings.retryWhenNotReady);
     return false;
   }
+  if (this->IsConfigSuperseded()) {
+    this->Refuse(aFlow, 503, "older_config", this->settings.retryWhenNotReady);
+    return false;
+  }
   aFlow.config = this->config;
   return true;
 }
@@ -276,6 +281,12 @@
   });
 }
 
+// After a restore or a start, the store may have shown a configuration that was replaced long ago.
+bool Gateway::IsConfigSuperseded() const
+{
+  return this->Now() < this->denialsHeldUntil && this->IsConfigOutdated();
+}
+
 bool Gateway::MayDeny() const
 {
   return this->ConfigAge() < this->settings.maxDenialConfigAge &&
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -200,6 +200,8 @@
   bool MayDeny() const;
   // True if another entry has a newer configuration.
   bool IsConfigOutdated() const;
+  // True if nothing may be served by the active configuration.
+  bool IsConfigSuperseded() const;
   void Refuse(Flow& aFlow, std::uint16_t aStatus, std::string_view aCause, Duration aRetryAfter);
   void Remove(Flow& aFlow);
   void ReturnQuota(Flow& aFlow);
--- a/tests/platform/restored_config_test.cpp
+++ b/tests/platform/restored_config_test.cpp
@@ -159,6 +159,23 @@
   BOOST_TEST(this->gateway->IsReady());
 }
 
+BOOST_AUTO_TEST_CASE(an_entry_that_starts_serves_nothing_by_an_older_configuration_than_another_has)
+{
+  this->WriteConfig(4);
+  this->feed.Start();
+  this->Steps(2);
+  BOOST_TEST(this->StatusOf(4) == 200);
+  direct::EntryState state;
+  state.configVersion = 11;
+  this->Tell(state);
+  BOOST_TEST(this->StatusOf(4) == 503);
+  BOOST_TEST(!this->gateway->IsReady());
+  this->WriteConfig(11);
+  this->Steps(2);
+  BOOST_TEST(this->StatusOf(11) == 200);
+  BOOST_TEST(this->gateway->IsReady());
+}
+
 BOOST_AUTO_TEST_CASE(nothing_is_denied_for_good_until_a_restored_store_was_written_again)
 {
   this->WriteConfig(4);
