--- a/src/direct/endpoint_table.h
+++ b/src/direct/endpoint_table.h
@@ -4,6 +4,7 @@
 
 #include "core/types.h"
 
+#include <chrono>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -19,15 +20,29 @@
   std::string host; // IP address
   std::uint16_t port = 0;
   std::string failureDomain;
+  std::string region;  // of the failure domain; empty if unknown
   std::string version; // of its software
   std::uint32_t slots = 1;
   bool isLeaving = false;
   std::int64_t bornMs = 0;    // start of the process, Unix time; 0: unknown
   std::uint64_t sequence = 0; // of the registration; increases with each change by one process
+  // How much longer the endpoint stays cold, as of the registration.
+  std::chrono::milliseconds coldRemaining{};
 
   friend bool operator==(const EndpointInfo&, const EndpointInfo&) = default;
 };
 
+// Load of an endpoint as announced in a response.
+struct EndpointLoad
+{
+  std::uint32_t running = 0; // requests
+  std::uint32_t waiting = 0;
+  std::uint32_t slots = 0;
+  double slowness = 1; // how long work takes on its VM right now; 1: as usual
+
+  friend bool operator==(const EndpointLoad&, const EndpointLoad&) = default;
+};
+
 // State of an endpoint as announced in a response to any request.
 struct EndpointNotice
 {
@@ -36,6 +51,8 @@
   // Requests per second that it accepts from all processes together; nullopt: no limit.
   std::optional<double> maxRate;
   bool isRateKnown = true; // false if the answer does not show whether there is a limit
+  std::optional<EndpointLoad> load;
+  std::optional<std::chrono::milliseconds> coldRemaining; // nullopt: the response does not tell
 };
 
 class EndpointTable
--- a/src/direct/service_config.h
+++ b/src/direct/service_config.h
@@ -34,12 +34,19 @@
   Tier tier = kLowestTier;
   std::uint32_t maxRuns = 1;
   std::vector<ServiceWeight> services; // one or more
+  std::vector<std::string> regions;    // in which requests may run; empty: any
+  Duration maxEventGap{};              // longest pause of a stream that is still on time; zero: any
 };
 
 struct ServiceSpec
 {
   std::string name;
-  std::uint32_t engineSlots = 0; // concurrent requests per engine; 0: a plain service
+  std::uint32_t engineSlots = 0;  // concurrent requests per engine; 0: a plain service
+  std::uint64_t engineTokens = 0; // memory of an engine; 0: unknown
+  // A process is cold for coldTime after its start, and accepts coldRate requests per second then;
+  // zero: no limit.
+  Duration coldTime{};
+  double coldRate = 0;
 };
 
 struct AccountSpec
@@ -50,6 +57,7 @@
   bool countsTokens = false; // quota in tokens instead of requests
   double defaultTokens = 1;  // for a request without token counts
   QuotaLimit quota;
+  std::vector<std::string> regions; // in which requests may run; empty: any
 };
 
 struct CallerLimits
--- a/src/gateway/protocol_adapter.h
+++ b/src/gateway/protocol_adapter.h
@@ -95,6 +95,11 @@
 {
   std::int64_t bornMs = 0; // start of the endpoint's process, Unix time; 0 if unknown
   bool isLeaving = false;
+  // nullopt: the report does not tell.
+  std::optional<std::uint64_t> queued; // requests
+  std::optional<std::uint64_t> running;
+  std::optional<std::uint64_t> usedTokens; // memory that can't be reclaimed
+  std::optional<std::uint64_t> totalTokens;
 };
 
 class ReportReader
