Evacuate failure domains by the operator's order, and keep requests in their allowed regions

Change: OperatorFeed, now in a file of its own, reads the orders with the configuration. direct::Evacuations keeps the latest record of each domain by era and offset, from the store and from other entries, whose states carry it. Dispatcher::MayUse leaves out endpoints of evacuated domains and of regions outside those of route and account; queued calls move off them at once, and a call that is shut out of all listed endpoints is refused at once. A call whose reservations were all withdrawn before its first timer had no timer left and was never given up: it is scheduled again.

--- a/src/direct/call.h
+++ b/src/direct/call.h
@@ -4,6 +4,7 @@
 
 #include "core/messages.h"
 #include "core/types.h"
+#include "direct/regions.h"
 
 #include <string>
 #include <vector>
@@ -34,6 +35,7 @@
   // Endpoint version constraints during a version move (see VersionMove); empty: no constraint.
   std::string requiredVersion;
   std::string excludedVersion;
+  AllowedRegions regions;      // in which it may run
   bool isCanary = false;       // falls back to other versions if requiredVersion has no free slot
   std::uint32_t maxRuns = 1;   // maximum number of endpoints that may run it
   Duration objective{};        // time to the first event, or to the response
--- a/src/direct/dispatcher.cpp
+++ b/src/direct/dispatcher.cpp
@@ -40,8 +40,7 @@
 void Dispatcher::SetEndpoints(TimePoint aNow, const std::map<std::string, EndpointInfo>& aAll,
                               const std::function<bool(const std::string&)>& aHasAgents)
 {
-  const std::set<std::string> subset = ChooseEndpointSubset(
-    this->options.subset, static_cast<std::uint64_t>(this->self.node), this->failureDomain, aAll);
+  const std::set<std::string> subset = this->ChooseSubset(aAll);
   this->DetectReplacedEndpoints(aNow, aAll);
   for (auto& [id, target] : this->targets) {
     target.isListed = aAll.contains(id);
@@ -287,7 +286,7 @@
 bool Dispatcher::MayRetry(TimePoint aNow, const Call& aCall, AttemptEnd aEnd) const
 {
   if (aEnd == AttemptEnd::kAnswered || aNow >= aCall.spec.deadline ||
-      aCall.attempts >= kMaxAttempts) {
+      aCall.attempts >= kMaxAttempts || this->IsShutOut(aCall.spec)) {
     return false;
   }
   const Verdict verdict = this->crashes.Judge(aNow, aCall.spec.fingerprint, aCall.spec.promptParts);
--- a/src/direct/dispatcher.h
+++ b/src/direct/dispatcher.h
@@ -103,6 +103,8 @@
   void SetEntryCount(std::uint32_t aCount);
   // Sets the versions of services that get no more calls; queued calls are moved off them.
   void SetBannedVersions(TimePoint aNow, const std::map<std::string, std::string>& aByService);
+  // Sets the failure domains whose endpoints get no more calls; queued calls are moved off them.
+  void SetEvacuatedDomains(TimePoint aNow, const std::set<std::string>& aDomains);
   // Returns how many of this entry's calls run at the service's endpoints of versions other than
   // aVersion.
   std::uint32_t RunningElsewhere(const std::string& aService, const std::string& aVersion) const;
@@ -308,6 +310,9 @@
   void LimitToEnd(Call& aCall) const;
   void CancelCanary(Call& aCall);
   bool MayUse(TimePoint aNow, const Target& aTarget, const CallSpec& aSpec) const;
+  std::set<std::string> ChooseSubset(const std::map<std::string, EndpointInfo>& aAll) const;
+  bool IsPlaceAllowed(const EndpointInfo& aInfo, const CallSpec& aSpec) const;
+  bool IsShutOut(const CallSpec& aSpec) const;
   void DropUnusableCalls(TimePoint aNow);
   void DetectReplacedEndpoints(TimePoint aNow, const std::map<std::string, EndpointInfo>& aAll);
   Target* FindByHost(const std::string& aHost);
@@ -331,6 +336,7 @@
   TimePoint endsAt = kNever; // end of the process
   std::uint32_t holdRound = 0;
   std::map<std::string, std::string> bannedVersions; // by service
+  std::set<std::string> evacuatedDomains;
   LeavingTable leaving;
   CrashWatch crashes;
   std::map<std::string, Duration, std::less<>> runTimes; // moving average of run times by service
--- a/src/direct/dispatcher_place.cpp
+++ b/src/direct/dispatcher_place.cpp
@@ -48,6 +48,7 @@
   });
   if (aCall.reserved.empty()) {
     this->Place(aNow, aCall);
+    this->Schedule(aCall);
   }
 }
 
@@ -100,6 +101,9 @@
   } else if (aCall.reason == GiveUpReason::kNoEndpoint) {
     aCall.reason = GiveUpReason::kOverload;
   }
+  if (aCall.reserved.empty() && this->IsShutOut(aCall.spec)) {
+    aCall.giveUpAt = aNow;
+  }
   aCall.widenAt = aNow + (aCall.isWidened ? kPlacementRetryPeriod : this->options.widenAfter);
 }
 
@@ -280,7 +284,8 @@
   const EndpointInfo& info = aTarget.info;
   if (!aTarget.isListed || info.service != aSpec.service || info.isLeaving ||
       aTarget.hasAnnouncedLeaving || aNow < aTarget.pausedUntil ||
-      (aTarget.ActiveQueue() != nullptr && aTarget.ActiveQueue()->state.isLeaving)) {
+      (aTarget.ActiveQueue() != nullptr && aTarget.ActiveQueue()->state.isLeaving) ||
+      !this->IsPlaceAllowed(info, aSpec)) {
     return false;
   }
   const auto banned = this->bannedVersions.find(info.service);
--- a/src/direct/messages.h
+++ b/src/direct/messages.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "direct/call.h"
+#include "direct/evacuation.h"
 #include "direct/leaving_table.h"
 #include "direct/version_move.h"
 
@@ -252,13 +253,14 @@
   std::vector<EndpointIncarnation> leaving; // recently announced to the sender
   std::vector<Suspicion> suspicions;        // requests during which endpoints crashed
   std::vector<Suspicion> partSuspicions;    // parts of prompts in such requests
+  std::vector<EvacuationState> evacuations; // known orders, and ends of the last hour
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
     aArchive(sentAtUs, echoUs, configVersion, configAgeMs, endpointsHash, endpointsAgeMs,
              readsStore, storeEra, usageSavedAgeMs, usages, windowUsages, moves, leaving,
-             suspicions, partSuspicions);
+             suspicions, partSuspicions, evacuations);
   }
 
   friend bool operator==(const EntryState&, const EntryState&) = default;
--- a/src/direct/move_table.cpp
+++ b/src/direct/move_table.cpp
@@ -111,9 +111,11 @@
   }
 }
 
-void MoveTable::SetEndpoints(const std::map<std::string, EndpointInfo>& aAll)
+void MoveTable::SetEndpoints(const std::map<std::string, EndpointInfo>& aAll,
+                             const std::set<std::string>& aEvacuatedDomains)
 {
   this->endpoints = aAll;
+  this->evacuatedDomains = aEvacuatedDomains;
   for (auto& [service, row] : this->rows) {
     this->FindVersions(service, row);
   }
@@ -125,8 +127,10 @@
   aRow.hasOld = false;
   for (const auto& [id, info] : this->endpoints) {
     if (info.service == aService && !info.isLeaving) {
-      bool& has = info.version == aRow.move.Order().version ? aRow.hasNew : aRow.hasOld;
-      has = true;
+      const bool isNew = info.version == aRow.move.Order().version;
+      const bool isUsable = !this->evacuatedDomains.contains(info.failureDomain);
+      aRow.hasNew = aRow.hasNew || (isNew && isUsable);
+      aRow.hasOld = aRow.hasOld || !isNew;
     }
   }
 }
--- a/src/direct/move_table.h
+++ b/src/direct/move_table.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -51,7 +52,9 @@
   // The log and the persisted stages were restored from an older copy: the latest orders may be
   // missing until the operator writes them again, and stages are persisted again.
   void OnLogRestored(TimePoint aNow);
-  void SetEndpoints(const std::map<std::string, EndpointInfo>& aAll);
+  // aEvacuatedDomains: failure domains whose endpoints get no calls for now.
+  void SetEndpoints(const std::map<std::string, EndpointInfo>& aAll,
+                    const std::set<std::string>& aEvacuatedDomains = {});
   void SetEntryCount(std::uint32_t aCount) { this->entryCount = aCount; }
 
   // Sets the version constraints of the call.
@@ -77,7 +80,9 @@
   {
     VersionMove move;
     bool isStagePending = false; // the stage is being read from the log
-    bool hasNew = false;         // endpoints that accept calls are listed
+    // Endpoints that accept calls are listed. Old ones count if they are evacuated, because calls
+    // must wait for these rather than all use a version that is not proven.
+    bool hasNew = false;
     bool hasOld = false;
     TimePoint endedAt = kNever;
     std::optional<MoveStage> writtenStage; // last stage read from or passed to the log
@@ -102,6 +107,7 @@
   VersionMoveOptions options;
   MoveLog* log = nullptr;
   std::map<std::string, EndpointInfo> endpoints;
+  std::set<std::string> evacuatedDomains;
   std::uint32_t entryCount = 1;
   std::map<std::string, Row> rows; // by service
   TimePoint rewriteEnd{};          // of the time for orders to be written again
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -96,7 +96,11 @@
     this->ownedQueues.OnTimer(this->Now());
     this->AfterInput();
   })
-  , stateTimer([this] { this->SendStates(); })
+  , stateTimer([this] {
+    this->evacuations.Step(this->Now(), this->readsStore);
+    this->ApplyEvacuations();
+    this->SendStates();
+  })
   , leaveTimer([this] {
     this->isClosed = true;
     this->server.StopListening();
@@ -174,6 +178,7 @@
 {
   this->metrics.CountStoreRestore();
   this->freshness.OnRestored(this->Now());
+  this->evacuations.OnLogRestored();
   this->denialsHeldUntil = this->Now() + this->settings.denialDelay;
   this->RewriteLostState();
 }
@@ -189,7 +194,7 @@
       this->config == nullptr ? nullptr : this->config->FindService(aService);
     return service != nullptr && service->engineSlots > 0;
   };
-  this->moves.SetEndpoints(this->endpoints);
+  this->moves.SetEndpoints(this->endpoints, this->evacuations.Domains());
   this->ownedQueues.SetEndpoints(this->Now(), this->endpoints, hasAgents);
   this->dispatcher.SetEndpoints(this->Now(), this->endpoints, hasAgents);
   this->UpdateOwners();
@@ -362,6 +367,8 @@
   spec.subject = aFlow.request.subject;
   spec.promptParts = aFlow.request.promptParts;
   spec.fingerprint = FingerprintOf(aFlow.request, aFlow.account, aFlow.ingress.body);
+  spec.regions = direct::IntersectRegions(
+    route.regions, aFlow.account == nullptr ? std::vector<std::string>() : aFlow.account->regions);
   const Duration byRoute = route.timeout > Duration::zero() ? route.timeout : kDefaultDeadline;
   const Duration byCaller = aFlow.request.timeLeft.value_or(kDefaultDeadline);
   spec.deadline = std::min(aFlow.ingress.readAt + byRoute, aFlow.ingress.firstByteAt + byCaller);
@@ -645,6 +652,7 @@
   this->metrics.SetOpenRequests(this->flows.size());
   this->metrics.SetSuspects(this->dispatcher.SuspectCount());
   this->metrics.SetLimitedEndpoints(this->dispatcher.LimitedEndpointCount());
+  this->metrics.SetEvacuatedDomains(this->evacuations.Domains().size());
   this->metrics.SetLogLinesDropped(DroppedLogLines());
   return this->metrics.Text();
 }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "direct/dispatcher.h"
+#include "direct/evacuation.h"
 #include "direct/move_table.h"
 #include "direct/service_config.h"
 #include "direct/shared_quota.h"
@@ -141,6 +142,11 @@
   void SetMoveOrder(const direct::MoveOrder& aOrder, bool aIsFresh);
   void SetMoveLog(direct::MoveLog& aLog) { this->moves.SetLog(aLog); }
 
+  // Orders of the operator to evacuate a failure domain (see direct::Evacuations).
+  void OnEvacuationRecord(const direct::EvacuationRecord& aRecord);
+  void OnEvacuationSnapshot(std::uint64_t aEra, std::uint64_t aEnd,
+                            const std::vector<direct::EvacuationRecord>& aListed);
+
   // True if new requests can be served.
   bool IsReady() const;
   void BeginLeaving();
@@ -220,6 +226,7 @@
   void SaveLostSuspicions();
   // Reports the end of a run at an endpoint of aVersion.
   void OnRunEnd(const Flow& aFlow, const std::string& aVersion, bool aIsBad, Duration aTime);
+  void ApplyEvacuations();
   void StepMoves();
   // Logs the stages that moves have entered, with the evidence.
   void LogMoveStages();
@@ -237,6 +244,7 @@
   direct::SharedQuota quota;
   direct::Dispatcher dispatcher;
   direct::MoveTable moves;
+  direct::Evacuations evacuations;
   EndpointPool pool;
   PeerNet net;
   IngressServer server;
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -66,6 +66,8 @@
       AddGauge(this->registry, "caraway_entry_suspects", "Requests under which endpoints died"))
   , limitedEndpoints(AddGauge(this->registry, "caraway_entry_limited_endpoints",
                               "Endpoints that name a request rate"))
+  , evacuatedDomains(AddGauge(this->registry, "caraway_entry_evacuated_failure_domains",
+                              "Failure domains whose endpoints get no requests"))
   , logLinesDropped(AddGauge(this->registry, "caraway_log_lines_dropped",
                              "Log lines beyond the bound, since the start"))
 {
@@ -144,6 +146,11 @@
   this->limitedEndpoints.Set(static_cast<double>(aCount));
 }
 
+void GatewayMetrics::SetEvacuatedDomains(std::size_t aCount)
+{
+  this->evacuatedDomains.Set(static_cast<double>(aCount));
+}
+
 void GatewayMetrics::SetLogLinesDropped(std::uint64_t aCount)
 {
   this->logLinesDropped.Set(static_cast<double>(aCount));
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -44,6 +44,8 @@
   void SetSuspects(std::size_t aCount);
   // Number of endpoints that name a request rate.
   void SetLimitedEndpoints(std::size_t aCount);
+  // Number of failure domains whose endpoints get no calls, by order of the operator.
+  void SetEvacuatedDomains(std::size_t aCount);
   void SetLogLinesDropped(std::uint64_t aCount);
 
   std::string Text() const;
@@ -65,6 +67,7 @@
   prometheus::Gauge& openRequests;
   prometheus::Gauge& suspects;
   prometheus::Gauge& limitedEndpoints;
+  prometheus::Gauge& evacuatedDomains;
   prometheus::Gauge& logLinesDropped;
   std::array<prometheus::Histogram*, kTierCount> waitHistograms{};
   std::array<prometheus::Histogram*, kTierCount> firstHistograms{};
--- a/src/gateway/gateway_peers.cpp
+++ b/src/gateway/gateway_peers.cpp
@@ -134,6 +134,8 @@
     this->onNewerConfig();
   }
   this->dispatcher.SetBannedVersions(now, this->moves.RolledBackVersions());
+  this->evacuations.OnPeerStates(now, aState.evacuations);
+  this->ApplyEvacuations();
   this->dispatcher.OnLeaving(now, aState.leaving);
   this->dispatcher.OnSuspicions(now, aState.suspicions, direct::SuspectKind::kRequest);
   this->dispatcher.OnSuspicions(now, aState.partSuspicions, direct::SuspectKind::kPromptPart);
@@ -339,6 +341,7 @@
   state.moves = this->moves.States(now, [this](const auto& aService, const auto& aVersion) {
     return this->dispatcher.RunningElsewhere(aService, aVersion);
   });
+  state.evacuations = this->evacuations.States(now);
   state.leaving = this->dispatcher.RecentlyLeaving(now);
   state.suspicions = this->dispatcher.SuspicionsToShare(now, direct::SuspectKind::kRequest);
   state.partSuspicions = this->dispatcher.SuspicionsToShare(now, direct::SuspectKind::kPromptPart);
--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -108,6 +108,52 @@
   BOOST_TEST(config->limits.headBytes == 8000U);
 }
 
+BOOST_AUTO_TEST_CASE(reads_regions_and_cold_times)
+{
+  std::string error;
+  const auto config = ReadConfig(
+    R"({"version":7,"routes":[{"name":"r","host":"h","path-prefix":"/a/","route-type":"safe",)"
+    R"("service":"pool","allowed-regions":["north",3,"south"],"gap-aim-ms":400}],)"
+    R"("services":[{"name":"pool","cold-start-s":2.5,"cold-per-s":4,)"
+    R"("engine":{"slots":6,"kv-capacity":225321}}],)"
+    R"("tenants":[{"name":"t","api-keys":["k"],"allowed-regions":["north"]}]})",
+    error);
+  BOOST_REQUIRE(config != nullptr);
+  BOOST_TEST((config->routes[0].regions == std::vector<std::string>{ "north", "south" }));
+  BOOST_TEST((config->routes[0].maxEventGap == milliseconds(400)));
+  BOOST_TEST((config->accounts[0].regions == std::vector<std::string>{ "north" }));
+  BOOST_TEST((config->services.at("pool").coldTime == milliseconds(2500)));
+  BOOST_TEST(config->services.at("pool").coldRate == 4);
+  BOOST_TEST(config->services.at("pool").engineTokens == 225321U);
+  const auto plain = ReadConfig(kConfig, error);
+  BOOST_REQUIRE(plain != nullptr);
+  BOOST_TEST(plain->routes[0].regions.empty());
+  BOOST_TEST(plain->accounts[0].regions.empty());
+}
+
+BOOST_AUTO_TEST_CASE(reads_regions_and_bounds_of_settings)
+{
+  std::vector<Finding> findings;
+  const std::string more =
+    R"({"region":"north","zones":{"brno-a":"north","x":1},"limits":{"memory-mb":88,"max-fds":4100},)";
+  auto settings = ReadNodeSettings(more + kSettings.substr(1), findings);
+  BOOST_REQUIRE(settings.has_value());
+  BOOST_TEST(settings->region == "north");
+  BOOST_TEST(settings->regions.at("brno-a") == "north");
+  BOOST_TEST(settings->regions.at("x").empty());
+  BOOST_TEST(settings->memoryBytes == std::uint64_t{ 88 } << 20);
+  BOOST_TEST(settings->maxDescriptors == 4100U);
+  BOOST_TEST((settings->evacuationBound == milliseconds(5000)));
+  std::string bounded = kSettings;
+  bounded.replace(bounded.find("\"grace-s\""), 0,
+                  R"("evacuate-ms":3000,"cold-overage":1.5,"cold-slack":5,)");
+  settings = ReadNodeSettings(bounded, findings);
+  BOOST_REQUIRE(settings.has_value());
+  BOOST_TEST((settings->evacuationBound == milliseconds(3000)));
+  BOOST_TEST(settings->coldOverage == 1.5);
+  BOOST_TEST(settings->coldSlack == 5);
+}
+
 BOOST_AUTO_TEST_CASE(rejects_malformed_registrations)
 {
   const std::string good =
--- a/tests/platform/entry_topics_test.cpp
+++ b/tests/platform/entry_topics_test.cpp
@@ -3,6 +3,7 @@
 #include "../gateway/fixture.h"
 #include "fake_store.h"
 #include "platform/entry_state.h"
+#include "platform/operator_feed.h"
 #include "platform/wire_names.h"
 
 #include <boost/test/unit_test.hpp>
@@ -62,7 +63,7 @@
   };
   this->AddEndpoint(script(200), "v1");
   gateway::ScriptedEndpoint& failing = this->AddEndpoint(script(500), "v2");
-  OperatorFeed feed(*this->gateway, this->store, this->clock, this->random);
+  OperatorFeed feed(*this->gateway, this->store, this->clock, this->random, seconds(5));
   feed.Start();
   this->AnswerAll();
   this->Order("v2");
--- a/tests/platform/fake_store.h
+++ b/tests/platform/fake_store.h
@@ -30,6 +30,11 @@
     std::vector<KeyedRecord>& records = this->topics[aTopic];
     records.push_back({ records.size(), aKey, aValue });
   }
+  void Delete(const std::string& aTopic, const std::string& aKey)
+  {
+    std::vector<KeyedRecord>& records = this->topics[aTopic];
+    records.push_back({ records.size(), aKey, std::nullopt });
+  }
   // Keeps the first aEnd records of the topic and enters the next era.
   void Restore(const std::string& aTopic, std::uint64_t aEnd)
   {
@@ -77,6 +82,7 @@
       for (const KeyedRecord& record : this->topics[aTopic]) {
         latest[record.key] = record;
       }
+      std::erase_if(latest, [](const auto& aRow) { return !aRow.second.value; });
       LatestResponse response;
       response.result = StoreResult::kDone;
       response.end = this->topics[aTopic].size();
--- a/tests/platform/restored_config_test.cpp
+++ b/tests/platform/restored_config_test.cpp
@@ -1,7 +1,7 @@
 // Configurations of a store that is restored from an older copy.
 #include "../gateway/fixture.h"
 #include "fake_store.h"
-#include "platform/entry_state.h"
+#include "platform/operator_feed.h"
 
 #include <string>
 
@@ -23,7 +23,7 @@
   RestoredConfig()
     : GatewayFixture(gateway::GatewaySettings().leaveNotice, "127.0.0.2")
     , peer(this->poller, Peer{ NodeId{ 2 }, Incarnation{ 1 } }, *this)
-    , feed(*this->gateway, this->store, this->clock, this->random)
+    , feed(*this->gateway, this->store, this->clock, this->random, seconds(5))
   {
     BOOST_REQUIRE(!this->peer.Bind({ "127.0.0.1", 0 }));
     this->gateway->RestoreUsage("");
