--- a/tests/soak/endpoints.py
+++ b/tests/soak/endpoints.py
@@ -23,8 +23,9 @@
 
 
 class Endpoint(http1.Watcher):
-    def __init__(self, name, service, is_engine, slots, address, seen_at, world):
+    def __init__(self, name, service, is_engine, slots, address, seen_at, domain, world):
         self.name = name
+        self.domain = domain
         self.service = service
         self.is_engine = is_engine
         self.slots = slots
@@ -88,7 +89,7 @@
         record = {
             "service": self.service,
             "address": "%s:%d" % self.seen_at,
-            "zone": "east",
+            "zone": self.domain,
             "version": self.version,
             "slots": self.slots,
             "state": self.state,
@@ -228,7 +229,7 @@
 
     def note(self, call, is_run, stamp):
         return self.world.ledger.on_arrival(
-            self.id, self.service, call.head, call.method, call.target, call.body, is_run, stamp, call.is_early
+            self.id, self.service, self.domain, call.head, call.method, call.target, call.body, is_run, stamp, call.is_early
         )
 
     async def on_question(self, call):
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -6,6 +6,7 @@
 import signal
 import time
 
+import evacuations
 import ledger
 import moves
 import odd
@@ -15,8 +16,8 @@
 PLANNED_ONLY = 3  # each so many seeds play planned work alone, which excuses no lost answer
 # A new kind changes what all seeds play. The regressions name the generation that they failed with:
 # 1 has no moves of versions, 2 no named rates, repeated refusals and odd registrations, 3 no repeated SIGTERM,
-# 4 no restores of the store and no odd answers.
-GENERATION = 5
+# 4 no restores of the store and no odd answers, 5 no evacuations.
+GENERATION = 6
 ODD_DEPTH = 200_000  # levels of a registration
 NAMED_RATES = (0.5, 1.5, 3.3, 6.0, 12.0)  # requests a second
 SHARE_OF_KINDS = 0.5  # of all kinds that one run plays
@@ -31,6 +32,10 @@
         self.until = 0.0
         planned = {self.terminate: 3, self.hang_up: 1, self.kill_agent: 2, self.leave: 2, self.change_config: 3}
         kinds = self.all_kinds()
+        if generation < 6:
+            del kinds[self.evacuate]
+        else:
+            planned[self.evacuate] = 2
         if generation < 5:
             for kind in (self.restore_store, self.odd_answers):
                 del kinds[kind]
@@ -81,6 +86,7 @@
             self.terminate_repeatedly: 2,
             self.restore_store: 2,
             self.odd_answers: 3,
+            self.evacuate: 2,
         }
 
     async def play(self, world, seconds):
@@ -339,7 +345,7 @@
     async def register_odd(self, world):
         """Another writer leaves an odd entry among those of the endpoints."""
         live = self.random.choice(world.endpoints)
-        record = {"service": live.service, "address": "%s:%d" % live.seen_at, "zone": "east", "version": "v1",
+        record = {"service": live.service, "address": "%s:%d" % live.seen_at, "zone": live.domain, "version": "v1",
                   "slots": 6, "state": "ready", "seq": 1, "born": int(time.time() * 1000)}  # fmt: skip
         nested = '{"service":"pool","odd":' + "[" * ODD_DEPTH + "]" * ODD_DEPTH + "}"
         odd = self.random.choice((
@@ -395,6 +401,17 @@
             await endpoint.start()
         await moves.play(world, service, old, new, quality)
 
+    async def evacuate(self, world):
+        """A failure domain gets nothing new for a while."""
+        domain = self.random.choice(evacuations.DOMAINS)
+        if world.ledger.evacuations.ordered:
+            return
+        world.log(f"{domain} is evacuated")
+        await world.ledger.evacuations.order(world.store, domain)
+        await asyncio.sleep(evacuations.EVACUATE + self.length())
+        world.log(f"{domain} is taken back")
+        await world.ledger.evacuations.take_back(world.store, domain)
+
     async def withdraw_key(self, world):
         def withdraw(config):
             keys = config["tenants"][1]["api-keys"]
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -9,6 +9,8 @@
 import itertools
 import time
 
+import evacuations
+
 STABLE = 3.0  # seconds without faults after which an entry is held to bounds in time
 CONFIG_APPLY = 2.0  # seconds until a configuration is in force
 WITHDRAW_KEY = 5.0  # seconds after which a withdrawn key serves nothing, on any entry
@@ -114,6 +116,7 @@
         self.demand = collections.defaultdict(list)  # service -> [time sent]
         self.quota_runs = collections.defaultdict(list)  # account -> [time run]
         self.named_rates = {}  # endpoint id -> NamedRate
+        self.evacuations = evacuations.Evacuations(self)
         self.denied = 0
         self.denials = []  # requests answered 401, 403 or 404
 
@@ -204,7 +207,7 @@
 
     # What endpoints see.
 
-    def on_arrival(self, endpoint, service, head, method, path, body, is_run, stamp, is_early=False):
+    def on_arrival(self, endpoint, service, domain, head, method, path, body, is_run, stamp, is_early=False):
         """A request reached an endpoint; returns its Run if it runs."""
         now = time.monotonic()
         request = self.requests.get(head.get("request-id", ""))
@@ -224,6 +227,7 @@
             self.check_crashing(request, culprit, endpoint, now)
         self.arrivals[service].append((now, request.arrivals > 0))
         request.arrivals += 1
+        self.evacuations.check(request, endpoint, domain, now)
         left = self.left.get(endpoint)
         if left is not None and request.sent > left and now > left + LEAVING:
             # Who has learnt of it is bound also while the store is in trouble later.
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -10,6 +10,7 @@
 
 import callers
 import endpoints
+import evacuations
 import ledger
 import nodes
 import store
@@ -95,7 +96,9 @@
         number = len(self.endpoints)
         own = (f"127.{self.net}.{20 + number // 200}.{1 + number % 200}", APP_PORT)
         seen = (f"127.{self.net}.{40 + number // 200}.{1 + number % 200}", APP_PORT)
-        endpoint = endpoints.Endpoint(f"e{number}", service, service == "pool", 6, own, seen, self)
+        same = sum(row.service == service for row in self.endpoints)
+        domain = evacuations.DOMAINS[same % len(evacuations.DOMAINS)]
+        endpoint = endpoints.Endpoint(f"e{number}", service, service == "pool", 6, own, seen, domain, self)
         self.endpoints.append(endpoint)
         if endpoint.is_engine and self.has_agents:
             endpoint.agent = nodes.Node(
