Order queues by rank where objectives rise with it, and share them among accounts

Where the urgent routes have the shortest objectives they are the first to be late and were refused beside less urgent calls that were served. And a queue knew no accounts: one account with seven times its usual took the room of 15 others.

Change: QueueOrders derives the order of a service from the objectives of its routes; it goes with each reservation, so agents need no configuration. Rank first only if each objective is longer than all of higher ranks. FairShare puts an account that had more engine time than its share, by the weight of its quota and beyond an allowance, behind the others of its class; RankFloor keeps a small share for each waiting rank. Both are work-conserving and never pass a tier.

--- a/src/direct/call.h
+++ b/src/direct/call.h
@@ -4,6 +4,7 @@
 
 #include "core/messages.h"
 #include "core/types.h"
+#include "direct/queue_order.h"
 
 #include <string>
 #include <vector>
@@ -27,9 +28,12 @@
 {
   CallNumber number = 0;
   CallKind kind = CallKind::kOnce;
-  bool isResumable = false; // a stream that another endpoint can resume
-  Tier tier = kLowestTier;  // of the client account, otherwise of the route
-  Tier rank = kLowestTier;  // of the route; orders calls within a tier
+  bool isResumable = false;                    // a stream that another endpoint can resume
+  Tier tier = kLowestTier;                     // of the client account, otherwise of the route
+  Tier rank = kLowestTier;                     // of the route; orders calls within a tier
+  QueueOrder order = QueueOrder::kOnTimeFirst; // of the service
+  std::uint32_t account = 0;                   // as in ReserveSlot
+  std::uint16_t accountWeight = 0;
   std::string service;
   // Endpoint version constraints during a version move (see VersionMove); empty: no constraint.
   std::string requiredVersion;
--- a/src/direct/dispatcher_place.cpp
+++ b/src/direct/dispatcher_place.cpp
@@ -234,6 +234,9 @@
   reservation.endWithinMs = MillisecondsOf(std::min(aCall.giveUpAt, spec.deadline) - aNow);
   reservation.promptTokens = this->PromptTokensAt(aNow, aTarget, spec);
   reservation.outputTokens = spec.outputTokens;
+  reservation.order = spec.order;
+  reservation.account = spec.account;
+  reservation.accountWeight = spec.accountWeight;
   return reservation;
 }
 
--- a/src/direct/messages.h
+++ b/src/direct/messages.h
@@ -4,6 +4,7 @@
 
 #include "direct/call.h"
 #include "direct/leaving_table.h"
+#include "direct/queue_order.h"
 #include "direct/version_move.h"
 
 #include <cereal/types/array.hpp>
@@ -30,11 +31,15 @@
   std::int32_t endWithinMs = 0;
   std::uint32_t promptTokens = 0; // not yet cached at this endpoint, estimated by the entry
   std::uint32_t outputTokens = 0;
+  QueueOrder order = QueueOrder::kOnTimeFirst; // of the service in the entry's configuration
+  std::uint32_t account = 0;                   // part of its hash; 0: takes no part in fair shares
+  std::uint16_t accountWeight = 0;             // relative to kMeanAccountWeight
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(call, tier, rank, startWithinMs, endWithinMs, promptTokens, outputTokens);
+    aArchive(call, tier, rank, startWithinMs, endWithinMs, promptTokens, outputTokens, order,
+             account, accountWeight);
   }
 
   friend bool operator==(const ReserveSlot&, const ReserveSlot&) = default;
--- a/src/direct/service_config.cpp
+++ b/src/direct/service_config.cpp
@@ -1,13 +1,40 @@
 #include "direct/service_config.h"
 
+#include "direct/fair_share.h"
+
+#include <algorithm>
+
 namespace caraway::direct {
 
 void ServiceConfig::BuildIndex()
 {
+  this->SetWeights();
   this->hosts.clear();
+  this->orders = {};
   for (std::size_t index = 0; index < this->routes.size(); index++) {
     const Route& route = this->routes[index];
     this->hosts[route.host].emplace(route.pathPrefix, index);
+    for (const ServiceWeight& part : route.services) {
+      this->orders.Add(part.service, route.tier, route.objective);
+    }
+  }
+}
+
+// The quotas say how much of the engines each account may use. Quotas in different units do not
+// compare, so there are no weights then.
+void ServiceConfig::SetWeights()
+{
+  double total = 0;
+  for (const AccountSpec& account : this->accounts) {
+    if (!account.countsTokens || account.quota.ratePerSecond <= 0) {
+      return;
+    }
+    total += account.quota.ratePerSecond;
+  }
+  for (AccountSpec& account : this->accounts) {
+    const double share = account.quota.ratePerSecond * this->accounts.size() / total;
+    account.weight =
+      static_cast<std::uint16_t>(std::clamp(share * kMeanAccountWeight, 1.0, 65535.0));
   }
 }
 
--- a/src/direct/service_config.h
+++ b/src/direct/service_config.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "direct/call.h"
+#include "direct/queue_order.h"
 #include "direct/shared_quota.h"
 
 #include <map>
@@ -57,6 +58,8 @@
   bool countsTokens = false; // quota in tokens instead of requests
   double defaultTokens = 1;  // for a request without token counts
   QuotaLimit quota;
+  // Of its quota, relative to kMeanAccountWeight; 0 unless all accounts have quotas in tokens.
+  std::uint16_t weight = 0;
   std::vector<std::string> regions; // in which requests may run; empty: any
 };
 
@@ -85,11 +88,15 @@
   const Route* FindRoute(std::string_view aHost, std::string_view aPath) const;
   const AccountSpec* FindAccount(std::string_view aKey) const;
   const ServiceSpec* FindService(std::string_view aName) const;
+  const QueueOrders& Orders() const { return this->orders; }
 
 private:
+  void SetWeights();
+
   // Routes of one host by their prefix.
   using HostRoutes = std::unordered_map<std::string, std::size_t>;
   std::unordered_map<std::string, HostRoutes> hosts;
+  QueueOrders orders;
 };
 
 } // namespace caraway::direct
--- a/src/direct/slot_queue.cpp
+++ b/src/direct/slot_queue.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <set>
-#include <tuple>
 
 namespace caraway::direct {
 
@@ -19,6 +18,8 @@
 SlotQueue::SlotQueue(const SlotQueueOptions& aOptions, SlotQueuePort& aPort)
   : options(aOptions)
   , port(aPort)
+  , shares(std::size_t{ kTierCount } * kTierCount, FairShare(aOptions.shares))
+  , floors(kTierCount, RankFloor(aOptions.shares))
 {
 }
 
@@ -68,11 +69,12 @@
     return;
   }
   const Key key{ aHolder.node, aUse.call };
+  this->ChargeOffer(key);
   this->waiting.erase(key);
   this->offers.erase(key);
   const std::uint32_t cumulativePrefill = this->PendingPrefill() + aUse.promptTokens;
   const auto [place, isNew] = this->running.insert_or_assign(
-    key, OccupiedSlot{ aHolder, aUse.promptTokens, cumulativePrefill, aNow });
+    key, OccupiedSlot{ aHolder, aUse.promptTokens, cumulativePrefill, aNow, {} });
   if (isNew) {
     this->rate.Charge(aNow);
   }
@@ -100,6 +102,7 @@
   }
   const Key key{ aHolder.node, aCall };
   this->waiting.erase(key);
+  this->ChargeOffer(key);
   if (this->offers.erase(key) > 0) {
     this->rate.Charge(aNow); // the message that the offer was used was lost
   }
@@ -131,10 +134,11 @@
   });
   for (const UseSlot& row : aState.running) {
     const Key key{ aHolder.node, row.call };
+    this->ChargeOffer(key);
     this->waiting.erase(key);
     this->offers.erase(key);
     const auto [place, isNew] = this->running.try_emplace(
-      key, OccupiedSlot{ aHolder, row.promptTokens, row.promptTokens, aNow });
+      key, OccupiedSlot{ aHolder, row.promptTokens, row.promptTokens, aNow, {} });
     if (!isNew) {
       place->second.prefill = row.promptTokens;
     } else if (isKnown) {
@@ -242,8 +246,8 @@
     const Key key = first->first;
     const Reservation reservation = first->second;
     this->waiting.erase(first);
-    this->offers.emplace(
-      key, OccupiedSlot{ reservation.holder, reservation.request.promptTokens, 0, aNow });
+    this->offers.emplace(key, OccupiedSlot{ reservation.holder, reservation.request.promptTokens, 0,
+                                            aNow, reservation.request });
     this->port.OfferSlotTo(reservation.holder, key.call);
   }
 }
@@ -270,25 +274,73 @@
 
 std::map<SlotQueue::Key, SlotQueue::Reservation>::iterator SlotQueue::FindNext(TimePoint aNow)
 {
+  this->UpdateShares();
   auto best = this->waiting.end();
   for (auto row = this->waiting.begin(); row != this->waiting.end(); ++row) {
-    if (best == this->waiting.end() || HasPriorityOver(row->second, best->second, aNow)) {
+    if (best == this->waiting.end() ||
+        Precedes(PositionOf(row->second, aNow), PositionOf(best->second, aNow))) {
       best = row;
     }
   }
   return best;
 }
 
-// Orders by tier first. Within a tier, calls that can still meet their objective precede those that
-// cannot, because under overload a queue in order of arrival makes all calls late. Then by rank,
-// and last by start deadline, earliest first.
-bool SlotQueue::HasPriorityOver(const Reservation& aLeft, const Reservation& aRight, TimePoint aNow)
+// Sets the virtual time of each class to that of its waiting account that has had least.
+void SlotQueue::UpdateShares()
 {
-  const auto keyOf = [aNow](const Reservation& aRow) {
-    return std::tuple(aRow.request.tier, aRow.startDeadline <= aNow, aRow.request.rank,
-                      aRow.startDeadline);
-  };
-  return keyOf(aLeft) < keyOf(aRight);
+  std::array<std::optional<double>, std::size_t{ kTierCount } * kTierCount> lowest;
+  for (const auto& [key, row] : this->waiting) {
+    if (row.request.account != 0) {
+      const std::size_t index = ShareIndex(row.request);
+      const double time = this->shares.at(index).VirtualTimeOf(row.request.account);
+      lowest.at(index) = std::min(lowest.at(index).value_or(time), time);
+    }
+  }
+  for (std::size_t index = 0; index < lowest.size(); index++) {
+    if (lowest.at(index)) {
+      this->shares.at(index).Advance(*lowest.at(index));
+    }
+  }
+}
+
+// An offer counts against the shares once it is used: calls reserve at several endpoints, so that
+// most offers are declined.
+void SlotQueue::ChargeOffer(const Key& aKey)
+{
+  const auto offer = this->offers.find(aKey);
+  if (offer == this->offers.end()) {
+    return;
+  }
+  const ReserveSlot& request = offer->second.request;
+  std::array<bool, kTierCount> ranks{};
+  for (const auto& [key, row] : this->waiting) {
+    ranks.at(row.request.rank) |= row.request.tier == request.tier;
+  }
+  const double cost = EngineCost(request.promptTokens, request.outputTokens);
+  this->shares.at(ShareIndex(request)).Charge(request.account, request.accountWeight, cost);
+  this->floors.at(request.tier).Charge(request.rank, cost, ranks);
+}
+
+std::size_t SlotQueue::OverShareCount() const
+{
+  return static_cast<std::size_t>(
+    std::count_if(this->waiting.begin(), this->waiting.end(), [this](const auto& aRow) {
+      const ReserveSlot& request = aRow.second.request;
+      return this->shares.at(ShareIndex(request)).IsOverShare(request.account);
+    }));
+}
+
+QueuePosition SlotQueue::PositionOf(const Reservation& aReservation, TimePoint aNow) const
+{
+  const ReserveSlot& request = aReservation.request;
+  const double cost = EngineCost(request.promptTokens, request.outputTokens);
+  return { request.order,
+           request.tier,
+           request.rank,
+           aReservation.startDeadline <= aNow,
+           this->shares.at(ShareIndex(request)).IsOverShare(request.account),
+           this->floors.at(request.tier).IsDue(request.rank, cost),
+           aReservation.startDeadline };
 }
 
 } // namespace caraway::direct
--- a/src/direct/slot_queue.h
+++ b/src/direct/slot_queue.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "core/health.h"
+#include "direct/fair_share.h"
 #include "direct/messages.h"
 #include "direct/rate_limiter.h"
 
@@ -28,6 +29,7 @@
   // that of the slowest engine.
   double initialTokensPerMs = 40;
   double minTokensPerMs = 20;
+  FairShareOptions shares;
 };
 
 // Interface to the queue's host. Implementations must not call back into the queue.
@@ -75,6 +77,8 @@
   // Reservations by rank.
   std::array<std::uint16_t, kTierCount> Waiting() const;
   std::size_t WaitingCount() const { return this->waiting.size(); }
+  // Waiting calls whose account is over its share.
+  std::size_t OverShareCount() const;
 
 private:
   struct Key
@@ -98,6 +102,7 @@
     std::uint32_t prefill = 0;           // prompt tokens; 0 after the first event
     std::uint32_t cumulativePrefill = 0; // including earlier pending prompts
     TimePoint since;                     // time of the offer or of its use
+    ReserveSlot request{};               // of an offer
   };
   struct Holder
   {
@@ -114,13 +119,21 @@
   bool HasPrefillCapacityFor(const Reservation& aReservation) const;
   double MaxPendingPrefill() const;
   std::map<Key, Reservation>::iterator FindNext(TimePoint aNow);
-  static bool HasPriorityOver(const Reservation& aLeft, const Reservation& aRight, TimePoint aNow);
+  QueuePosition PositionOf(const Reservation& aReservation, TimePoint aNow) const;
+  static std::size_t ShareIndex(const ReserveSlot& aRequest)
+  {
+    return std::size_t{ aRequest.tier } * kTierCount + aRequest.rank;
+  }
+  void UpdateShares();
+  void ChargeOffer(const Key& aKey);
 
   SlotQueueOptions options;
   SlotQueuePort& port;
   std::uint32_t limit = 0;
   RateLimiter rate; // charged when an offered slot is used
   LatencyModel pace;
+  std::vector<FairShare> shares; // by tier and rank (see ShareIndex)
+  std::vector<RankFloor> floors; // by tier
   std::map<Key, Reservation> waiting;
   std::map<Key, OccupiedSlot> offers;
   std::map<Key, OccupiedSlot> running;
--- a/src/gateway/endpoint_agent.cpp
+++ b/src/gateway/endpoint_agent.cpp
@@ -82,6 +82,7 @@
       { "taken", std::to_string(slotQueue.Taken()) },
       { "limit", std::to_string(slotQueue.Limit()) },
       { "waiting", std::to_string(slotQueue.WaitingCount()) },
+      { "over_share", std::to_string(slotQueue.OverShareCount()) },
       { "prefill", std::to_string(slotQueue.PendingPrefill()) },
       { "report_age_ms", std::to_string((this->Now() - this->lastReportAt) / milliseconds(1)) } });
 }
@@ -273,6 +274,8 @@
   add("caraway_agent_taken", "Slots offered or used", slotQueue.Taken());
   add("caraway_agent_waiting", "Reservations in the queue",
       static_cast<double>(slotQueue.WaitingCount()));
+  add("caraway_agent_over_share", "Reservations of accounts over their share",
+      static_cast<double>(slotQueue.OverShareCount()));
   add("caraway_agent_prefill_tokens", "Prompt tokens before their first event",
       slotQueue.PendingPrefill());
   add("caraway_agent_offers_total", "Offers since the start",
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -142,7 +142,8 @@
   LogEvent(LogLevel::kInfo, "config",
            { { "version", std::to_string(this->config->version) },
              { "offset", std::to_string(aOffset) },
-             { "routes", std::to_string(this->config->routes.size()) } });
+             { "routes", std::to_string(this->config->routes.size()) },
+             { "queue_orders", this->config->Orders().Describe() } });
   this->SetQuotaLimits();
   this->SetEndpoints(std::map<std::string, direct::EndpointInfo>(this->endpoints));
 }
@@ -377,6 +378,11 @@
       break;
     }
   }
+  if (aFlow.account != nullptr && aFlow.account->weight > 0) {
+    spec.account = static_cast<std::uint32_t>(aFlow.account->hash);
+    spec.accountWeight = aFlow.account->weight;
+  }
+  spec.order = aFlow.config->Orders().Of(spec.service);
   this->moves.ChooseVersions(this->Now(), spec);
   this->dispatcher.Submit(this->Now(), spec);
 }
--- a/tests/direct/retry_config_messages_test.cpp
+++ b/tests/direct/retry_config_messages_test.cpp
@@ -177,7 +177,7 @@
 // Fields differ from their defaults, so that one missing in the encoding is detected.
 BOOST_AUTO_TEST_CASE(datagram_round_trips)
 {
-  const ReserveSlot reserve{ 3, 1, 2, -5, 900, 100, 10 };
+  const ReserveSlot reserve{ 3, 1, 2, -5, 900, 100, 10, QueueOrder::kRankFirst, 7, 300 };
   const UseSlot use{ 4, 100 };
   const AgentState agent{ 1764816512000, true,           true,  6,     5,
                           4000,          { 1, 2, 3, 4 }, 10000, 15000, { "127.0.0.2" } };
