--- a/src/direct/fair_share.cpp
+++ b/src/direct/fair_share.cpp
@@ -39,7 +39,8 @@
   if (aAccount == 0) {
     return;
   }
-  const double weight = double{ std::max<std::uint16_t>(aWeight, 1) } / kMeanAccountWeight;
+  const double weight =
+    static_cast<double>(std::max<std::uint16_t>(aWeight, 1)) / kMeanAccountWeight;
   const double end = this->VirtualTimeOf(aAccount) + aCost / weight;
   if (!this->accounts.contains(aAccount) && this->accounts.size() >= this->options.maxAccounts) {
     std::erase_if(this->accounts, [this](const auto& aRow) { return aRow.second <= this->lowest; });
