Spend the quota of an account that asks for more by rank

Cause: SharedQuota gave an account's units to whoever came first, so its calls of rank 0 were refused beside those of rank 2, and all were told the same time. Change: QuotaReserve (src/direct) keeps units back for the recent demand of higher ranks while an account asks for a quarter more than its quota; a rank that gets less than a third of what all get is not held back.

--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -235,6 +235,7 @@
   const ProtocolAdapter& protocol;
   direct::RetryBudget budget;
   direct::SharedQuota quota;
+  direct::QuotaReserve quotaReserve;
   direct::Dispatcher dispatcher;
   direct::MoveTable moves;
   EndpointPool pool;
