--- a/src/direct/cold_rate.cpp
+++ b/src/direct/cold_rate.cpp
@@ -21,9 +21,9 @@
 // In the order of RateHolder. Two owners of one queue may act for a moment after a change of
 // owners, so that an owner's part is below half.
 constexpr std::array<Part, 4> kParts = { {
-  { 1.0, 0.5, 0.6 },
+  { 1.0, 0.6, 0.95 },
   { 0.6, 0.4, 0 },
-  { 0.2, 0.15, 0.4 },
+  { 0.2, 0.15, 0.6 },
   { 0.1, 0, 0 },
 } };
 
