--- a/src/direct/cold_rate.cpp
+++ b/src/direct/cold_rate.cpp
@@ -8,23 +8,24 @@
 
 namespace {
 
-// Parts of one holder: of the cold rate, and of the bound on any second while the endpoint is cold
-// and while it is warm. Zero: no bound. A warm endpoint without an agent has none: it runs short
-// requests, of which it takes many more when it is warm.
+// Parts of one holder. Zero: no bound.
 struct Part
 {
-  double rate;
-  double cold;
-  double warm;
+  double coldRate;     // of the rate, while the endpoint is cold
+  double warmRate;     // of the bound on any second, as a rate while the endpoint is warm
+  double coldInSecond; // of the bound on any second
+  double warmInSecond;
 };
 
 // In the order of RateHolder. Two owners of one queue may act for a moment after a change of
-// owners, so that an owner's part is below half.
-constexpr std::array<Part, 4> kParts = { {
-  { 1.0, 0.6, 0.95 },
-  { 0.6, 0.4, 0 },
-  { 0.2, 0.15, 0.6 },
-  { 0.1, 0, 0 },
+// owners, so that an owner's part is below half. A warm endpoint without an agent has no bound: it
+// runs short requests, of which it takes many more when it is warm.
+constexpr std::array<Part, 5> kParts = { {
+  { 1.0, 0, 0.6, 0.9 },
+  { 0.6, 0, 0.4, 0 },
+  { 0.2, 0, 0.15, 0.6 },
+  { 0.1, 0, 0, 0 },
+  { 0.1, 0.3, 0, 0 },
 } };
 
 std::uint32_t CountOf(double aShare, double aBound)
@@ -68,12 +69,14 @@
     return bounds;
   }
   const Part& part = kParts.at(static_cast<std::size_t>(aHolder));
-  const double share = aIsCold ? part.cold : part.warm;
+  const double share = aIsCold ? part.coldInSecond : part.warmInSecond;
   if (share > 0) {
     bounds.maxInSecond = CountOf(share, aLimits.maxInSecond);
   }
   if (aIsCold) {
-    bounds.perSecond = part.rate * aLimits.perSecond;
+    bounds.perSecond = part.coldRate * aLimits.perSecond;
+  } else if (part.warmRate > 0) {
+    bounds.perSecond = part.warmRate * aLimits.maxInSecond;
   }
   return bounds;
 }
--- a/src/direct/cold_rate.h
+++ b/src/direct/cold_rate.h
@@ -60,12 +60,13 @@
   kAgent,
   kOwner,         // of the queue of an endpoint without an agent
   kFallbackOwner, // of one whose agent is silent to some entries and may be heard by others
-  kEntry,         // for itself, while it hears neither
+  kEntry,         // for itself, while it hears no owner of such an endpoint's queue
+  kFallbackEntry, // for itself, while it hears neither agent nor owner
 };
 
 struct RateBounds
 {
-  std::optional<double> perSecond;          // over all entries for kEntry
+  std::optional<double> perSecond;          // over all entries if they are the holders
   std::optional<std::uint32_t> maxInSecond; // in any second
 };
 
--- a/src/direct/dispatcher.cpp
+++ b/src/direct/dispatcher.cpp
@@ -69,6 +69,7 @@
     target.isListed = true;
     target.isInSubset = subset.contains(id);
     target.hasAgent = aHasAgents(info.service);
+    this->UpdateLocalRate(aNow, target);
     target.localQueue->SetLimit(aNow,
                                 target.ActiveQueue() != nullptr ? 0 : this->LocalLimit(target));
   }
--- a/src/direct/dispatcher.h
+++ b/src/direct/dispatcher.h
@@ -318,7 +318,7 @@
   void UpdateColdPhase(TimePoint aNow, Target& aTarget, std::string_view aSource);
   void TellCold(TimePoint aNow, const Target& aTarget, const RemoteQueue* aRemote);
   static TimePoint ColdUntil(const Target& aTarget);
-  // Calls per second that the queue may start while the endpoint is cold; nullopt: no limit.
+  // Calls per second that the queue may start by the cold limits; nullopt: no limit.
   static std::optional<double> ColdRate(const Target& aTarget, const RemoteQueue* aRemote);
   // Sets the share of the rate that the local queue may use.
   void UpdateLocalRate(TimePoint aNow, Target& aTarget);
--- a/src/direct/dispatcher_agents.cpp
+++ b/src/direct/dispatcher_agents.cpp
@@ -258,7 +258,7 @@
         this->SendTo(target, remote, state);
       }
     }
-    if (target.namedRate.PerSecond() || target.isCold) {
+    if (target.namedRate.PerSecond() || target.info.coldLimits.IsSet()) {
       this->UpdateLocalRate(aNow, target); // the number of entries may have changed
     }
   }
--- a/src/direct/dispatcher_cold.cpp
+++ b/src/direct/dispatcher_cold.cpp
@@ -7,17 +7,6 @@
 
 namespace caraway::direct {
 
-namespace {
-
-RateHolder HolderOf(bool aIsAgent, bool aHasAgent)
-{
-  return aIsAgent     ? RateHolder::kAgent
-         : aHasAgent ? RateHolder::kFallbackOwner
-                     : RateHolder::kOwner;
-}
-
-} // namespace
-
 // Reads a registration before it replaces aTarget.info. A process that is listed for the first time
 // says itself whether it is cold; one that replaces another is suspected.
 void Dispatcher::ReadColdRegistration(TimePoint aNow, Target& aTarget, const EndpointInfo& aInfo,
@@ -40,8 +29,7 @@
 void Dispatcher::AddColdNotice(TimePoint aNow, Target& aTarget, Duration aRemaining,
                                TimePoint aSentAt)
 {
-  if (aTarget.info.coldLimits.IsSet() &&
-      aTarget.cold.Add({ aNow + aRemaining, aSentAt, aNow })) {
+  if (aTarget.info.coldLimits.IsSet() && aTarget.cold.Add({ aNow + aRemaining, aSentAt, aNow })) {
     this->UpdateColdPhase(aNow, aTarget, "answer");
   }
 }
@@ -106,9 +94,12 @@
 
 std::optional<double> Dispatcher::ColdRate(const Target& aTarget, const RemoteQueue* aRemote)
 {
-  const RateHolder holder = aRemote == nullptr
-                              ? RateHolder::kEntry
-                              : HolderOf(aRemote == &aTarget.agent, aTarget.hasAgent);
+  RateHolder holder = RateHolder::kAgent;
+  if (aRemote == nullptr) {
+    holder = aTarget.hasAgent ? RateHolder::kFallbackEntry : RateHolder::kEntry;
+  } else if (aRemote == &aTarget.owner) {
+    holder = aTarget.hasAgent ? RateHolder::kFallbackOwner : RateHolder::kOwner;
+  }
   return BoundsOf(aTarget.info.coldLimits, aTarget.isCold, holder).perSecond;
 }
 
--- a/src/direct/dispatcher_rates.cpp
+++ b/src/direct/dispatcher_rates.cpp
@@ -1,5 +1,6 @@
-// Request rates that endpoints name, and those of cold endpoints in local queues. The process that keeps an endpoint's queue enforces the rate
-// for all entries; a local queue, used while no such process is heard, enforces this entry's share.
+// Request rates that endpoints name, and those of cold endpoints in local queues. The process that
+// keeps an endpoint's queue enforces the rate for all entries; a local queue, used while no such
+// process is heard, enforces this entry's share.
 #include "direct/dispatcher.h"
 #include "direct/rate_news.h"
 
--- a/src/direct/messages.h
+++ b/src/direct/messages.h
@@ -306,10 +306,10 @@
   friend bool operator==(const QueueEnvelope&, const QueueEnvelope&) = default;
 };
 
-using DirectMessage = std::variant<ReserveSlot, WithdrawSlot, OfferSlot, UseSlot, BeginAnswer,
-                                   ReleaseSlot, HoldState, AgentState, EntryState, QueueEnvelope,
-                                   RateNews, UsageRequest, UsageWindow,
-                                   ColdNews>; // append only, as older builds read the others
+using DirectMessage =
+  std::variant<ReserveSlot, WithdrawSlot, OfferSlot, UseSlot, BeginAnswer, ReleaseSlot, HoldState,
+               AgentState, EntryState, QueueEnvelope, RateNews, UsageRequest, UsageWindow,
+               ColdNews>; // append only, as older builds read the others
 
 DirectMessage ToDirectMessage(const QueueMessage& aMessage);
 // Returns nullopt if the message is not a queue message.
--- a/tests/direct/cold_rate_test.cpp
+++ b/tests/direct/cold_rate_test.cpp
@@ -82,7 +82,7 @@
     const auto inSecond = [&](RateHolder aHolder, bool aIsCold) {
       return BoundsOf(limits, aIsCold, aHolder).maxInSecond.value_or(0);
     };
-    const double entries = *BoundsOf(limits, true, RateHolder::kEntry).perSecond;
+    const double entries = *BoundsOf(limits, true, RateHolder::kFallbackEntry).perSecond;
     RC_ASSERT(inSecond(RateHolder::kAgent, true) + inSecond(RateHolder::kFallbackOwner, true) +
                 entries <=
               limits.maxInSecond);
--- a/tests/gateway/cold_world_test.cpp
+++ b/tests/gateway/cold_world_test.cpp
@@ -138,7 +138,8 @@
     this->coldTimes.emplace_back(this->now, this->now + kColdTime);
     EndpointInfo& info = this->listed.at("e1");
     info.sequence++;
-    info.coldRemaining = std::chrono::duration_cast<milliseconds>(aIsListed ? kColdTime : Duration());
+    info.coldRemaining =
+      std::chrono::duration_cast<milliseconds>(aIsListed ? kColdTime : Duration());
     if (aIsListed) {
       this->List();
     }
--- a/tests/gateway/rate_world.h
+++ b/tests/gateway/rate_world.h
@@ -154,10 +154,9 @@
     if (this->cut.contains(aFrom.host) != this->cut.contains(aHost)) {
       return;
     }
-    const auto to = std::find_if(this->entries.begin(), this->entries.end(),
-                                 [&](const Entry& aEntry) {
-                                   return aEntry.host == aHost && !aEntry.isDead;
-                                 });
+    const auto to =
+      std::find_if(this->entries.begin(), this->entries.end(),
+                   [&](const Entry& aEntry) { return aEntry.host == aHost && !aEntry.isDead; });
     if (aFrom.isDead || to == this->entries.end()) {
       return;
     }
