--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -68,6 +68,8 @@
                               "Endpoints that name a request rate"))
   , evacuatedDomains(AddGauge(this->registry, "caraway_entry_evacuated_failure_domains",
                               "Failure domains whose endpoints get no requests"))
+  , coldEndpoints(AddGauge(this->registry, "caraway_entry_cold_endpoints",
+                           "Endpoints that are cold or suspected of it"))
   , logLinesDropped(AddGauge(this->registry, "caraway_log_lines_dropped",
                              "Log lines beyond the bound, since the start"))
 {
@@ -149,6 +151,11 @@
   this->suspects.Set(static_cast<double>(aCount));
 }
 
+void GatewayMetrics::SetColdEndpoints(std::size_t aCount)
+{
+  this->coldEndpoints.Set(static_cast<double>(aCount));
+}
+
 void GatewayMetrics::SetLimitedEndpoints(std::size_t aCount)
 {
   this->limitedEndpoints.Set(static_cast<double>(aCount));
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -48,6 +48,8 @@
   void SetLimitedEndpoints(std::size_t aCount);
   // Number of failure domains whose endpoints get no calls, by order of the operator.
   void SetEvacuatedDomains(std::size_t aCount);
+  // Number of endpoints that are cold or suspected of it.
+  void SetColdEndpoints(std::size_t aCount);
   void SetLogLinesDropped(std::uint64_t aCount);
 
   std::string Text() const;
@@ -70,6 +72,7 @@
   prometheus::Gauge& suspects;
   prometheus::Gauge& limitedEndpoints;
   prometheus::Gauge& evacuatedDomains;
+  prometheus::Gauge& coldEndpoints;
   prometheus::Gauge& logLinesDropped;
   std::array<prometheus::Histogram*, kTierCount> waitHistograms{};
   std::array<prometheus::Histogram*, kTierCount> firstHistograms{};
