Take endpoints of a domain whose evacuation ends for cold until they say otherwise

Change: SetEvacuatedDomains states cold for the cold time; an answer or registration ends it. Measured: not yet.

--- a/src/direct/dispatcher_domains.cpp
+++ b/src/direct/dispatcher_domains.cpp
@@ -2,14 +2,24 @@
 // regions outside those allowed for the call.
 #include "direct/dispatcher.h"
 
+#include <utility>
+
 namespace caraway::direct {
 
+// Endpoints of a domain that is in use again count as cold until they say otherwise: operators
+// evacuate domains whose endpoints have restarted.
 void Dispatcher::SetEvacuatedDomains(TimePoint aNow, const std::set<std::string>& aDomains)
 {
   if (aDomains == this->evacuatedDomains) {
     return;
   }
-  this->evacuatedDomains = aDomains;
+  const std::set<std::string> before = std::exchange(this->evacuatedDomains, aDomains);
+  for (auto& [id, target] : this->targets) {
+    const std::string& domain = target.info.failureDomain;
+    if (before.contains(domain) && !aDomains.contains(domain)) {
+      this->AddColdNotice(aNow, target, target.info.coldLimits.coldTime, aNow);
+    }
+  }
   this->DropUnusableCalls(aNow);
   this->DrainLocalOffers(aNow);
 }
