--- a/src/direct/call.h
+++ b/src/direct/call.h
@@ -4,6 +4,8 @@
 
 #include "core/messages.h"
 #include "core/types.h"
+#include "direct/queue_order.h"
+#include "direct/regions.h"
 
 #include <string>
 #include <vector>
@@ -27,13 +29,17 @@
 {
   CallNumber number = 0;
   CallKind kind = CallKind::kOnce;
-  bool isResumable = false; // a stream that another endpoint can resume
-  Tier tier = kLowestTier;  // of the client account, otherwise of the route
-  Tier rank = kLowestTier;  // of the route; orders calls within a tier
+  bool isResumable = false;                    // a stream that another endpoint can resume
+  Tier tier = kLowestTier;                     // of the client account, otherwise of the route
+  Tier rank = kLowestTier;                     // of the route; orders calls within a tier
+  QueueOrder order = QueueOrder::kOnTimeFirst; // of the service
+  std::uint32_t account = 0;                   // as in ReserveSlot
+  std::uint16_t accountWeight = 0;
   std::string service;
   // Endpoint version constraints during a version move (see VersionMove); empty: no constraint.
   std::string requiredVersion;
   std::string excludedVersion;
+  AllowedRegions regions;      // in which it may run
   bool isCanary = false;       // falls back to other versions if requiredVersion has no free slot
   std::uint32_t maxRuns = 1;   // maximum number of endpoints that may run it
   Duration objective{};        // time to the first event, or to the response
--- a/src/direct/dispatcher.cpp
+++ b/src/direct/dispatcher.cpp
@@ -40,14 +40,14 @@
 void Dispatcher::SetEndpoints(TimePoint aNow, const std::map<std::string, EndpointInfo>& aAll,
                               const std::function<bool(const std::string&)>& aHasAgents)
 {
-  const std::set<std::string> subset = ChooseEndpointSubset(
-    this->options.subset, static_cast<std::uint64_t>(this->self.node), this->failureDomain, aAll);
+  const std::set<std::string> subset = this->ChooseSubset(aAll);
   this->DetectReplacedEndpoints(aNow, aAll);
   for (auto& [id, target] : this->targets) {
     target.isListed = aAll.contains(id);
   }
   for (const auto& [id, info] : aAll) {
     Target& target = this->targets[id];
+    this->ReadColdRegistration(aNow, target, info, target.localQueue == nullptr);
     if (target.localQueue == nullptr) {
       target.listedAt = aNow;
       target.localPort = std::make_unique<LocalPort>();
@@ -63,10 +63,12 @@
       }
     }
     target.info = info;
+    this->UpdateColdPhase(aNow, target, "registration");
     target.hasAnnouncedLeaving = this->leaving.Contains(IncarnationOf(id, info.bornMs));
     target.isListed = true;
     target.isInSubset = subset.contains(id);
     target.hasAgent = aHasAgents(info.service);
+    this->UpdateLocalRate(aNow, target);
     target.localQueue->SetLimit(aNow,
                                 target.ActiveQueue() != nullptr ? 0 : this->LocalLimit(target));
   }
@@ -104,6 +106,9 @@
   Target& target = found->second;
   if (aNotice.isRateKnown) {
     this->AddRate(aNow, target, { aNotice.maxRate, aSentAt, aNow }, "answer");
+    if (aNotice.coldRemaining) {
+      this->AddColdNotice(aNow, target, *aNotice.coldRemaining, aSentAt);
+    }
     this->DrainLocalOffers(aNow);
   }
   const bool isNew = (aNotice.isLeaving && !target.hasAnnouncedLeaving) ||
@@ -287,7 +292,7 @@
 bool Dispatcher::MayRetry(TimePoint aNow, const Call& aCall, AttemptEnd aEnd) const
 {
   if (aEnd == AttemptEnd::kAnswered || aNow >= aCall.spec.deadline ||
-      aCall.attempts >= kMaxAttempts) {
+      aCall.attempts >= kMaxAttempts || this->IsShutOut(aCall.spec)) {
     return false;
   }
   const Verdict verdict = this->crashes.Judge(aNow, aCall.spec.fingerprint, aCall.spec.promptParts);
@@ -312,6 +317,7 @@
   for (auto& [id, target] : this->targets) {
     target.localQueue->KeepAlive(aNow, this->self);
     target.localQueue->OnTimer(aNow);
+    this->UpdateColdPhase(aNow, target, "time");
     for (RemoteQueue* remote : { &target.agent, &target.owner }) {
       if (remote->isLive && this->HasTimedOut(aNow, *remote)) {
         this->SetLive(aNow, target, *remote, false);
--- a/src/direct/messages.h
+++ b/src/direct/messages.h
@@ -3,7 +3,9 @@
 #pragma once
 
 #include "direct/call.h"
+#include "direct/evacuation.h"
 #include "direct/leaving_table.h"
+#include "direct/queue_order.h"
 #include "direct/version_move.h"
 
 #include <cereal/types/array.hpp>
@@ -30,11 +32,15 @@
   std::int32_t endWithinMs = 0;
   std::uint32_t promptTokens = 0; // not yet cached at this endpoint, estimated by the entry
   std::uint32_t outputTokens = 0;
+  QueueOrder order = QueueOrder::kOnTimeFirst; // of the service in the entry's configuration
+  std::uint32_t account = 0;                   // part of its hash; 0: takes no part in fair shares
+  std::uint16_t accountWeight = 0;             // relative to kMeanAccountWeight
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(call, tier, rank, startWithinMs, endWithinMs, promptTokens, outputTokens);
+    aArchive(call, tier, rank, startWithinMs, endWithinMs, promptTokens, outputTokens, order,
+             account, accountWeight);
   }
 
   friend bool operator==(const ReserveSlot&, const ReserveSlot&) = default;
@@ -174,6 +180,30 @@
   friend bool operator==(const RateNews&, const RateNews&) = default;
 };
 
+// Between an entry and a queue, about an endpoint whose service limits cold processes: the limits,
+// and the statement in force at the sender (see ColdState).
+struct ColdNews
+{
+  bool isFromQueue = false;        // from the process that keeps the queue, to an entry
+  std::int64_t endpointBornMs = 0; // start of the endpoint process, Unix time; 0: unknown
+  std::uint32_t coldTimeMs = 0;
+  float perSecond = 0;
+  float maxInSecond = 0;
+  bool hasStatement = false;
+  std::uint32_t remainingMs = 0; // zero: warm
+  std::uint32_t earliestAgeMs = 0;
+  std::uint32_t latestAgeMs = 0;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(isFromQueue, endpointBornMs, coldTimeMs, perSecond, maxInSecond, hasStatement,
+             remainingMs, earliestAgeMs, latestAgeMs);
+  }
+
+  friend bool operator==(const ColdNews&, const ColdNews&) = default;
+};
+
 // Quota usage of one account at one entry since the entry started.
 struct AccountUsage
 {
@@ -252,20 +282,21 @@
   std::vector<EndpointIncarnation> leaving; // recently announced to the sender
   std::vector<Suspicion> suspicions;        // requests during which endpoints crashed
   std::vector<Suspicion> partSuspicions;    // parts of prompts in such requests
+  std::vector<EvacuationState> evacuations; // known orders, and ends of the last hour
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
     aArchive(sentAtUs, echoUs, configVersion, configAgeMs, endpointsHash, endpointsAgeMs,
              readsStore, storeEra, usageSavedAgeMs, usages, windowUsages, moves, leaving,
-             suspicions, partSuspicions);
+             suspicions, partSuspicions, evacuations);
   }
 
   friend bool operator==(const EntryState&, const EntryState&) = default;
 };
 
 using QueueMessage = std::variant<ReserveSlot, WithdrawSlot, OfferSlot, UseSlot, BeginAnswer,
-                                  ReleaseSlot, HoldState, AgentState, RateNews>;
+                                  ReleaseSlot, HoldState, AgentState, RateNews, ColdNews>;
 
 // Exchanged with the entry that owns the queue of an endpoint without an agent.
 struct QueueEnvelope
@@ -282,10 +313,10 @@
   friend bool operator==(const QueueEnvelope&, const QueueEnvelope&) = default;
 };
 
-using DirectMessage = std::variant<ReserveSlot, WithdrawSlot, OfferSlot, UseSlot, BeginAnswer,
-                                   ReleaseSlot, HoldState, AgentState, EntryState, QueueEnvelope,
-                                   RateNews, UsageRequest, UsageWindow>; // append only, as older
-                                                                         // builds read the others
+using DirectMessage =
+  std::variant<ReserveSlot, WithdrawSlot, OfferSlot, UseSlot, BeginAnswer, ReleaseSlot, HoldState,
+               AgentState, EntryState, QueueEnvelope, RateNews, UsageRequest, UsageWindow,
+               ColdNews>; // append only, as older builds read the others
 
 DirectMessage ToDirectMessage(const QueueMessage& aMessage);
 // Returns nullopt if the message is not a queue message.
--- a/src/direct/shared_quota.cpp
+++ b/src/direct/shared_quota.cpp
@@ -18,17 +18,12 @@
 // Accounts that used more than this share of their bound are saved; after a restart, all others are
 // assumed to have used this share.
 constexpr double kMinSavedShare = 0.05;
-// Maximum usage since the last save, as a share of the bound, while saves succeed and before the
-// first one. A restart assumes less than the larger one: part of that is in a save that was not yet
-// known, and the platform tolerates more than the bound.
-constexpr double kMaxUnsavedShare = 0.25;
-constexpr double kMaxUnsavedShareAtStart = 0.1;
+// Usage since the last save that a restart assumes: less than may be used, as part of that is in a
+// save that was not yet known, and the platform tolerates more than the bound.
 constexpr double kAssumedUnsavedShare = 0.2;
 // Usage since the last save that makes the next one due, as a share of the bound, and its age.
 constexpr double kSaveDueShare = 0.06;
 constexpr Duration kSaveDueAge = std::chrono::milliseconds(900);
-// Time after which a caller that was refused for unsaved usage may succeed.
-constexpr Duration kSaveWait = std::chrono::milliseconds(250);
 // Minimum share of a window's usage that is missing in the last save: peers report about every
 // 200 ms, and one entry saves every 250 ms, in a window of eight seconds.
 constexpr double kUnsavedShare = 0.08;
@@ -72,6 +67,13 @@
   this->peerTimeout = std::max(aPeerTimeout, this->options.peerTimeout);
 }
 
+bool SharedQuota::WasRefused(TimePoint aNow, std::uint64_t aAccount) const
+{
+  const auto found = this->windows.find(aAccount);
+  return found != this->windows.end() && found->second.refusedAt != TimePoint{} &&
+         aNow - found->second.refusedAt <= kGrowthHalfLife;
+}
+
 std::int64_t SharedQuota::BucketOf(TimePoint aNow) const
 {
   return aNow.time_since_epoch() * static_cast<std::int64_t>(kParts) / this->options.window;
@@ -114,77 +116,6 @@
   return std::max(aWindow.unsaved - rate * std::max(SecondsOf(assumed), 0.0), 0.0);
 }
 
-// Zero if aUnits may be added to aUnsaved units that a restart of all entries would lose, else the
-// time until they may.
-Duration SharedQuota::UnsavedWait(const Window& aWindow, TimePoint aNow, double aUnsaved,
-                                  double aUnits) const
-{
-  const double share = this->savedAt ? kMaxUnsavedShare : kMaxUnsavedShareAtStart;
-  const double bound = aWindow.bound * aWindow.part;
-  const double over = aUnsaved + aUnits - bound * share;
-  // A single request may exceed the share.
-  if (!this->isUnsavedLimited || aUnsaved <= 0 || over <= 0) {
-    return Duration::zero();
-  }
-  const Duration failedFor = aNow - this->savedAt.value_or(this->start) - this->options.maxSaveAge;
-  if (failedFor < Duration::zero()) {
-    return kSaveWait;
-  }
-  const std::chrono::duration<double> wait(over * SecondsOf(this->options.window) / bound);
-  return std::max(std::chrono::duration_cast<Duration>(wait), kSaveWait);
-}
-
-Duration SharedQuota::Take(TimePoint aNow, std::uint64_t aAccount, const QuotaLimit& aLimit,
-                           double aUnits)
-{
-  if (aLimit.ratePerSecond <= 0) {
-    return Duration::zero();
-  }
-  this->ChargeSilentPeers(aNow, aAccount, aLimit);
-  Window& window = this->WindowOf(aAccount);
-  this->Advance(window, aNow);
-  window.bound = this->BoundOf(aLimit);
-  window.part = this->HeardPart(aNow);
-  const Buckets restored = this->RestoredUsageOf(aAccount, window.bound, aNow);
-  const double restoredUnits = std::accumulate(restored.begin(), restored.end(), 0.0);
-  // Entries that are not heard yet may use their part of what the restored usage leaves.
-  const double available = restoredUnits + (window.bound - restoredUnits) * window.part;
-  const double heard = restoredUnits + window.total + this->UnreportedUsage(aNow, aAccount);
-  const double used = std::max(heard, this->ExtrapolatedReport(aNow, aAccount));
-  const double over = used + aUnits - available;
-  if (over > 0) {
-    const Duration wait = this->WaitUntilFreed(window, restored, over);
-    return window.part < 1 ? std::min(wait, std::max(this->expectedUntil - aNow, kSaveWait)) : wait;
-  }
-  const double unsaved = this->UnsavedUsage(window, aNow);
-  const Duration wait = this->UnsavedWait(window, aNow, unsaved, aUnits);
-  if (wait > Duration::zero()) {
-    return wait;
-  }
-  this->Add(aNow, aAccount, aUnits);
-  this->ownTotals[aAccount] += aUnits;
-  if (const auto row = this->windowReports.find(aAccount); row != this->windowReports.end()) {
-    row->second.takenSince += aUnits;
-  }
-  return Duration::zero();
-}
-
-// Time until usage of at least aOver has left the window.
-Duration SharedQuota::WaitUntilFreed(const Window& aWindow, const Buckets& aRestored,
-                                     double aOver) const
-{
-  const Duration bucketTime = this->options.window / static_cast<std::int64_t>(kParts);
-  double freed = 0;
-  for (std::size_t step = 1; step <= kBuckets; step++) {
-    freed += aWindow.buckets.at((static_cast<std::size_t>(aWindow.newest) + step) % kBuckets);
-    freed += aRestored.at(kBuckets - step);
-    if (freed >= aOver) {
-      return bucketTime * static_cast<std::int64_t>(step);
-    }
-  }
-  return this->options.window;
-}
-
 double SharedQuota::UsedIn(const Window& aWindow, std::uint64_t aAccount, TimePoint aNow) const
 {
   const Buckets before = this->RestoredUsageOf(aAccount, aWindow.bound, aNow);
@@ -246,7 +177,9 @@
 double SharedQuota::RestoredAt(const RestoredUsage* aRow, double aBound, std::size_t aAge) const
 {
   if (!this->isRestored) {
-    return aBound / kParts;
+    // If usage is saved, all of it may have been used just before the start.
+    const double latest = aAge == 0 ? aBound : 0;
+    return this->isUnsavedLimited ? latest : aBound / kParts;
   }
   if (this->isFromPeer) {
     const double negligible = aAge == 0 ? aBound * kMinSavedShare : 0;
@@ -370,6 +303,10 @@
   for (const auto& [account, row] : this->restored) {
     this->WindowOf(account);
   }
+  // So does what is assumed of accounts that the last save omits.
+  for (const auto& [account, bound] : this->bounds) {
+    this->WindowOf(account);
+  }
   std::vector<SavedUsage> result;
   for (auto& [account, window] : this->windows) {
     this->Advance(window, aNow);
@@ -503,7 +440,13 @@
     if (sinceHeard > 0) {
       const double grown = use.units > known ? static_cast<double>(use.units - known) : 0;
       double& rate = row.rates[use.account];
-      rate += kRateWeight * (grown / sinceHeard - rate);
+      const double newest = grown / sinceHeard;
+      const double held = rate * std::exp2(-sinceHeard / SecondsOf(kGrowthHalfLife));
+      rate += kRateWeight * (newest - rate);
+      // Held by a limit, the account returns at its previous rate at all entries at once.
+      if (this->WasRefused(aNow, use.account)) {
+        rate = std::max({ rate, newest, held });
+      }
     }
     if (use.units > known) {
       // The first report after a silence includes the usage assumed during the silence.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -84,6 +84,7 @@
   , protocol(aProtocol)
   , budget(aSettings.budget, aClock.Read().steady)
   , quota(aSettings.quota, aClock.Read().steady)
+  , quotaReserve(aRandom)
   , dispatcher(aSettings.dispatch, aSelf, aSettings.failureDomain, aRandom, this->budget, *this)
   , pool(aPoller, aClock)
   , net(aPoller, aSelf, *this)
@@ -97,7 +98,11 @@
     this->ownedQueues.OnTimer(this->Now());
     this->AfterInput();
   })
-  , stateTimer([this] { this->SendStates(); })
+  , stateTimer([this] {
+    this->evacuations.Step(this->Now(), this->readsStore);
+    this->ApplyEvacuations();
+    this->SendStates();
+  })
   , leaveTimer([this] {
     this->isClosed = true;
     this->server.StopListening();
@@ -146,7 +151,8 @@
   LogEvent(LogLevel::kInfo, "config",
            { { "version", std::to_string(this->config->version) },
              { "offset", std::to_string(aOffset) },
-             { "routes", std::to_string(this->config->routes.size()) } });
+             { "routes", std::to_string(this->config->routes.size()) },
+             { "queue_orders", this->config->Orders().Describe() } });
   this->SetQuotaLimits();
   this->SetEndpoints(std::map<std::string, direct::EndpointInfo>(this->endpoints));
 }
@@ -178,6 +184,7 @@
 {
   this->metrics.CountStoreRestore();
   this->freshness.OnRestored(this->Now());
+  this->evacuations.OnLogRestored();
   this->denialsHeldUntil = this->Now() + this->settings.denialDelay;
   this->RewriteLostState();
 }
@@ -185,6 +192,7 @@
 void Gateway::SetEndpoints(const std::map<std::string, direct::EndpointInfo>& aAll)
 {
   this->endpoints = aAll;
+  this->SetColdLimits();
   const std::uint64_t hash = direct::HashOf(aAll);
   const bool hasChanged = hash != this->endpointsHash;
   this->endpointsHash = hash;
@@ -193,7 +201,7 @@
       this->config == nullptr ? nullptr : this->config->FindService(aService);
     return service != nullptr && service->engineSlots > 0;
   };
-  this->moves.SetEndpoints(this->endpoints);
+  this->moves.SetEndpoints(this->endpoints, this->evacuations.Domains());
   this->ownedQueues.SetEndpoints(this->Now(), this->endpoints, hasAgents);
   this->dispatcher.SetEndpoints(this->Now(), this->endpoints, hasAgents);
   this->UpdateOwners();
@@ -326,29 +334,6 @@
   return false;
 }
 
-bool Gateway::TakeQuota(Flow& aFlow)
-{
-  if (aFlow.account == nullptr) {
-    return true;
-  }
-  const direct::AccountSpec& account = *aFlow.account;
-  aFlow.quotaUnits = 1;
-  if (account.countsTokens) {
-    aFlow.quotaUnits = aFlow.request.hasTokenCounts
-                         ? double{ 1 } * aFlow.request.promptTokens + aFlow.request.outputTokens
-                         : account.defaultTokens;
-  }
-  aFlow.quotaTakenAt = this->Now();
-  const Duration wait =
-    this->quota.Take(aFlow.quotaTakenAt, account.hash, account.quota, aFlow.quotaUnits);
-  if (wait == Duration::zero()) {
-    return true;
-  }
-  aFlow.quotaUnits = 0;
-  this->Refuse(aFlow, 429, "over_quota", wait);
-  return false;
-}
-
 void Gateway::Submit(Flow& aFlow)
 {
   const direct::Route& route = *aFlow.route;
@@ -366,6 +351,8 @@
   spec.subject = aFlow.request.subject;
   spec.promptParts = aFlow.request.promptParts;
   spec.fingerprint = FingerprintOf(aFlow.request, aFlow.account, aFlow.ingress.body);
+  spec.regions = direct::IntersectRegions(
+    route.regions, aFlow.account == nullptr ? std::vector<std::string>() : aFlow.account->regions);
   const Duration byRoute = route.timeout > Duration::zero() ? route.timeout : kDefaultDeadline;
   const Duration byCaller = aFlow.request.timeLeft.value_or(kDefaultDeadline);
   spec.deadline = std::min(aFlow.ingress.readAt + byRoute, aFlow.ingress.firstByteAt + byCaller);
@@ -381,6 +368,11 @@
       break;
     }
   }
+  if (aFlow.account != nullptr && aFlow.account->weight > 0) {
+    spec.account = static_cast<std::uint32_t>(aFlow.account->hash);
+    spec.accountWeight = aFlow.account->weight;
+  }
+  spec.order = aFlow.config->Orders().Of(spec.service);
   this->moves.ChooseVersions(this->Now(), spec);
   this->dispatcher.Submit(this->Now(), spec);
 }
@@ -634,13 +626,6 @@
   this->flows.erase(found);
 }
 
-void Gateway::ReturnQuota(Flow& aFlow)
-{
-  if (aFlow.account != nullptr && aFlow.quotaUnits > 0) {
-    this->quota.Refund(this->Now(), aFlow.quotaTakenAt, aFlow.account->hash, aFlow.quotaUnits);
-  }
-}
-
 std::string Gateway::MetricsText()
 {
   this->metrics.SetConfig(this->config == nullptr ? 0 : this->config->version, this->ConfigAge());
@@ -649,6 +634,8 @@
   this->metrics.SetOpenRequests(this->flows.size());
   this->metrics.SetSuspects(this->dispatcher.SuspectCount());
   this->metrics.SetLimitedEndpoints(this->dispatcher.LimitedEndpointCount());
+  this->metrics.SetEvacuatedDomains(this->evacuations.Domains().size());
+  this->metrics.SetColdEndpoints(this->dispatcher.ColdEndpointCount());
   this->metrics.SetLogLinesDropped(DroppedLogLines());
   this->metrics.SetConnections(*this->memory, this->server.ConnectionCount(),
                                this->server.Refusals());
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "direct/dispatcher.h"
+#include "direct/evacuation.h"
 #include "direct/move_table.h"
 #include "direct/service_config.h"
 #include "direct/shared_quota.h"
@@ -65,6 +66,9 @@
   QueueServerOptions ownedQueues;
   direct::RetryBudgetOptions budget;
   direct::SharedQuotaOptions quota;
+  // Tolerated excess over the rate of a cold endpoint in any second, as a factor and in requests.
+  double coldOverage = 1;
+  double coldSlack = 0;
 };
 
 // Persistent storage of quota usage, to survive a restart of all entries.
@@ -145,6 +149,11 @@
   void SetMoveOrder(const direct::MoveOrder& aOrder, bool aIsFresh);
   void SetMoveLog(direct::MoveLog& aLog) { this->moves.SetLog(aLog); }
 
+  // Orders of the operator to evacuate a failure domain (see direct::Evacuations).
+  void OnEvacuationRecord(const direct::EvacuationRecord& aRecord);
+  void OnEvacuationSnapshot(std::uint64_t aEra, std::uint64_t aEnd,
+                            const std::vector<direct::EvacuationRecord>& aListed);
+
   // True if new requests can be served.
   bool IsReady() const;
   void BeginLeaving();
@@ -186,6 +195,8 @@
   void OnSuspect(const direct::SuspectUpdate& aNews) override;
   void OnNamedRate(const direct::EndpointInfo& aEndpoint, std::optional<double> aPerSecond,
                    std::string_view aSource) override;
+  void OnColdPhase(const direct::EndpointInfo& aEndpoint, Duration aRemaining,
+                   std::string_view aSource) override;
   void SendFromOwnedQueue(const Address& aEntry, const direct::QueueEnvelope& aMessage) override;
 
   void OnPeerMessage(const Address& aFrom, const Peer& aPeer,
@@ -218,12 +229,15 @@
   std::size_t StateRounds() const;
   void ApplyEntryState(const Address& aFrom, const Peer& aPeer, const direct::EntryState& aState);
   void SetQuotaLimits();
+  // Sets what the endpoints bear while they are cold, by the configuration.
+  void SetColdLimits();
   void ApplyUsageWindow(const Address& aFrom, const direct::UsageWindow& aWindow);
   void SaveQuotaUsage();
   void RewriteLostState();
   void SaveLostSuspicions();
   // Reports the end of a run at an endpoint of aVersion.
   void OnRunEnd(const Flow& aFlow, const std::string& aVersion, bool aIsBad, Duration aTime);
+  void ApplyEvacuations();
   void StepMoves();
   // Logs the stages that moves have entered, with the evidence.
   void LogMoveStages();
@@ -239,8 +253,10 @@
   const ProtocolAdapter& protocol;
   direct::RetryBudget budget;
   direct::SharedQuota quota;
+  direct::QuotaReserve quotaReserve;
   direct::Dispatcher dispatcher;
   direct::MoveTable moves;
+  direct::Evacuations evacuations;
   EndpointPool pool;
   PeerNet net;
   std::shared_ptr<MemoryAccount> memory;
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -66,6 +66,10 @@
       AddGauge(this->registry, "caraway_entry_suspects", "Requests under which endpoints died"))
   , limitedEndpoints(AddGauge(this->registry, "caraway_entry_limited_endpoints",
                               "Endpoints that name a request rate"))
+  , evacuatedDomains(AddGauge(this->registry, "caraway_entry_evacuated_failure_domains",
+                              "Failure domains whose endpoints get no requests"))
+  , coldEndpoints(AddGauge(this->registry, "caraway_entry_cold_endpoints",
+                           "Endpoints that are cold or suspected of it"))
   , logLinesDropped(AddGauge(this->registry, "caraway_log_lines_dropped",
                              "Log lines beyond the bound, since the start"))
   , heldBytes(prometheus::BuildGauge()
@@ -83,6 +87,9 @@
   AddHistograms(this->registry, "caraway_entry_first_seconds",
                 "Time from a request to its first event or its answer, by rank",
                 this->firstHistograms);
+  AddHistograms(this->registry, "caraway_entry_quota_retry_seconds",
+                "Retry delays told to callers of accounts over their quota, by rank",
+                this->quotaHistograms);
 }
 
 void GatewayMetrics::CountAnswer(bool aIsSuccess)
@@ -116,6 +123,11 @@
   this->waitHistograms.at(std::min(aRank, kLowestTier))->Observe(SecondsOf(aTime));
 }
 
+void GatewayMetrics::ObserveQuotaRefusal(Tier aRank, Duration aRetryAfter)
+{
+  this->quotaHistograms.at(std::min(aRank, kLowestTier))->Observe(SecondsOf(aRetryAfter));
+}
+
 void GatewayMetrics::ObserveFirstLatency(Tier aRank, Duration aTime)
 {
   this->firstHistograms.at(std::min(aRank, kLowestTier))->Observe(SecondsOf(aTime));
@@ -148,11 +160,21 @@
   this->suspects.Set(static_cast<double>(aCount));
 }
 
+void GatewayMetrics::SetColdEndpoints(std::size_t aCount)
+{
+  this->coldEndpoints.Set(static_cast<double>(aCount));
+}
+
 void GatewayMetrics::SetLimitedEndpoints(std::size_t aCount)
 {
   this->limitedEndpoints.Set(static_cast<double>(aCount));
 }
 
+void GatewayMetrics::SetEvacuatedDomains(std::size_t aCount)
+{
+  this->evacuatedDomains.Set(static_cast<double>(aCount));
+}
+
 void GatewayMetrics::SetLogLinesDropped(std::uint64_t aCount)
 {
   this->logLinesDropped.Set(static_cast<double>(aCount));
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -36,6 +36,8 @@
   void ObserveWait(Tier aRank, Duration aTime);
   // Time from the request to the first event or the complete answer.
   void ObserveFirstLatency(Tier aRank, Duration aTime);
+  // An account over its quota was told to return after this time.
+  void ObserveQuotaRefusal(Tier aRank, Duration aRetryAfter);
   void SetConfig(std::uint64_t aVersion, Duration aAge);
   void CountStoreRestore() { this->storeRestores.Increment(); }
   void SetStoreEra(std::uint64_t aEra);
@@ -45,6 +47,10 @@
   void SetSuspects(std::size_t aCount);
   // Number of endpoints that name a request rate.
   void SetLimitedEndpoints(std::size_t aCount);
+  // Number of failure domains whose endpoints get no calls, by order of the operator.
+  void SetEvacuatedDomains(std::size_t aCount);
+  // Number of endpoints that are cold or suspected of it.
+  void SetColdEndpoints(std::size_t aCount);
   void SetLogLinesDropped(std::uint64_t aCount);
   // What connections hold, and the connections that were refused or closed for others.
   void SetConnections(const MemoryAccount& aMemory, std::size_t aCount,
@@ -69,12 +75,15 @@
   prometheus::Gauge& openRequests;
   prometheus::Gauge& suspects;
   prometheus::Gauge& limitedEndpoints;
+  prometheus::Gauge& evacuatedDomains;
+  prometheus::Gauge& coldEndpoints;
   prometheus::Gauge& logLinesDropped;
   prometheus::Family<prometheus::Gauge>& heldBytes;
   prometheus::Gauge& connections;
   prometheus::Family<prometheus::Gauge>& closedConnections;
   std::array<prometheus::Histogram*, kTierCount> waitHistograms{};
   std::array<prometheus::Histogram*, kTierCount> firstHistograms{};
+  std::array<prometheus::Histogram*, kTierCount> quotaHistograms{};
 };
 
 } // namespace caraway::gateway
