--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -88,7 +88,8 @@
   , dispatcher(aSettings.dispatch, aSelf, aSettings.failureDomain, aRandom, this->budget, *this)
   , pool(aPoller, aClock)
   , net(aPoller, aSelf, *this)
-  , server(aPoller, aClock, *this)
+  , memory(std::make_shared<MemoryAccount>(aSettings.memoryBytes))
+  , server(aPoller, aClock, *this, this->memory)
   , freshness(aSettings.storeRewriteTime)
   , ownedQueues(aSettings.ownedQueues, *this)
   , timer([this] {
@@ -108,6 +109,9 @@
   })
   , saveTimer([this] { this->SaveQuotaUsage(); })
 {
+  if (aSettings.maxDescriptors > 0) {
+    this->server.SetMaxConnections(MaxConnectionsOf(aSettings.maxDescriptors));
+  }
   aPoller.AddBatchHook([this] { this->endedFlows.clear(); });
 }
 
@@ -633,6 +637,8 @@
   this->metrics.SetEvacuatedDomains(this->evacuations.Domains().size());
   this->metrics.SetColdEndpoints(this->dispatcher.ColdEndpointCount());
   this->metrics.SetLogLinesDropped(DroppedLogLines());
+  this->metrics.SetConnections(*this->memory, this->server.ConnectionCount(),
+                               this->server.Refusals());
   return this->metrics.Text();
 }
 
