--- a/src/direct/dispatcher_place.cpp
+++ b/src/direct/dispatcher_place.cpp
@@ -58,7 +58,8 @@
   double backlog = 0;
   TimePoint earliestPauseEnd = kNever;
   for (const auto& [id, target] : this->targets) {
-    if (!target.isListed || !target.isInSubset || target.info.service != aService) {
+    if (!target.isListed || !target.isInSubset || target.info.service != aService ||
+        this->evacuatedDomains.contains(target.info.failureDomain)) {
       continue;
     }
     earliestPauseEnd = std::min(earliestPauseEnd, target.pausedUntil);
