Bound what a cold endpoint gets, over all processes

Cause: nothing read how long an endpoint stays cold. Change: ColdState holds until when a process is cold (registration, Cold-Ms of answers and reports, suspicion of new or regained processes; newest wins). BoundsOf gives agent, owner and entries fixed parts whose sum stays below the bound; the rate limiter of named rates enforces them and has a bound on any second beside the rate. Warm engines have one too, as they turn cold without word. ColdNews tells agents limits and statements. Tests: with BoundsOf returning nothing, all six cases of cold_world fail (138, 240, 187 and 84 requests in a second for 20); they pass now, with cold_rate, cold_agent, cold_documents. test_direct 401, test_gateway 149 and test_platform pass.

--- a/src/direct/dispatcher.cpp
+++ b/src/direct/dispatcher.cpp
@@ -48,6 +48,7 @@
   }
   for (const auto& [id, info] : aAll) {
     Target& target = this->targets[id];
+    this->ReadColdRegistration(aNow, target, info, target.localQueue == nullptr);
     if (target.localQueue == nullptr) {
       target.listedAt = aNow;
       target.localPort = std::make_unique<LocalPort>();
@@ -63,10 +64,12 @@
       }
     }
     target.info = info;
+    this->UpdateColdPhase(aNow, target, "registration");
     target.hasAnnouncedLeaving = this->leaving.Contains(IncarnationOf(id, info.bornMs));
     target.isListed = true;
     target.isInSubset = subset.contains(id);
     target.hasAgent = aHasAgents(info.service);
+    this->UpdateLocalRate(aNow, target);
     target.localQueue->SetLimit(aNow,
                                 target.ActiveQueue() != nullptr ? 0 : this->LocalLimit(target));
   }
@@ -104,6 +107,9 @@
   Target& target = found->second;
   if (aNotice.isRateKnown) {
     this->AddRate(aNow, target, { aNotice.maxRate, aSentAt, aNow }, "answer");
+    if (aNotice.coldRemaining) {
+      this->AddColdNotice(aNow, target, *aNotice.coldRemaining, aSentAt);
+    }
     this->DrainLocalOffers(aNow);
   }
   const bool isNew = (aNotice.isLeaving && !target.hasAnnouncedLeaving) ||
@@ -312,6 +318,7 @@
   for (auto& [id, target] : this->targets) {
     target.localQueue->KeepAlive(aNow, this->self);
     target.localQueue->OnTimer(aNow);
+    this->UpdateColdPhase(aNow, target, "time");
     for (RemoteQueue* remote : { &target.agent, &target.owner }) {
       if (remote->isLive && this->HasTimedOut(aNow, *remote)) {
         this->SetLive(aNow, target, *remote, false);
--- a/src/direct/dispatcher.h
+++ b/src/direct/dispatcher.h
@@ -7,6 +7,7 @@
 
 #include "core/random.h"
 #include "direct/admission.h"
+#include "direct/cold_rate.h"
 #include "direct/crash_watch.h"
 #include "direct/endpoint_health.h"
 #include "direct/endpoint_subset.h"
@@ -86,6 +87,12 @@
   // The request rate that the endpoint names has changed; aSource: "answer" or the kind of queue.
   virtual void OnNamedRate(const EndpointInfo& aEndpoint, std::optional<double> aPerSecond,
                            std::string_view aSource) = 0;
+  // The endpoint turned cold for aRemaining, or warm if that is zero; aSource: who said so.
+  virtual void OnColdPhase(const EndpointInfo& aEndpoint, Duration aRemaining,
+                           std::string_view aSource)
+  {
+    (void)aEndpoint, (void)aRemaining, (void)aSource;
+  }
 };
 
 class Dispatcher
@@ -146,6 +153,7 @@
 
   void OnAgentState(TimePoint aNow, const std::string& aHost, const AgentState& aState);
   void OnAgentRate(TimePoint aNow, const std::string& aHost, const RateNews& aNews);
+  void OnAgentCold(TimePoint aNow, const std::string& aHost, const ColdNews& aNews);
   void OnOffer(TimePoint aNow, const std::string& aHost, CallNumber aCall);
   // Sets the hosts of the entries that own the endpoints' queues, by endpoint id.
   void SetOwners(TimePoint aNow, const std::map<std::string, std::string>& aHosts);
@@ -170,6 +178,8 @@
   std::string StateOf(TimePoint aNow, const std::string& aEndpoint) const;
   // Returns how many endpoints name a request rate.
   std::size_t LimitedEndpointCount() const;
+  // Returns how many endpoints are cold or suspected of it.
+  std::size_t ColdEndpointCount() const;
   // Returns the state of all endpoints in one line for logs.
   std::string Summary(TimePoint aNow) const;
 
@@ -190,6 +200,7 @@
     TimePoint activeSince = kNever; // start of holding slots or reservations there
     AgentState state;
     std::uint32_t sentPrefill = 0; // prompt tokens sent by this entry since its last state
+    TimePoint coldUntil{};         // of the endpoint, as the keeper of the queue says
   };
   struct Target
   {
@@ -200,6 +211,8 @@
     bool hasAnnouncedLeaving = false; // in an answer to this entry or to another one
     TimePoint pausedUntil{};          // the endpoint asked this process to pause
     NamedRate namedRate;
+    ColdState cold;      // from its registrations and answers to this entry
+    bool isCold = false; // by all that is known
     TimePoint listedAt{};
     RemoteQueue agent;
     RemoteQueue owner;
@@ -298,7 +311,16 @@
                std::string_view aSource);
   void AddRateNews(TimePoint aNow, Target& aTarget, const RateNews& aNews,
                    std::string_view aSource);
-  // Sets the share of the named rate that the local queue may use.
+  void ReadColdRegistration(TimePoint aNow, Target& aTarget, const EndpointInfo& aInfo,
+                            bool aIsNew);
+  void AddColdNotice(TimePoint aNow, Target& aTarget, Duration aRemaining, TimePoint aSentAt);
+  void AddColdNews(TimePoint aNow, Target& aTarget, RemoteQueue& aRemote, const ColdNews& aNews);
+  void UpdateColdPhase(TimePoint aNow, Target& aTarget, std::string_view aSource);
+  void TellCold(TimePoint aNow, const Target& aTarget, const RemoteQueue* aRemote);
+  static TimePoint ColdUntil(const Target& aTarget);
+  // Calls per second that the queue may start by the cold limits; nullopt: no limit.
+  static std::optional<double> ColdRate(const Target& aTarget, const RemoteQueue* aRemote);
+  // Sets the share of the rate that the local queue may use.
   void UpdateLocalRate(TimePoint aNow, Target& aTarget);
   void TellRate(TimePoint aNow, const Target& aTarget, const RemoteQueue* aRemote);
   // Calls per second that the queue in use starts; infinite if the endpoint names no rate.
--- a/src/direct/dispatcher_agents.cpp
+++ b/src/direct/dispatcher_agents.cpp
@@ -60,6 +60,9 @@
   } else if (const auto* news = std::get_if<RateNews>(&aMessage.message)) {
     this->AddRateNews(aNow, target, *news, "owner");
     this->DrainLocalOffers(aNow);
+  } else if (const auto* cold = std::get_if<ColdNews>(&aMessage.message)) {
+    this->AddColdNews(aNow, target, target.owner, *cold);
+    this->DrainLocalOffers(aNow);
   } else if (const auto* offer = std::get_if<OfferSlot>(&aMessage.message)) {
     // An offer from a queue that is no longer in use is ignored and times out there.
     if (target.ActiveQueue() == &target.owner) {
@@ -161,6 +164,7 @@
     return;
   }
   this->TellRate(aNow, aTarget, after); // before the reservations, so that it offers no more
+  this->TellCold(aNow, aTarget, after);
   aTarget.localQueue->SetLimit(aNow, after != nullptr ? 0 : this->LocalLimit(aTarget));
   for (auto& [number, call] : this->calls) {
     const auto& reserved = call.reserved;
@@ -250,10 +254,11 @@
       remote->activeSince = isIdle || !isRecipient ? kNever : std::min(remote->activeSince, aNow);
       if (isRecipient && (!isIdle || isItsTurn)) {
         this->TellRate(aNow, target, remote);
+        this->TellCold(aNow, target, remote);
         this->SendTo(target, remote, state);
       }
     }
-    if (target.namedRate.PerSecond()) {
+    if (target.namedRate.PerSecond() || target.info.coldLimits.IsSet()) {
       this->UpdateLocalRate(aNow, target); // the number of entries may have changed
     }
   }
--- a/src/direct/dispatcher_rates.cpp
+++ b/src/direct/dispatcher_rates.cpp
@@ -1,5 +1,6 @@
-// Request rates that endpoints name. The process that keeps an endpoint's queue enforces the rate
-// for all entries; a local queue, used while no such process is heard, enforces this entry's share.
+// Request rates that endpoints name, and those of cold endpoints in local queues. The process that
+// keeps an endpoint's queue enforces the rate for all entries; a local queue, used while no such
+// process is heard, enforces this entry's share.
 #include "direct/dispatcher.h"
 #include "direct/rate_news.h"
 
@@ -56,7 +57,11 @@
 {
   std::optional<double> rate = aTarget.namedRate.EnforcedRate();
   if (rate) {
-    const double share = *rate * kFallbackRateShare / this->entryCount;
+    rate = *rate * kFallbackRateShare;
+  }
+  rate = LowerRate(rate, ColdRate(aTarget, nullptr));
+  if (rate) {
+    const double share = *rate / this->entryCount;
     const double perShareTime = share * SecondsOf(kShareTime);
     const bool isChosen = UnitHash(aTarget.info.id, this->self.node) < perShareTime;
     rate = !isChosen ? 0 : share / std::min(perShareTime, 1.0);
@@ -74,9 +79,10 @@
 
 double Dispatcher::CallRate(const Target& aTarget)
 {
-  const std::optional<double> rate = aTarget.ActiveQueue() != nullptr
-                                       ? aTarget.namedRate.EnforcedRate()
-                                       : aTarget.localQueue->Rate();
+  const RemoteQueue* remote = aTarget.ActiveQueue();
+  const std::optional<double> rate =
+    remote != nullptr ? LowerRate(aTarget.namedRate.EnforcedRate(), ColdRate(aTarget, remote))
+                      : aTarget.localQueue->Rate();
   return rate.value_or(std::numeric_limits<double>::infinity());
 }
 
--- a/src/direct/endpoint_table.h
+++ b/src/direct/endpoint_table.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "core/types.h"
+#include "direct/cold_rate.h"
 
 #include <chrono>
 #include <cstdint>
@@ -28,6 +29,7 @@
   std::uint64_t sequence = 0; // of the registration; increases with each change by one process
   // How much longer the endpoint stays cold, as of the registration.
   std::chrono::milliseconds coldRemaining{};
+  ColdLimits coldLimits; // of its service, from the configuration
 
   friend bool operator==(const EndpointInfo&, const EndpointInfo&) = default;
 };
--- a/src/direct/messages.h
+++ b/src/direct/messages.h
@@ -174,6 +174,30 @@
   friend bool operator==(const RateNews&, const RateNews&) = default;
 };
 
+// Between an entry and a queue, about an endpoint whose service limits cold processes: the limits,
+// and the statement in force at the sender (see ColdState).
+struct ColdNews
+{
+  bool isFromQueue = false;        // from the process that keeps the queue, to an entry
+  std::int64_t endpointBornMs = 0; // start of the endpoint process, Unix time; 0: unknown
+  std::uint32_t coldTimeMs = 0;
+  float perSecond = 0;
+  float maxInSecond = 0;
+  bool hasStatement = false;
+  std::uint32_t remainingMs = 0; // zero: warm
+  std::uint32_t earliestAgeMs = 0;
+  std::uint32_t latestAgeMs = 0;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(isFromQueue, endpointBornMs, coldTimeMs, perSecond, maxInSecond, hasStatement,
+             remainingMs, earliestAgeMs, latestAgeMs);
+  }
+
+  friend bool operator==(const ColdNews&, const ColdNews&) = default;
+};
+
 // Quota usage of one account at one entry since the entry started.
 struct AccountUsage
 {
@@ -265,7 +289,7 @@
 };
 
 using QueueMessage = std::variant<ReserveSlot, WithdrawSlot, OfferSlot, UseSlot, BeginAnswer,
-                                  ReleaseSlot, HoldState, AgentState, RateNews>;
+                                  ReleaseSlot, HoldState, AgentState, RateNews, ColdNews>;
 
 // Exchanged with the entry that owns the queue of an endpoint without an agent.
 struct QueueEnvelope
@@ -282,10 +306,10 @@
   friend bool operator==(const QueueEnvelope&, const QueueEnvelope&) = default;
 };
 
-using DirectMessage = std::variant<ReserveSlot, WithdrawSlot, OfferSlot, UseSlot, BeginAnswer,
-                                   ReleaseSlot, HoldState, AgentState, EntryState, QueueEnvelope,
-                                   RateNews, UsageRequest, UsageWindow>; // append only, as older
-                                                                         // builds read the others
+using DirectMessage =
+  std::variant<ReserveSlot, WithdrawSlot, OfferSlot, UseSlot, BeginAnswer, ReleaseSlot, HoldState,
+               AgentState, EntryState, QueueEnvelope, RateNews, UsageRequest, UsageWindow,
+               ColdNews>; // append only, as older builds read the others
 
 DirectMessage ToDirectMessage(const QueueMessage& aMessage);
 // Returns nullopt if the message is not a queue message.
--- a/src/direct/rate_limiter.cpp
+++ b/src/direct/rate_limiter.cpp
@@ -12,6 +12,8 @@
 constexpr double kMinMaxDebt = 1;      // requests; the bound at low rates
 // Covers the rounding of times to the clock's resolution.
 constexpr double kTolerance = 1e-3;
+// Over which the requests of any second are counted: requests on their way come closer together.
+constexpr Duration kSecond = std::chrono::milliseconds(1050);
 
 } // namespace
 
@@ -29,8 +31,22 @@
   this->tokens = this->rate ? std::min(before, this->Burst()) : 0;
 }
 
+void RateLimiter::SetMaxInSecond(std::optional<std::uint32_t> aCount)
+{
+  this->maxInSecond = aCount;
+  if (!aCount) {
+    this->charges.clear();
+  }
+}
+
 void RateLimiter::Charge(TimePoint aNow)
 {
+  if (this->maxInSecond) {
+    this->charges.push_back(aNow);
+    while (this->charges.size() > 1 && aNow - this->charges.front() >= kSecond) {
+      this->charges.pop_front();
+    }
+  }
   if (this->rate) {
     const double maxDebt = std::max(kMaxDebtSeconds * *this->rate, kMinMaxDebt);
     this->tokens = std::max(this->TokensAt(aNow) - 1, -maxDebt);
@@ -40,17 +56,35 @@
 
 bool RateLimiter::Allows(TimePoint aNow, std::size_t aPending) const
 {
-  return !this->rate || this->TokensAt(aNow) >= 1 + static_cast<double>(aPending) - kTolerance;
+  const bool hasToken =
+    !this->rate || this->TokensAt(aNow) >= 1 + static_cast<double>(aPending) - kTolerance;
+  return hasToken && this->NextInSecond(aNow, aPending) <= aNow;
 }
 
 TimePoint RateLimiter::NextAllowed(TimePoint aNow, std::size_t aPending) const
 {
-  if (this->Allows(aNow, aPending)) {
-    return aNow;
+  const TimePoint inSecond = this->NextInSecond(aNow, aPending);
+  if (!this->rate || this->TokensAt(aNow) >= 1 + static_cast<double>(aPending) - kTolerance) {
+    return inSecond;
   }
   const double missing = 1 + static_cast<double>(aPending) - this->TokensAt(aNow);
   const auto wait = std::chrono::duration<double>(missing / *this->rate);
-  return aNow + std::chrono::ceil<Duration>(wait);
+  return std::max(aNow + std::chrono::ceil<Duration>(wait), inSecond);
+}
+
+TimePoint RateLimiter::NextInSecond(TimePoint aNow, std::size_t aPending) const
+{
+  if (!this->maxInSecond) {
+    return aNow;
+  }
+  if (aPending >= *this->maxInSecond) {
+    return aNow + kSecond;
+  }
+  const std::size_t allowed = *this->maxInSecond - aPending; // before one more is too many
+  if (this->charges.size() < allowed) {
+    return aNow;
+  }
+  return std::max(aNow, this->charges.at(this->charges.size() - allowed) + kSecond);
 }
 
 // At least one, so that a request can be sent at any rate.
--- a/src/direct/slot_queue.cpp
+++ b/src/direct/slot_queue.cpp
@@ -34,6 +34,12 @@
   this->OfferFreeSlots(aNow);
 }
 
+void SlotQueue::SetMaxInSecond(TimePoint aNow, std::optional<std::uint32_t> aCount)
+{
+  this->rate.SetMaxInSecond(aCount);
+  this->OfferFreeSlots(aNow);
+}
+
 void SlotQueue::Reserve(TimePoint aNow, const Peer& aHolder, const ReserveSlot& aReserve)
 {
   if (!this->RenewLease(aNow, aHolder)) {
@@ -170,9 +176,14 @@
   for (const NodeId node : silent) {
     this->DropHolder(aNow, node);
   }
-  std::erase_if(this->offers, [&](const auto& aRow) {
+  const std::size_t expired = std::erase_if(this->offers, [&](const auto& aRow) {
     return aNow - aRow.second.since >= this->options.offerTimeout;
   });
+  if (this->rate.MaxInSecond()) {
+    for (std::size_t count = 0; count < expired; count++) {
+      this->rate.Charge(aNow); // its holder may be slow and use it yet
+    }
+  }
   std::erase_if(this->waiting, [&](const auto& aRow) { return aRow.second.deadline <= aNow; });
   this->OfferFreeSlots(aNow);
 }
--- a/src/direct/slot_queue.h
+++ b/src/direct/slot_queue.h
@@ -49,6 +49,8 @@
   // Sets the maximum number of requests per second; nullopt: no limit.
   void SetRate(TimePoint aNow, std::optional<double> aPerSecond);
   std::optional<double> Rate() const { return this->rate.Rate(); }
+  // Sets the maximum number of requests in any second; nullopt: no bound.
+  void SetMaxInSecond(TimePoint aNow, std::optional<std::uint32_t> aCount);
 
   void Reserve(TimePoint aNow, const Peer& aHolder, const ReserveSlot& aReserve);
   void Withdraw(TimePoint aNow, const Peer& aHolder, CallNumber aCall);
--- a/src/gateway/endpoint_agent.cpp
+++ b/src/gateway/endpoint_agent.cpp
@@ -99,12 +99,18 @@
     if (const auto news = direct::NewsOf(this->Now(), this->namedRate, this->report.bornMs, true)) {
       this->net.Send(aFrom, *news);
     }
+    if (const auto news = this->ColdNews()) {
+      this->net.Send(aFrom, *news);
+    }
   }
   if (const auto* news = std::get_if<direct::RateNews>(&*message)) {
     if (const auto read = direct::ReadNews(this->Now(), *news, this->report.bornMs)) {
       this->AddRate(*read, aFrom.host);
     }
   }
+  if (const auto* news = std::get_if<direct::ColdNews>(&*message)) {
+    this->OnColdNews(*news, aFrom.host);
+  }
   if (this->queue.Slots() != this->slots) {
     this->slots = this->queue.Slots();
     this->UpdateLimit();
@@ -139,6 +145,7 @@
     this->pool.Cancel(this->reportExchange);
     this->reportExchange.reset();
   }
+  this->UpdateColdPhase("time");
   const Duration extraPeriod = this->ReportPeriod() - this->settings.reportPeriod;
   if (this->isReachable &&
       now - this->lastReportAt > this->settings.endpointTimeout + extraPeriod) {
@@ -181,6 +188,9 @@
       if (notice.isRateKnown) {
         this->AddRate({ notice.maxRate, this->reportRequestedAt, this->Now() }, "report");
       }
+      if (notice.coldRemaining) {
+        this->AddColdNotice(*notice.coldRemaining);
+      }
       this->AfterInput();
       return;
     }
@@ -201,6 +211,10 @@
                           aReport.isLeaving != this->report.isLeaving;
   if (aReport.bornMs != this->report.bornMs) {
     this->namedRate = {};
+    this->cold = {};
+  }
+  if (aReport.bornMs != this->report.bornMs || !this->isReachable) {
+    this->SuspectCold(aReport);
   }
   this->report = aReport;
   this->lastReportAt = this->Now();
@@ -209,6 +223,7 @@
     LogEvent(LogLevel::kInfo, "endpoint_seen",
              { { "born_ms", std::to_string(aReport.bornMs) },
                { "leaving", aReport.isLeaving ? "true" : "false" } });
+    this->UpdateColdPhase("report");
     this->UpdateLimit();
     this->SendStates();
   }
@@ -259,7 +274,10 @@
     const double reportRate = 1 / SecondsOf(this->ReportPeriod());
     callRate = std::max(*callRate - reportRate, *callRate * kMinCallShare);
   }
-  this->queue.SetRate(this->Now(), callRate);
+  const direct::RateBounds bounds =
+    direct::BoundsOf(this->coldLimits, this->isCold, direct::RateHolder::kAgent);
+  this->queue.SetMaxInSecond(this->Now(), bounds.maxInSecond);
+  this->queue.SetRate(this->Now(), direct::LowerRate(callRate, bounds.perSecond));
 }
 
 std::string EndpointAgent::MetricsText() const
@@ -281,6 +299,8 @@
       static_cast<double>(this->reportCount));
   add("caraway_agent_named_rate", "Requests per second that the endpoint names; -1 if none",
       this->namedRate.PerSecond().value_or(-1));
+  add("caraway_agent_endpoint_cold", "The endpoint is cold or suspected of it",
+      this->isCold ? 1 : 0);
   add("caraway_agent_endpoint_reachable", "The endpoint answers", this->isReachable ? 1 : 0);
   add("caraway_agent_entries", "Entries heard", static_cast<double>(this->queue.EntryCount()));
   add("caraway_log_lines_dropped", "Log lines beyond the bound, since the start",
@@ -292,7 +312,8 @@
 {
   const TimePoint now = this->Now();
   this->queue.SendStates(now, this->State(),
-                         direct::NewsOf(now, this->namedRate, this->report.bornMs, true));
+                         direct::NewsOf(now, this->namedRate, this->report.bornMs, true),
+                         this->ColdNews());
   this->net.Flush();
   this->stateTimer.ArmAfter(this->settings.statePeriod);
 }
--- a/src/gateway/endpoint_agent.h
+++ b/src/gateway/endpoint_agent.h
@@ -3,6 +3,7 @@
 // agent, so its termination interrupts none.
 #pragma once
 
+#include "direct/cold_rate.h"
 #include "direct/named_rate.h"
 #include "gateway/peer_net.h"
 #include "gateway/protocol_adapter.h"
@@ -58,6 +59,13 @@
   void RequestReport();
   void ApplyReport(const EndpointReport& aReport);
   void AddRate(const direct::RateObservation& aObservation, std::string_view aSource);
+  // Applies what an entry or the endpoint says about its cold times; aSource: who.
+  void OnColdNews(const direct::ColdNews& aNews, std::string_view aSource);
+  void AddColdNotice(Duration aRemaining);
+  // The endpoint's process aReport is seen for the first time, or again after silence.
+  void SuspectCold(const EndpointReport& aReport);
+  void UpdateColdPhase(std::string_view aSource);
+  std::optional<direct::ColdNews> ColdNews() const;
   Duration ReportPeriod() const;
   void UpdateLimit();
   void SendStates();
@@ -83,6 +91,10 @@
   std::uint64_t offerCount = 0;
   std::uint64_t reportCount = 0; // reports requested
   direct::NamedRate namedRate;
+  direct::ColdLimits coldLimits; // as told by entries
+  TimePoint coldLimitsAt{};
+  direct::ColdState cold;
+  bool isCold = false;
   TimePoint armedFor = kNever;
   Timer reportTimer;
   Timer stateTimer;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -181,6 +181,7 @@
 void Gateway::SetEndpoints(const std::map<std::string, direct::EndpointInfo>& aAll)
 {
   this->endpoints = aAll;
+  this->SetColdLimits();
   const std::uint64_t hash = direct::HashOf(aAll);
   const bool hasChanged = hash != this->endpointsHash;
   this->endpointsHash = hash;
@@ -645,6 +646,7 @@
   this->metrics.SetOpenRequests(this->flows.size());
   this->metrics.SetSuspects(this->dispatcher.SuspectCount());
   this->metrics.SetLimitedEndpoints(this->dispatcher.LimitedEndpointCount());
+  this->metrics.SetColdEndpoints(this->dispatcher.ColdEndpointCount());
   this->metrics.SetLogLinesDropped(DroppedLogLines());
   return this->metrics.Text();
 }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -63,6 +63,9 @@
   QueueServerOptions ownedQueues;
   direct::RetryBudgetOptions budget;
   direct::SharedQuotaOptions quota;
+  // Tolerated excess over the rate of a cold endpoint in any second, as a factor and in requests.
+  double coldOverage = 1;
+  double coldSlack = 0;
 };
 
 // Persistent storage of quota usage, to survive a restart of all entries.
@@ -182,6 +185,8 @@
   void OnSuspect(const direct::SuspectUpdate& aNews) override;
   void OnNamedRate(const direct::EndpointInfo& aEndpoint, std::optional<double> aPerSecond,
                    std::string_view aSource) override;
+  void OnColdPhase(const direct::EndpointInfo& aEndpoint, Duration aRemaining,
+                   std::string_view aSource) override;
   void SendFromOwnedQueue(const Address& aEntry, const direct::QueueEnvelope& aMessage) override;
 
   void OnPeerMessage(const Address& aFrom, const Peer& aPeer,
@@ -214,6 +219,8 @@
   std::size_t StateRounds() const;
   void ApplyEntryState(const Address& aFrom, const Peer& aPeer, const direct::EntryState& aState);
   void SetQuotaLimits();
+  // Sets what the endpoints bear while they are cold, by the configuration.
+  void SetColdLimits();
   void ApplyUsageWindow(const Address& aFrom, const direct::UsageWindow& aWindow);
   void SaveQuotaUsage();
   void RewriteLostState();
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -66,6 +66,8 @@
       AddGauge(this->registry, "caraway_entry_suspects", "Requests under which endpoints died"))
   , limitedEndpoints(AddGauge(this->registry, "caraway_entry_limited_endpoints",
                               "Endpoints that name a request rate"))
+  , coldEndpoints(AddGauge(this->registry, "caraway_entry_cold_endpoints",
+                           "Endpoints that are cold or suspected of it"))
   , logLinesDropped(AddGauge(this->registry, "caraway_log_lines_dropped",
                              "Log lines beyond the bound, since the start"))
 {
@@ -139,6 +141,11 @@
   this->suspects.Set(static_cast<double>(aCount));
 }
 
+void GatewayMetrics::SetColdEndpoints(std::size_t aCount)
+{
+  this->coldEndpoints.Set(static_cast<double>(aCount));
+}
+
 void GatewayMetrics::SetLimitedEndpoints(std::size_t aCount)
 {
   this->limitedEndpoints.Set(static_cast<double>(aCount));
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -44,6 +44,8 @@
   void SetSuspects(std::size_t aCount);
   // Number of endpoints that name a request rate.
   void SetLimitedEndpoints(std::size_t aCount);
+  // Number of endpoints that are cold or suspected of it.
+  void SetColdEndpoints(std::size_t aCount);
   void SetLogLinesDropped(std::uint64_t aCount);
 
   std::string Text() const;
@@ -65,6 +67,7 @@
   prometheus::Gauge& openRequests;
   prometheus::Gauge& suspects;
   prometheus::Gauge& limitedEndpoints;
+  prometheus::Gauge& coldEndpoints;
   prometheus::Gauge& logLinesDropped;
   std::array<prometheus::Histogram*, kTierCount> waitHistograms{};
   std::array<prometheus::Histogram*, kTierCount> firstHistograms{};
--- a/src/gateway/gateway_peers.cpp
+++ b/src/gateway/gateway_peers.cpp
@@ -43,6 +43,8 @@
     }
   } else if (const auto* news = std::get_if<direct::RateNews>(&aMessage)) {
     this->dispatcher.OnAgentRate(now, aFrom.host, *news);
+  } else if (const auto* cold = std::get_if<direct::ColdNews>(&aMessage)) {
+    this->dispatcher.OnAgentCold(now, aFrom.host, *cold);
   } else if (const auto* state = std::get_if<direct::EntryState>(&aMessage)) {
     this->ApplyEntryState(aFrom, aPeer, *state);
   } else if (std::holds_alternative<direct::UsageRequest>(aMessage)) {
@@ -53,9 +55,11 @@
     this->ApplyUsageWindow(aFrom, *window);
   } else if (const auto* queue = std::get_if<direct::QueueEnvelope>(&aMessage)) {
     const auto* rate = std::get_if<direct::RateNews>(&queue->message);
+    const auto* cold = std::get_if<direct::ColdNews>(&queue->message);
     const bool isFromOwner = std::holds_alternative<direct::AgentState>(queue->message) ||
                              std::holds_alternative<direct::OfferSlot>(queue->message) ||
-                             (rate != nullptr && rate->isFromQueue);
+                             (rate != nullptr && rate->isFromQueue) ||
+                             (cold != nullptr && cold->isFromQueue);
     if (isFromOwner) {
       this->dispatcher.OnOwnerMessage(now, aFrom.host, *queue);
     } else {
--- a/src/gateway/owned_queues.cpp
+++ b/src/gateway/owned_queues.cpp
@@ -1,5 +1,6 @@
 #include "gateway/owned_queues.h"
 
+#include "direct/cold_news.h"
 #include "direct/rate_news.h"
 
 #include <algorithm>
@@ -55,6 +56,13 @@
   return direct::NewsOf(aNow, this->namedRate, this->info.bornMs, true);
 }
 
+std::optional<direct::ColdNews> OwnedQueues::OwnedQueue::ColdNews(TimePoint aNow) const
+{
+  return this->isCold ? std::optional(direct::QueueColdNewsOf(
+                          aNow, this->cold, this->info.coldLimits, this->info.bornMs))
+                      : std::nullopt;
+}
+
 void OwnedQueues::SetEndpoints(TimePoint aNow,
                                const std::map<std::string, direct::EndpointInfo>& aAll,
                                const std::function<bool(const std::string&)>& aHasAgents)
@@ -72,10 +80,21 @@
 
 void OwnedQueues::Update(TimePoint aNow, OwnedQueue& aQueue, const Listed& aListed)
 {
-  if (aQueue.info.bornMs != aListed.info.bornMs) {
+  const direct::EndpointInfo& info = aListed.info;
+  const bool isOtherProcess = aQueue.info.bornMs != info.bornMs;
+  if (isOtherProcess) {
     aQueue.namedRate = {};
+    aQueue.cold = {};
+    if (!aQueue.info.id.empty()) {
+      aQueue.cold.Suspect(aNow);
+    }
+  }
+  const bool isNewStatement = isOtherProcess || aQueue.info.sequence != info.sequence ||
+                              aQueue.info.coldRemaining != info.coldRemaining;
+  if (isNewStatement && info.coldRemaining > Duration::zero()) {
+    aQueue.cold.Add({ aNow + info.coldRemaining, TimePoint{}, aNow });
   }
-  aQueue.info = aListed.info;
+  aQueue.info = info;
   aQueue.hasAgent = aListed.hasAgent;
   UpdateLimits(aNow, aQueue);
 }
@@ -87,7 +106,12 @@
   if (rate && aQueue.hasAgent) {
     rate = *rate * direct::kFallbackRateShare;
   }
-  aQueue.server.SetRate(aNow, rate);
+  aQueue.isCold = aQueue.cold.IsCold(aNow, aQueue.info.coldLimits);
+  const direct::RateBounds bounds = direct::BoundsOf(
+    aQueue.info.coldLimits, aQueue.isCold,
+    aQueue.hasAgent ? direct::RateHolder::kFallbackOwner : direct::RateHolder::kOwner);
+  aQueue.server.SetMaxInSecond(aNow, bounds.maxInSecond);
+  aQueue.server.SetRate(aNow, direct::LowerRate(rate, bounds.perSecond));
 }
 
 void OwnedQueues::OnMessage(TimePoint aNow, const Address& aFrom, const Peer& aPeer,
@@ -109,8 +133,17 @@
       owned->server.SendToAll(*owned->RateNews(aNow));
     }
   }
+  if (const auto* news = std::get_if<direct::ColdNews>(&aMessage.message)) {
+    const auto read = direct::StatementIn(aNow, *news, owned->info.bornMs);
+    if (read && owned->cold.Add(*read)) {
+      UpdateLimits(aNow, *owned);
+    }
+  }
   if (owned->server.OnMessage(aNow, aFrom, aPeer, aMessage.message)) {
     owned->SendFromQueue(aFrom, owned->State());
+    if (const auto news = owned->ColdNews(aNow)) {
+      owned->SendFromQueue(aFrom, *news);
+    }
     if (const auto news = owned->RateNews(aNow)) {
       owned->SendFromQueue(aFrom, *news);
     }
@@ -120,7 +153,10 @@
 void OwnedQueues::SendStates(TimePoint aNow)
 {
   for (auto& [endpoint, owned] : this->queues) {
-    owned->server.SendStates(aNow, owned->State(), owned->RateNews(aNow));
+    if (owned->isCold != owned->cold.IsCold(aNow, owned->info.coldLimits)) {
+      UpdateLimits(aNow, *owned);
+    }
+    owned->server.SendStates(aNow, owned->State(), owned->RateNews(aNow), owned->ColdNews(aNow));
   }
   // A queue without entries has moved to another owner.
   std::erase_if(this->queues,
--- a/src/gateway/owned_queues.h
+++ b/src/gateway/owned_queues.h
@@ -4,6 +4,7 @@
 // endpoint itself.
 #pragma once
 
+#include "direct/cold_rate.h"
 #include "direct/endpoint_table.h"
 #include "direct/named_rate.h"
 #include "gateway/queue_server.h"
@@ -50,12 +51,16 @@
     void SendFromQueue(const Address& aEntry, const direct::QueueMessage& aMessage) override;
     direct::AgentState State() const;
     std::optional<direct::RateNews> RateNews(TimePoint aNow) const;
+    // nullopt if the endpoint is warm.
+    std::optional<direct::ColdNews> ColdNews(TimePoint aNow) const;
 
     OwnedQueuesPort& port;
     std::uint64_t endpoint;
     direct::EndpointInfo info;
     bool hasAgent = false;
     direct::NamedRate namedRate;
+    direct::ColdState cold;
+    bool isCold = false;
     QueueServer server;
   };
 
--- a/src/gateway/queue_server.cpp
+++ b/src/gateway/queue_server.cpp
@@ -72,7 +72,8 @@
 }
 
 void QueueServer::SendStates(TimePoint aNow, const direct::AgentState& aState,
-                             const std::optional<direct::RateNews>& aRate)
+                             const std::optional<direct::RateNews>& aRate,
+                             const std::optional<direct::ColdNews>& aCold)
 {
   std::erase_if(this->entries, [&](const auto& aRow) {
     return aNow - aRow.second.heardAt > this->options.entryTimeout;
@@ -85,6 +86,9 @@
       if (aRate) {
         this->port.SendFromQueue(row.address, *aRate);
       }
+      if (aCold) {
+        this->port.SendFromQueue(row.address, *aCold);
+      }
     }
   }
 }
--- a/src/gateway/queue_server.h
+++ b/src/gateway/queue_server.h
@@ -38,6 +38,10 @@
   {
     this->queue.SetRate(aNow, aPerSecond);
   }
+  void SetMaxInSecond(TimePoint aNow, std::optional<std::uint32_t> aCount)
+  {
+    this->queue.SetMaxInSecond(aNow, aCount);
+  }
   // Returns true if the entry was unknown before.
   bool OnMessage(TimePoint aNow, const Address& aFrom, const Peer& aPeer,
                  const direct::QueueMessage& aMessage);
@@ -46,10 +50,11 @@
 
   // The queue's part of an AgentState; the caller fills in the fields about the endpoint.
   direct::AgentState State() const;
-  // Sends aState, and aRate if there is one, to the entries that are due, and removes entries that
-  // timed out.
+  // Sends aState, and aRate and aCold if there are any, to the entries that are due, and removes
+  // entries that timed out.
   void SendStates(TimePoint aNow, const direct::AgentState& aState,
-                  const std::optional<direct::RateNews>& aRate);
+                  const std::optional<direct::RateNews>& aRate,
+                  const std::optional<direct::ColdNews>& aCold);
   void SendToAll(const direct::QueueMessage& aMessage);
 
   void OnTimer(TimePoint aNow) { this->queue.OnTimer(aNow); }
