--- a/src/direct/quota_reserve.cpp
+++ b/src/direct/quota_reserve.cpp
@@ -12,8 +12,8 @@
 constexpr std::chrono::seconds kMemory(3);
 // Demand, as a multiple of the quota's rate, from which an account is over its quota.
 constexpr double kOverDemand = 1.25;
-// The demand of higher ranks over this time is kept back, whatever leaves the window meanwhile: three
-// rounds of reports.
+// The demand of higher ranks over this time is kept back, whatever leaves the window meanwhile:
+// three rounds of reports.
 constexpr std::chrono::milliseconds kLeastKept(600);
 // The same, less what leaves the window meanwhile.
 constexpr std::chrono::seconds kKept(2);
