--- a/tests/gateway/fixture.h
+++ b/tests/gateway/fixture.h
@@ -21,7 +21,7 @@
     CallerRequest request;
     request.method = aHead.method;
     request.target = aHead.target;
-    for (const HeaderField& field : aHead.fields) {
+    for (const HeaderField field : aHead.fields) {
       if (field.name == "Id") {
         request.id = field.value;
       } else if (field.name == "Host") {
@@ -85,7 +85,7 @@
   HeaderFields ForwardedFields(const ResponseHead& aHead) const override
   {
     HeaderFields fields;
-    for (const HeaderField& field : aHead.fields) {
+    for (const HeaderField field : aHead.fields) {
       if (field.name == "Proof" || field.name == "Id") {
         fields.push_back(field);
       }
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -206,7 +206,7 @@
   this->AddEndpoint([](Connection& aTo, const RequestHead& aHead) {
     RequestHead other = aHead;
     other.fields = {};
-    for (const HeaderField& field : aHead.fields) {
+    for (const HeaderField field : aHead.fields) {
       other.fields.push_back({ field.name, field.name == "Id" ? "r0" : field.value });
     }
     aTo.Write(CompleteResponse(other, "for-r0") + CompleteResponse(aHead, "for-r1"));
--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -250,7 +250,7 @@
   BOOST_TEST(request->promptTokens == 100U);
   BOOST_TEST(request->outputTokens == 20U);
   std::vector<std::string> names;
-  for (const HeaderField& field : request->forwarded) {
+  for (const HeaderField field : request->forwarded) {
     names.push_back(field.name);
   }
   BOOST_TEST((
