--- a/src/runtime/settings.cpp
+++ b/src/runtime/settings.cpp
@@ -577,14 +577,17 @@
 std::string SettingsReference()
 {
   std::ostringstream out;
-  out << "# Settings\n\nEach process reads one JSON file. This page is printed by\n"
-         "`caraway-entry --settings-reference`; a test holds it to the code. Names that end in\n"
-         "`_ms` are milliseconds. A file with findings starts nothing: all findings are printed\n"
-         "with their JSON pointers and the exit code is 2. `--check FILE` only checks.\n"
-         "`caraway-node` reads the file of the users' platform instead; what follows for its memory\n"
-         "and descriptors from `memory-mb` and `max-fds` there is in [design/memory.md](design/memory.md),\n"
-         "for cold endpoints and evacuations in [design/cold-endpoints.md](design/cold-endpoints.md) and\n"
-         "[design/evacuation.md](design/evacuation.md).\n";
+  out
+    << "# Settings\n\nEach process reads one JSON file. This page is printed by\n"
+       "`caraway-entry --settings-reference`; a test holds it to the code. Names that end in\n"
+       "`_ms` are milliseconds. A file with findings starts nothing: all findings are printed\n"
+       "with their JSON pointers and the exit code is 2. `--check FILE` only checks.\n"
+       "`caraway-node` reads the file of the users' platform instead; what follows for its memory\n"
+       "and descriptors from `memory-mb` and `max-fds` there is in "
+       "[design/memory.md](design/memory.md),\n"
+       "for cold endpoints and evacuations in [design/cold-endpoints.md](design/cold-endpoints.md) "
+       "and\n"
+       "[design/evacuation.md](design/evacuation.md).\n";
   WriteTableHeader(out, "All processes");
   WriteSettings(out, kCommonRows<CommonSettings>);
   WriteCustomRows(out, kCommonCustomRows);
