--- a/src/runtime/endpoint_pool.cpp
+++ b/src/runtime/endpoint_pool.cpp
@@ -224,8 +224,7 @@
     if (!this->reader->IsHeadDone() || this->request.correlationField.empty()) {
       return false;
     }
-    const auto field =
-      FindField(this->reader->Head().fields, this->request.correlationField);
+    const auto field = FindField(this->reader->Head().fields, this->request.correlationField);
     return field ? field->value != this->request.correlationValue : this->isReused;
   }
 
