--- a/tests/direct/dispatcher_domains_test.cpp
+++ b/tests/direct/dispatcher_domains_test.cpp
@@ -293,6 +293,22 @@
   BOOST_TEST(IntersectRegions({ "n" }, { "w" })->empty());
 }
 
+// Operators evacuate domains whose endpoints have restarted, so their figures of before don't hold.
+BOOST_FIXTURE_TEST_CASE(endpoints_of_a_domain_that_is_taken_back_count_as_cold, Fixture)
+{
+  for (auto& [id, info] : this->all) {
+    info.coldLimits = { seconds(3), 10, 20 };
+  }
+  this->List(true);
+  this->Evacuate({ "a", "b" });
+  BOOST_TEST(this->dispatcher->ColdEndpointCount() == 0U);
+  this->Advance(seconds(1));
+  this->Evacuate({ "b" });
+  BOOST_TEST(this->dispatcher->ColdEndpointCount() == 1U);
+  this->Advance(seconds(4));
+  BOOST_TEST(this->dispatcher->ColdEndpointCount() == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace caraway::direct
