--- a/src/runtime/header_fields.h
+++ b/src/runtime/header_fields.h
@@ -26,10 +26,10 @@
     , value(aValue)
   {
   }
-  FieldView(const HeaderField& aField)
+  FieldView(const HeaderField& aField) // NOLINT(google-explicit-constructor)
     : FieldView(aField.name, aField.value)
   {
-  }
+  } // NOLINTNEXTLINE(google-explicit-constructor)
   operator HeaderField() const { return { std::string(this->name), std::string(this->value) }; }
 
   std::string_view name;
@@ -41,7 +41,7 @@
 class HeaderFields
 {
 public:
-  class const_iterator
+  class const_iterator // NOLINT(readability-identifier-naming): as in the standard library
   {
   public:
     using iterator_category = std::input_iterator_tag;
@@ -80,7 +80,7 @@
   HeaderFields() = default;
   HeaderFields(std::initializer_list<FieldView> aFields);
 
-  void push_back(const FieldView& aField);
+  void push_back(const FieldView& aField); // NOLINT(readability-identifier-naming)
   const_iterator begin() const { return const_iterator(this->text); }
   const_iterator end() const { return {}; }
   bool empty() const { return this->text.empty(); }
