--- a/src/direct/service_config.cpp
+++ b/src/direct/service_config.cpp
@@ -32,7 +32,8 @@
     total += account.quota.ratePerSecond;
   }
   for (AccountSpec& account : this->accounts) {
-    const double share = account.quota.ratePerSecond * this->accounts.size() / total;
+    const double share =
+      account.quota.ratePerSecond * static_cast<double>(this->accounts.size()) / total;
     account.weight =
       static_cast<std::uint16_t>(std::clamp(share * kMeanAccountWeight, 1.0, 65535.0));
   }
--- a/src/direct/shared_quota.cpp
+++ b/src/direct/shared_quota.cpp
@@ -18,12 +18,19 @@
 // Accounts that used more than this share of their bound are saved; after a restart, all others are
 // assumed to have used this share.
 constexpr double kMinSavedShare = 0.05;
-// Usage since the last save that a restart assumes: less than may be used, as part of that is in a
-// save that was not yet known, and the platform tolerates more than the bound.
+// Maximum usage since the last save, as a share of the bound, while saves succeed and before the
+// first one. A restart assumes less than the larger one: part of that is in a save that was not yet
+// known, and the platform tolerates more than the bound.
+constexpr double kMaxUnsavedShare = 0.25;
+constexpr double kMaxUnsavedShareAtStart = 0.1;
 constexpr double kAssumedUnsavedShare = 0.2;
 // Usage since the last save that makes the next one due, as a share of the bound, and its age.
 constexpr double kSaveDueShare = 0.06;
 constexpr Duration kSaveDueAge = std::chrono::milliseconds(900);
+// Part of the estimated usage of peers since their last reports that the next save may miss.
+constexpr double kUnsavedUnreportedWeight = 0.75;
+// Time after which a caller that was refused for unsaved usage may succeed.
+constexpr Duration kSaveWait = std::chrono::milliseconds(250);
 // Minimum share of a window's usage that is missing in the last save: peers report about every
 // 200 ms, and one entry saves every 250 ms, in a window of eight seconds.
 constexpr double kUnsavedShare = 0.08;
@@ -116,6 +123,80 @@
   return std::max(aWindow.unsaved - rate * std::max(SecondsOf(assumed), 0.0), 0.0);
 }
 
+// Zero if aUnits may be added to aUnsaved units that a restart of all entries would lose, else the
+// time until they may.
+Duration SharedQuota::UnsavedWait(const Window& aWindow, TimePoint aNow, double aUnsaved,
+                                  double aUnits) const
+{
+  const double share = this->savedAt ? kMaxUnsavedShare : kMaxUnsavedShareAtStart;
+  const double bound = aWindow.bound * aWindow.part;
+  const double over = aUnsaved + aUnits - bound * share;
+  // A single request may exceed the share.
+  if (!this->isUnsavedLimited || aUnsaved <= 0 || over <= 0) {
+    return Duration::zero();
+  }
+  const Duration failedFor = aNow - this->savedAt.value_or(this->start) - this->options.maxSaveAge;
+  if (failedFor < Duration::zero()) {
+    return kSaveWait;
+  }
+  const std::chrono::duration<double> wait(over * SecondsOf(this->options.window) / bound);
+  return std::max(std::chrono::duration_cast<Duration>(wait), kSaveWait);
+}
+
+Duration SharedQuota::Take(TimePoint aNow, std::uint64_t aAccount, const QuotaLimit& aLimit,
+                           double aUnits)
+{
+  if (aLimit.ratePerSecond <= 0) {
+    return Duration::zero();
+  }
+  this->ChargeSilentPeers(aNow, aAccount, aLimit);
+  Window& window = this->WindowOf(aAccount);
+  this->Advance(window, aNow);
+  window.bound = this->BoundOf(aLimit);
+  window.part = this->HeardPart(aNow);
+  const Buckets restored = this->RestoredUsageOf(aAccount, window.bound, aNow);
+  const double restoredUnits = std::accumulate(restored.begin(), restored.end(), 0.0);
+  // Entries that are not heard yet may use their part of what the restored usage leaves.
+  const double available = restoredUnits + (window.bound - restoredUnits) * window.part;
+  const double unreported = this->UnreportedUsage(aNow, aAccount);
+  const double heard = restoredUnits + window.total + unreported;
+  const double used = std::max(heard, this->ExtrapolatedReport(aNow, aAccount));
+  const double over = used + aUnits - available;
+  if (over > 0) {
+    window.refusedAt = aNow;
+    const Duration wait = this->WaitUntilFreed(window, restored, over);
+    return window.part < 1 ? std::min(wait, std::max(this->expectedUntil - aNow, kSaveWait)) : wait;
+  }
+  const double unsaved = this->UnsavedUsage(window, aNow) + unreported * kUnsavedUnreportedWeight;
+  const Duration wait = this->UnsavedWait(window, aNow, unsaved, aUnits);
+  if (wait > Duration::zero()) {
+    window.refusedAt = aNow;
+    return wait;
+  }
+  this->Add(aNow, aAccount, aUnits);
+  this->ownTotals[aAccount] += aUnits;
+  if (const auto row = this->windowReports.find(aAccount); row != this->windowReports.end()) {
+    row->second.takenSince += aUnits;
+  }
+  return Duration::zero();
+}
+
+// Time until usage of at least aOver has left the window.
+Duration SharedQuota::WaitUntilFreed(const Window& aWindow, const Buckets& aRestored,
+                                     double aOver) const
+{
+  const Duration bucketTime = this->options.window / static_cast<std::int64_t>(kParts);
+  double freed = 0;
+  for (std::size_t step = 1; step <= kBuckets; step++) {
+    freed += aWindow.buckets.at((static_cast<std::size_t>(aWindow.newest) + step) % kBuckets);
+    freed += aRestored.at(kBuckets - step);
+    if (freed >= aOver) {
+      return bucketTime * static_cast<std::int64_t>(step);
+    }
+  }
+  return this->options.window;
+}
+
 double SharedQuota::UsedIn(const Window& aWindow, std::uint64_t aAccount, TimePoint aNow) const
 {
   const Buckets before = this->RestoredUsageOf(aAccount, aWindow.bound, aNow);
--- a/src/direct/shared_quota.h
+++ b/src/direct/shared_quota.h
@@ -4,7 +4,6 @@
 #pragma once
 
 #include "direct/messages.h"
-#include "direct/quota_reserve.h"
 
 #include <array>
 #include <cstdint>
@@ -101,11 +100,8 @@
   Duration TimeSinceSave(TimePoint aNow) const;
 
   // Takes aUnits from the account's quota and returns zero, or takes nothing and returns the time
-  // until enough units become available. At least aKept units have to be left.
-  Duration Take(TimePoint aNow, std::uint64_t aAccount, const QuotaLimit& aLimit, double aUnits,
-                double aKept = 0);
-  // The account's bound and window as Take sees them.
-  QuotaRoom RoomOf(TimePoint aNow, std::uint64_t aAccount, const QuotaLimit& aLimit);
+  // until enough units become available.
+  Duration Take(TimePoint aNow, std::uint64_t aAccount, const QuotaLimit& aLimit, double aUnits);
   // Returns the units that a request which did not run took at aTakenAt.
   void Refund(TimePoint aNow, TimePoint aTakenAt, std::uint64_t aAccount, double aUnits);
 
@@ -125,7 +121,6 @@
   // One more than the parts: the newest bucket is incomplete, and the oldest is partly in the
   // window.
   static constexpr std::size_t kBuckets = kParts + 1;
-  static_assert(kBuckets == QuotaRoom::kParts);
   using Buckets = std::array<double, kBuckets>;
   // Units used in the last window, in a ring of buckets of equal time.
   struct Window
@@ -172,7 +167,6 @@
   double RestoredAt(const RestoredUsage* aRow, double aBound, std::size_t aAge) const;
   Buckets RestoredUsageOf(std::uint64_t aAccount, double aBound, TimePoint aNow) const;
   double UnsavedUsage(const Window& aWindow, TimePoint aNow) const;
-  static double FreedAt(const Window& aWindow, const Buckets& aRestored, std::size_t aStep);
   Duration WaitUntilFreed(const Window& aWindow, const Buckets& aRestored, double aOver) const;
   Duration UnsavedWait(const Window& aWindow, TimePoint aNow, double aUnsaved, double aUnits) const;
   Window& WindowOf(std::uint64_t aAccount);
@@ -204,9 +198,4 @@
   std::unordered_map<std::uint64_t, WindowReport> windowReports;
 };
 
-// Takes aUnits for a call of this rank and returns zero, or returns the time after which its caller
-// should come back.
-Duration TakeByRank(SharedQuota& aQuota, QuotaReserve& aReserve, TimePoint aNow,
-                    std::uint64_t aAccount, const QuotaLimit& aLimit, Tier aRank, double aUnits);
-
 } // namespace caraway::direct
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -253,7 +253,6 @@
   const ProtocolAdapter& protocol;
   direct::RetryBudget budget;
   direct::SharedQuota quota;
-  direct::QuotaReserve quotaReserve;
   direct::Dispatcher dispatcher;
   direct::MoveTable moves;
   direct::Evacuations evacuations;
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -87,9 +87,6 @@
   AddHistograms(this->registry, "caraway_entry_first_seconds",
                 "Time from a request to its first event or its answer, by rank",
                 this->firstHistograms);
-  AddHistograms(this->registry, "caraway_entry_quota_retry_seconds",
-                "Retry delays told to callers of accounts over their quota, by rank",
-                this->quotaHistograms);
 }
 
 void GatewayMetrics::CountAnswer(bool aIsSuccess)
@@ -123,11 +120,6 @@
   this->waitHistograms.at(std::min(aRank, kLowestTier))->Observe(SecondsOf(aTime));
 }
 
-void GatewayMetrics::ObserveQuotaRefusal(Tier aRank, Duration aRetryAfter)
-{
-  this->quotaHistograms.at(std::min(aRank, kLowestTier))->Observe(SecondsOf(aRetryAfter));
-}
-
 void GatewayMetrics::ObserveFirstLatency(Tier aRank, Duration aTime)
 {
   this->firstHistograms.at(std::min(aRank, kLowestTier))->Observe(SecondsOf(aTime));
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -36,8 +36,6 @@
   void ObserveWait(Tier aRank, Duration aTime);
   // Time from the request to the first event or the complete answer.
   void ObserveFirstLatency(Tier aRank, Duration aTime);
-  // An account over its quota was told to return after this time.
-  void ObserveQuotaRefusal(Tier aRank, Duration aRetryAfter);
   void SetConfig(std::uint64_t aVersion, Duration aAge);
   void CountStoreRestore() { this->storeRestores.Increment(); }
   void SetStoreEra(std::uint64_t aEra);
@@ -83,7 +81,6 @@
   prometheus::Family<prometheus::Gauge>& closedConnections;
   std::array<prometheus::Histogram*, kTierCount> waitHistograms{};
   std::array<prometheus::Histogram*, kTierCount> firstHistograms{};
-  std::array<prometheus::Histogram*, kTierCount> quotaHistograms{};
 };
 
 } // namespace caraway::gateway
