--- a/tests/gateway/cold_world_test.cpp
+++ b/tests/gateway/cold_world_test.cpp
@@ -18,7 +18,7 @@
 // The queue that an agent keeps: what EndpointAgent does with it, without sockets and reports.
 struct AgentQueue final : QueueServerPort
 {
-  AgentQueue(World& aWorld)
+  explicit AgentQueue(World& aWorld)
     : world(aWorld)
   {
     this->cold.Suspect(aWorld.now);
