--- a/src/runtime/http_call.cpp
+++ b/src/runtime/http_call.cpp
@@ -33,7 +33,7 @@
 {
   return aRequest.path.starts_with('/') && !HasControlOrSpace(aRequest.path) &&
          std::none_of(aRequest.headers.begin(), aRequest.headers.end(),
-                      [](const HeaderField& aField) {
+                      [](const FieldView& aField) {
                         return HasControlOrSpace(aField.name) || HasControl(aField.value);
                       });
 }
@@ -42,9 +42,7 @@
 {
   std::string out =
     aRequest.method + " " + aRequest.path + " HTTP/1.1\r\nHost: " + aRequest.address + "\r\n";
-  for (const HeaderField& field : aRequest.headers) {
-    out += field.name + ": " + field.value + "\r\n";
-  }
+  AppendHeaderLines(out, aRequest.headers);
   if (aRequest.hasOwnConnection) {
     out += "Connection: close\r\n";
   }
