--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -333,29 +333,6 @@
   return false;
 }
 
-bool Gateway::TakeQuota(Flow& aFlow)
-{
-  if (aFlow.account == nullptr) {
-    return true;
-  }
-  const direct::AccountSpec& account = *aFlow.account;
-  aFlow.quotaUnits = 1;
-  if (account.countsTokens) {
-    aFlow.quotaUnits = aFlow.request.hasTokenCounts
-                         ? double{ 1 } * aFlow.request.promptTokens + aFlow.request.outputTokens
-                         : account.defaultTokens;
-  }
-  aFlow.quotaTakenAt = this->Now();
-  const Duration wait =
-    this->quota.Take(aFlow.quotaTakenAt, account.hash, account.quota, aFlow.quotaUnits);
-  if (wait == Duration::zero()) {
-    return true;
-  }
-  aFlow.quotaUnits = 0;
-  this->Refuse(aFlow, 429, "over_quota", wait);
-  return false;
-}
-
 void Gateway::Submit(Flow& aFlow)
 {
   const direct::Route& route = *aFlow.route;
@@ -648,13 +625,6 @@
   this->flows.erase(found);
 }
 
-void Gateway::ReturnQuota(Flow& aFlow)
-{
-  if (aFlow.account != nullptr && aFlow.quotaUnits > 0) {
-    this->quota.Refund(this->Now(), aFlow.quotaTakenAt, aFlow.account->hash, aFlow.quotaUnits);
-  }
-}
-
 std::string Gateway::MetricsText()
 {
   this->metrics.SetConfig(this->config == nullptr ? 0 : this->config->version, this->ConfigAge());
