End the exchange of a caller with its connection

What callers saw: one client ended caraway-entry. It sent 200 bytes of a head that stop inside a line and left; after request_read_ms the process died of SIGSEGV, with the requests of all others. A head of 90,000 bytes, which libsoup refuses, did the same. Cause: libsoup reports the end of a call only if it has parsed its request line. The exchange of any other head outlived its connection, and its read timeout took the connection from a message that had none. The other timer and the watch of an exchange (refusal, disconnect) begin after the head, whose end is reported; they had no such case. Change: an exchange ends when its message reports that the connection is gone, however far the head was read. Measured: callers/a_caller_that_leaves_in_a_head_ends_its_exchange ended the test program by SIGSEGV on and passes; the other cases of test_runtime as before (4 known checks of the bare LF fail).

--- a/src/runtime/caller_exchange.cpp
+++ b/src/runtime/caller_exchange.cpp
@@ -55,6 +55,8 @@
   })
 {
   this->readTimer.ArmAfter(this->limits.readTimeout);
+  this->disconnectSignal =
+    g_signal_connect(aMessage, "disconnected", G_CALLBACK(&CallerExchange::OnSoupDisconnect), this);
   this->chunkSignal =
     g_signal_connect(aMessage, "got-chunk", G_CALLBACK(&CallerExchange::OnGotChunk), this);
   this->wroteSignal =
@@ -64,6 +66,7 @@
 CallerExchange::~CallerExchange()
 {
   this->StopWatching();
+  g_signal_handler_disconnect(this->message.get(), this->disconnectSignal);
   g_signal_handler_disconnect(this->message.get(), this->chunkSignal);
   g_signal_handler_disconnect(this->message.get(), this->wroteSignal);
 }
@@ -137,6 +140,13 @@
   this->ReportDisconnect();
 }
 
+// libsoup does not finish or abort a call whose request line it has not parsed.
+void CallerExchange::OnSoupDisconnect(SoupServerMessage*, void* aData)
+{
+  auto* self = static_cast<CallerExchange*>(aData);
+  self->owner.OnDisconnected(*self);
+}
+
 // Enforces the body limit for requests without a Content-Length.
 void CallerExchange::OnGotChunk(SoupServerMessage*, GBytes* aChunk, void* aData)
 {
--- a/src/runtime/caller_exchange.h
+++ b/src/runtime/caller_exchange.h
@@ -33,6 +33,8 @@
   virtual void Refuse(CallerExchange& aExchange, const Rejection& aRejection) = 0;
   // Closes the connection of a disconnected caller and destroys the exchange.
   virtual void Drop(CallerExchange& aExchange) = 0;
+  // libsoup has closed the connection: destroys the exchange.
+  virtual void OnDisconnected(CallerExchange& aExchange) = 0;
 };
 
 class CallerExchange final : public AnswerSink
@@ -75,6 +77,7 @@
   };
 
   static void OnGotChunk(SoupServerMessage* aMessage, GBytes* aChunk, void* aData);
+  static void OnSoupDisconnect(SoupServerMessage* aMessage, void* aData);
   static void OnWrote(SoupServerMessage* aMessage, guint aBytes, void* aData);
   static int OnDisconnect(int aFd, GIOCondition aCondition, void* aData);
 
@@ -123,6 +126,7 @@
   std::optional<Duration> firstLatency; // time from submission to the first chunk
   std::optional<Rejection> pendingRejection;
   guint disconnectWatch = 0;
+  gulong disconnectSignal = 0;
   gulong chunkSignal = 0;
   gulong wroteSignal = 0;
   Timer readTimer;
--- a/src/runtime/caller_server.cpp
+++ b/src/runtime/caller_server.cpp
@@ -112,6 +112,11 @@
                                                                self->metrics, self->random, *self);
 }
 
+void CallerServer::OnDisconnected(CallerExchange& aExchange)
+{
+  this->End(aExchange.Message());
+}
+
 void CallerServer::OnHead(SoupServer*, SoupServerMessage* aMessage, const char*, GHashTable*,
                           void* aData)
 {
@@ -130,13 +135,17 @@
 
 void CallerServer::OnEnded(SoupServer*, SoupServerMessage* aMessage, void* aData)
 {
-  auto* self = static_cast<CallerServer*>(aData);
-  const auto found = self->exchanges.find(aMessage);
-  if (found == self->exchanges.end()) {
+  static_cast<CallerServer*>(aData)->End(aMessage);
+}
+
+void CallerServer::End(SoupServerMessage* aMessage)
+{
+  const auto found = this->exchanges.find(aMessage);
+  if (found == this->exchanges.end()) {
     return;
   }
   const std::unique_ptr<CallerExchange> exchange = std::move(found->second);
-  self->exchanges.erase(found);
+  this->exchanges.erase(found);
   exchange->OnFinished();
 }
 
--- a/src/runtime/caller_server.h
+++ b/src/runtime/caller_server.h
@@ -30,6 +30,7 @@
 
   void Refuse(CallerExchange& aExchange, const Rejection& aRejection) override;
   void Drop(CallerExchange& aExchange) override;
+  void OnDisconnected(CallerExchange& aExchange) override;
 
 private:
   static void OnStarted(SoupServer* aServer, SoupServerMessage* aMessage, void* aData);
@@ -38,6 +39,7 @@
   static void OnRequest(SoupServer* aServer, SoupServerMessage* aMessage, const char* aPath,
                         GHashTable* aQuery, void* aData);
   static void OnEnded(SoupServer* aServer, SoupServerMessage* aMessage, void* aData);
+  void End(SoupServerMessage* aMessage);
   ObjectPtr<GIOStream> TakeConnection(CallerExchange& aExchange);
   CallerExchange* Find(SoupServerMessage* aMessage) const;
 
--- a/tests/runtime/caller_test.cpp
+++ b/tests/runtime/caller_test.cpp
@@ -436,6 +436,24 @@
   BOOST_TEST(fixture.agent.reserves.empty());
 }
 
+// The exchange of a head that libsoup never parsed outlived its connection, and the read timeout
+// ended the process.
+BOOST_AUTO_TEST_CASE(a_caller_that_leaves_in_a_head_ends_its_exchange)
+{
+  constexpr std::uint32_t kReadMs = 100;
+  EntryFixture fixture(kReadMs);
+  const std::string start = "GET /readyz HTTP/1.1\r\nHost: x\r\n";
+  for (const std::string& head : { start + "x: yyy", start + "x: yyy\r\n",
+                                   start + std::string(90000, 'a'), std::string("G") }) {
+    Call(fixture, head).client.Close();
+  }
+  bool haveTimedOut = false;
+  Timer readTime([&] { haveTimedOut = true; });
+  readTime.ArmAfter(std::chrono::milliseconds(3 * kReadMs));
+  BOOST_REQUIRE(RunUntil([&] { return haveTimedOut; }));
+  BOOST_TEST(StatusOf(fixture, Call::Get("/readyz")) == 200);
+}
+
 BOOST_AUTO_TEST_CASE(caller_disconnect_cancels_its_request)
 {
   EntryFixture fixture;
