Close connections with a part of a body for new ones

What callers saw: once clients that had announced bodies and sent a part of them held all connections that the descriptors allow, every new connection was closed until their time was over (header-timeout-ms of caraway-node). Cause: only idle connections, unended heads and unread answers gave way; a body that is read did not. Change: a connection that has sent a part of a body gives way after those with a part of a head, the oldest first. Its request has not run. Measured: ingress/a_part_of_a_body_gives_way_to_a_new_connection failed before (the last caller is never read) and passes; test_runtime's ingress suite and test_gateway pass.

--- a/src/runtime/ingress_connection.h
+++ b/src/runtime/ingress_connection.h
@@ -25,6 +25,7 @@
 {
   kNothing,
   kPartOfHead, // that was sent so far
+  kPartOfBody,
   kUnreadAnswer,
 };
 
@@ -164,7 +165,10 @@
     if (this->IsIdle() || this->state == State::kLingering) {
       return this->PendingOutput() == 0 ? CloseLoss::kNothing : CloseLoss::kUnreadAnswer;
     }
-    return this->IsReadingHead() ? std::optional(CloseLoss::kPartOfHead) : std::nullopt;
+    if (this->state == State::kReading) {
+      return this->IsReadingHead() ? CloseLoss::kPartOfHead : CloseLoss::kPartOfBody;
+    }
+    return std::nullopt;
   }
 
   // Gives back what is held of requests that are not at work. An answer is still sent to its end.
--- a/src/runtime/ingress_server.cpp
+++ b/src/runtime/ingress_server.cpp
@@ -106,7 +106,8 @@
 }
 
 // Makes room for a connection: closes the one that has been idle for the longest time, else the one
-// that has sent a part of a head, then the one that has read no answer for the longest time.
+// that has sent a part of a head, then a part of a body, then the one that has read no answer for
+// the longest time.
 bool IngressServer::CloseOne()
 {
   std::shared_ptr<Connection> chosen;
--- a/tests/runtime/ingress_test.cpp
+++ b/tests/runtime/ingress_test.cpp
@@ -192,6 +192,22 @@
   BOOST_TEST(RunUntil([&] { return late.HasAnswer("200"); }));
 }
 
+// Callers that announced bodies and send none held all connections until their time was over.
+BOOST_AUTO_TEST_CASE(a_part_of_a_body_gives_way_to_a_new_connection)
+{
+  constexpr std::size_t kConnections = 4;
+  this->server.SetMaxConnections(kConnections);
+  for (std::size_t i = 0; i < 3 * kConnections; i++) {
+    this->AddCaller(1000, 10);
+    this->Settle();
+  }
+  BOOST_TEST(this->server.ConnectionCount() == kConnections);
+  Caller& last = this->AddCaller(10, 10);
+  BOOST_REQUIRE(RunUntil([&] { return this->holder.deliveredCount == 1; }));
+  this->holder.AnswerAll();
+  BOOST_TEST(RunUntil([&] { return last.HasAnswer("200"); }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace caraway
