--- a/tests/direct/retry_config_messages_test.cpp
+++ b/tests/direct/retry_config_messages_test.cpp
@@ -8,6 +8,10 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <sys/resource.h>
+
+#include <cstring>
+
 namespace caraway::direct {
 
 namespace {
@@ -206,6 +210,27 @@
   }
 }
 
+// A datagram of 33 bytes made the decoder allocate what it claimed, beyond the memory of the VM.
+BOOST_AUTO_TEST_CASE(decoder_allocates_no_more_than_the_datagram_justifies)
+{
+  constexpr long kMaxGrowthKb = 64 << 10; // the largest datagram may hold as many messages as bytes
+  const std::string empty = EncodeDatagram({ Peer{ NodeId{ 1 }, Incarnation{ 2 } }, {} });
+  const std::size_t place = empty.size() - sizeof(std::uint64_t); // of the number of messages
+  rusage before{};
+  getrusage(RUSAGE_SELF, &before);
+  for (const std::uint64_t claim : { 1ULL << 16, 1ULL << 23, 1ULL << 40, ~0ULL }) {
+    for (const std::size_t size : { empty.size(), std::size_t{ 65000 } }) {
+      std::string bytes = empty;
+      std::memcpy(bytes.data() + place, &claim, sizeof(claim));
+      bytes.resize(size, '\0');
+      BOOST_TEST(!DecodeDatagram(bytes).has_value());
+    }
+  }
+  rusage after{};
+  getrusage(RUSAGE_SELF, &after);
+  BOOST_TEST(after.ru_maxrss - before.ru_maxrss <= kMaxGrowthKb);
+}
+
 // Datagrams come from the network, so no input may crash the decoder.
 BOOST_AUTO_TEST_CASE(decoder_accepts_arbitrary_bytes)
 {
--- a/tests/system/crowd.py
+++ b/tests/system/crowd.py
@@ -1,5 +1,5 @@
 #!/usr/bin/python3
-"""Crowds of clients that nobody controls, each against a fresh entry: caraway-node as a real process.
+"""Crowds of clients that nobody controls, each against a fresh caraway-node, entry or agent, as a real process.
 
 Checked is what doesn't depend on the machine's speed: the process lives, the peak of its memory and
 its descriptors stay under a bound, an ordinary request is answered during the crowd and after it,
@@ -10,7 +10,10 @@
 import asyncio
 import json
 import os
+import random
 import resource
+import socket
+import struct
 import sys
 import tempfile
 
@@ -21,7 +24,8 @@
 CLIENTS = 100
 MEMORY_MB = 32  # of the entry's VM
 DESCRIPTORS = 300  # of the entry's VM
-FEW_DESCRIPTORS = 100  # in the case "descriptors"
+FEW_DESCRIPTORS = 100  # in the cases "descriptors" and "body_parts"
+MANY_DESCRIPTORS = 900  # in the case "small_bodies", of more connections than the memory has room for
 PEAK_SHARE = 0.75  # of the VM's memory that the process may use
 AFTER_MB = 6  # above the start that the process may keep after the crowd
 HEAD_BYTES = 16384  # max-header-bytes
@@ -49,6 +53,17 @@
     return head(number) + b"Connection: " + options + b"\r\n" + fields
 
 
+def datagrams(number):
+    """A claim of very many messages, claims of long texts in each kind of message, noise."""
+    start = struct.pack("<BQQ", 1, number, 1)
+    claims = [start + struct.pack("<Q", count) for count in (1 << 20, 1 << 24, 1 << 33, (1 << 64) - 1)]
+    for kind in range(24):
+        for offset in (0, 4, 8, 16, 24):
+            claims.append(start + struct.pack("<Qi", 1, kind) + bytes(offset) + struct.pack("<Q", 1 << 26))
+    noise = random.Random(number)
+    return claims + [noise.randbytes(noise.randint(0, 1400)) for _ in range(50)]
+
+
 END = b"\r\n"
 # What each client of a crowd sends, by its number; it reads nothing.
 CASES = {
@@ -68,8 +83,15 @@
     "ready_page": lambda n: filled(n, b"a:\r\n"),
     "metrics_page": lambda n: filled(n, b"a:\r\n"),
     "descriptors": lambda n: b"GET / HTT",
+    "body_parts": lambda n: head(n, "/unsafe-order/x", "POST") + b"Content-Length: 1000\r\n\r\nx",
+    "small_bodies": lambda n: head(n, "/unsafe-order/x", "POST") + b"Content-Length: 64000\r\n\r\n" + b"x" * 63000,
+    "peer_datagrams": datagrams,
+    "agent_datagrams": datagrams,
+    "agent_page": lambda n: filled(n, b"a:\r\n"),
 }  # fmt: skip
-PORTS = {"ready_page": nodes.READY_PORT, "metrics_page": nodes.METRICS_PORT}
+PORTS = {"ready_page": nodes.READY_PORT, "metrics_page": nodes.METRICS_PORT, "agent_page": nodes.METRICS_PORT}
+CLIENT_COUNTS = {"small_bodies": 600}
+DESCRIPTOR_COUNTS = {"descriptors": FEW_DESCRIPTORS, "body_parts": FEW_DESCRIPTORS, "small_bodies": MANY_DESCRIPTORS}
 
 
 def status_of(process, name):
@@ -80,8 +102,11 @@
 class Crowd:
     def __init__(self, options, folder):
         self.options = options
-        self.world = world.World(1, SIZES, os.path.abspath(options.program), folder)
+        self.is_agent = options.case.startswith("agent_")
+        sizes = {**SIZES, "engines": 1, "no_agents": False} if self.is_agent else SIZES
+        self.world = world.World(1, sizes, os.path.abspath(options.program), folder)
         self.entry = self.world.entries[0]
+        self.target = self.world.agents[0] if self.is_agent else self.entry
         self.failures = []
         self.count = 0
 
@@ -97,25 +122,35 @@
         for endpoint in self.world.endpoints:
             self.answer_anything(endpoint)
             await endpoint.start()
-        await self.entry.prepare(world.STORE_PORT)
-        with open(self.entry.settings_path, encoding="utf8") as file:
-            settings = json.load(file)
-        settings["limits"] = {"memory-mb": self.options.memory_mb, "max-fds": self.options.descriptors}
-        with open(self.entry.settings_path, "w", encoding="utf8") as file:
-            json.dump(settings, file)
-        own = resource.getrlimit(resource.RLIMIT_NOFILE)
-        resource.setrlimit(resource.RLIMIT_NOFILE, (self.options.descriptors, own[1]))
-        self.entry.start()
-        resource.setrlimit(resource.RLIMIT_NOFILE, (own[1], own[1]))
+        for node in self.world.agents + self.world.entries:
+            await self.start_node(node)
         self.check("the entry becomes ready", await self.until(self.entry.ask_ready))
         self.check("an ordinary request is answered before", await self.until(self.is_served))
 
+    async def start_node(self, node):
+        """With the limits of the VM, where the crowd meets this process."""
+        await node.prepare(world.STORE_PORT)
+        own = resource.getrlimit(resource.RLIMIT_NOFILE)
+        if node is self.target:
+            with open(node.settings_path, encoding="utf8") as file:
+                settings = json.load(file)
+            settings["limits"] = {"memory-mb": self.options.memory_mb, "max-fds": self.options.descriptors}
+            with open(node.settings_path, "w", encoding="utf8") as file:
+                json.dump(settings, file)
+            resource.setrlimit(resource.RLIMIT_NOFILE, (self.options.descriptors, own[1]))
+        node.start()
+        resource.setrlimit(resource.RLIMIT_NOFILE, (own[1], own[1]))
+
     def answer_anything(self, endpoint):
         """Requests that the soak's ledger doesn't know; their runs are not checked here."""
 
         async def run(call, stamp):
             await endpoint.pause(call, 0.02)
-            await call.answer(200, endpoint.head(call, stamp), b"x" * 1000)
+            if endpoint.is_engine:
+                events = {**endpoint.head(call, stamp), "Content-Type": "text/event-stream"}
+                await call.answer(200, events, b"id: 1\ndata: x\n\n")
+            else:
+                await call.answer(200, endpoint.head(call, stamp), b"x" * 1000)
 
         endpoint.run = run
         endpoint.note = lambda *_: None
@@ -123,7 +158,7 @@
     async def until(self, probe):
         loop = asyncio.get_running_loop()
         end = loop.time() + PATIENCE
-        while loop.time() < end and self.entry.process.poll() is None:
+        while loop.time() < end and self.entry.process.poll() is None and self.target.process.poll() is None:
             if await probe():
                 return True
             await asyncio.sleep(0.1)
@@ -144,6 +179,8 @@
 
     async def is_served(self):
         self.count += 1
+        if self.is_agent:  # the other service has no agents
+            return await self.ask(head(f"own{self.count}", "/stream-chat/x") + END) == [b"200"]
         return await self.ask(head(f"own{self.count}") + END) == [b"200"]
 
     async def is_long_head_served(self):
@@ -151,10 +188,16 @@
         return await self.ask(head(f"own{self.count}") + b"a:\r\n" * 4000 + END) == [b"200"]
 
     async def send(self, number):
+        sent = CASES[self.options.case](number)
+        if isinstance(sent, list):
+            with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+                for datagram in sent:
+                    sender.sendto(datagram, (self.target.ip, nodes.FIRST_PORT))
+            return None
         try:
             port = PORTS.get(self.options.case, nodes.CALLER_PORT)
-            _, writer = await asyncio.open_connection(self.entry.ip, port, limit=1024)
-            writer.write(CASES[self.options.case](number))
+            _, writer = await asyncio.open_connection(self.target.ip, port, limit=1024)
+            writer.write(sent)
             writer.transport.pause_reading()
             return writer
         except OSError:
@@ -162,7 +205,7 @@
 
     async def play(self):
         await self.start()
-        process = self.entry.process
+        process = self.target.process
         before = status_of(process, "VmRSS")
         for endpoint in self.world.endpoints:
             endpoint.slowness = 100.0  # what is sent on stays there for a while
@@ -198,19 +241,22 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("program")
     parser.add_argument("case", choices=sorted(CASES))
-    parser.add_argument("--clients", type=int, default=CLIENTS)
+    parser.add_argument("--clients", type=int)
     parser.add_argument("--memory-mb", type=int, default=MEMORY_MB)
     parser.add_argument("--descriptors", type=int)
     options = parser.parse_args()
+    if options.clients is None:
+        options.clients = CLIENT_COUNTS.get(options.case, CLIENTS)
     if options.descriptors is None:
-        options.descriptors = FEW_DESCRIPTORS if options.case == "descriptors" else DESCRIPTORS
+        options.descriptors = DESCRIPTOR_COUNTS.get(options.case, DESCRIPTORS)
 
     async def run(folder):
         crowd = Crowd(options, folder)
         try:
             return await crowd.play()
         finally:
-            crowd.entry.kill()
+            for node in crowd.world.entries + crowd.world.agents:
+                node.kill()
 
     with tempfile.TemporaryDirectory() as folder:
         failures = asyncio.run(run(folder))
