Bound the bodies up to 64 KB that are read at once

Cause: bodies up to 64 KB don't wait for room, and whether there is room was asked only when they were complete. Change: where a body that does not wait would exceed the limit for such bodies, the one that has been read for the longest time gives way with 503, as its request has not run; without one, the new request gets the 503.

--- a/src/runtime/ingress_connection.h
+++ b/src/runtime/ingress_connection.h
@@ -185,6 +185,12 @@
       this->Drop(false);
     }
   }
+  // Since when a body is read for which memory is held; nullopt if none is.
+  std::optional<TimePoint> ReadingBodySince() const
+  {
+    const bool isReadingBody = this->state == State::kReading && this->bodyHold != nullptr;
+    return isReadingBody ? std::optional(this->readingSince) : std::nullopt;
+  }
   bool IsIdle() const { return this->state == State::kReading && !this->hasBytes; }
 
   // Drops idle and lingering connections and rejects requests that exceeded their timeout.
@@ -310,7 +316,15 @@
   {
     const std::size_t size = this->BodySize();
     const bool isFirst = this->server.pausedConnections.empty();
-    if (size <= ingress::kMaxSmallBodyBytes || (isFirst && this->server.HasRoomFor(size))) {
+    if (size <= ingress::kMaxSmallBodyBytes) {
+      if (this->server.MakeRoomForSmallBody(size)) {
+        this->BeginBody();
+      } else {
+        this->RejectForRoom();
+      }
+      return;
+    }
+    if (isFirst && this->server.HasRoomFor(size)) {
       this->BeginBody();
       return;
     }
--- a/src/runtime/ingress_server.cpp
+++ b/src/runtime/ingress_server.cpp
@@ -84,6 +84,30 @@
   return held == 0 || held + aBytes <= this->account->Limits().bodies;
 }
 
+// The body that has been read for the longest time gives way: those of ordinary callers arrive at
+// once.
+bool IngressServer::MakeRoomForSmallBody(std::size_t aBytes)
+{
+  const MemoryLimits& limits = this->account->Limits();
+  const std::size_t reserve = aBytes <= kUsualRequestBytes ? limits.reserve : 0;
+  while (this->bodyMemory->Held() + aBytes > limits.smallBodies + reserve) {
+    std::shared_ptr<Connection> oldest;
+    for (const std::shared_ptr<Connection>& connection : this->connections) {
+      const std::optional<TimePoint> since = connection->ReadingBodySince();
+      if (since && (oldest == nullptr || *since < *oldest->ReadingBodySince())) {
+        oldest = connection;
+      }
+    }
+    if (oldest == nullptr) {
+      return false;
+    }
+    this->refusals.reading++;
+    this->refusals.lastHost = oldest->RemoteHost();
+    oldest->GiveWay();
+  }
+  return true;
+}
+
 void IngressServer::ResumePaused()
 {
   while (!this->pausedConnections.empty()) {
--- a/src/runtime/ingress_server.h
+++ b/src/runtime/ingress_server.h
@@ -120,6 +120,8 @@
   void ReadBuffered();
   // Whether a body of aBytes may be read now.
   bool HasRoomFor(std::size_t aBytes) const;
+  // Makes room for a body that does not wait; false if there is none.
+  bool MakeRoomForSmallBody(std::size_t aBytes);
   void ResumePaused();
 
   Poller& poller;
