--- a/src/runtime/tcp_socket.cpp
+++ b/src/runtime/tcp_socket.cpp
@@ -26,6 +26,8 @@
 // Time without acknowledgement of sent data after which the kernel closes the connection.
 constexpr unsigned kUserTimeoutMs = 5000;
 constexpr int kMaxAcceptsPerEvent = 64;
+// Of answers that a filter gives by itself and the remote end does not read.
+constexpr std::size_t kMaxFilterOutput = std::size_t{ 64 } * 1024;
 constexpr std::size_t kMaxEmptyCapacity = std::size_t{ 64 } * 1024; // of an output buffer
 
 void SetOption(int aFd, int aLevel, int aName, int aValue)
@@ -72,9 +74,10 @@
   return true;
 }
 
-void TcpSocket::Adopt(int aFd)
+void TcpSocket::Adopt(int aFd, std::unique_ptr<WireFilter> aFilter)
 {
   this->fd = aFd;
+  this->filter = std::move(aFilter);
   this->isConnected = true;
   SetOption(this->fd, IPPROTO_TCP, TCP_NODELAY, 1);
   SetOption(this->fd, IPPROTO_TCP, TCP_USER_TIMEOUT, kUserTimeoutMs);
@@ -90,7 +93,11 @@
   if (this->outputOffset > this->output.size() / 2) {
     this->output.erase(0, std::exchange(this->outputOffset, 0));
   }
-  this->output.append(aData);
+  if (this->filter == nullptr) {
+    this->output.append(aData);
+  } else {
+    this->filter->Encode(aData, this->output);
+  }
   if (this->isConnected) {
     this->Flush();
     this->UpdateWatch();
@@ -130,8 +137,15 @@
 
 void TcpSocket::ShutdownOutput()
 {
-  this->isShutdownRequested = true;
-  if (this->fd >= 0 && this->PendingOutput() == 0) {
+  const bool isFirst = !std::exchange(this->isShutdownRequested, true);
+  if (this->fd < 0) {
+    return;
+  }
+  if (isFirst && this->filter != nullptr) {
+    this->filter->Finish(this->output);
+    this->Flush();
+    this->UpdateWatch();
+  } else if (this->PendingOutput() == 0) {
     shutdown(this->fd, SHUT_WR);
   }
 }
@@ -144,10 +158,14 @@
   if (aAbort) {
     const linger option{ 1, 0 };
     setsockopt(this->fd, SOL_SOCKET, SO_LINGER, &option, sizeof(option));
+  } else if (this->filter != nullptr && !this->isShutdownRequested) {
+    this->filter->Finish(this->output);
+    this->Flush();
   }
   this->poller.Remove(this->fd);
   close(this->fd);
   this->fd = -1;
+  this->filter.reset();
 }
 
 void TcpSocket::OnIo(std::uint32_t aEvents)
@@ -200,14 +218,22 @@
 bool TcpSocket::ReadAvailable()
 {
   std::array<char, kReadBytes> buffer;
-  std::size_t total = 0;
+  std::size_t received = 0; // from the wire
+  std::size_t total = 0;    // input of the owner
   bool isReset = false;
-  while (total < kMaxBytesPerEvent && this->input.size() < this->maxInput) {
+  while (received < kMaxBytesPerEvent && this->input.size() < this->maxInput) {
     const std::size_t wanted = std::min(buffer.size(), this->maxInput - this->input.size());
     const ssize_t count = recv(this->fd, buffer.data(), wanted, 0);
     if (count > 0) {
-      this->input.append(buffer.data(), static_cast<std::size_t>(count));
-      total += static_cast<std::size_t>(count);
+      const std::size_t before = this->input.size();
+      if (!this->Decode({ buffer.data(), static_cast<std::size_t>(count) })) {
+        this->hasInputEnded = true;
+        isReset = true;
+        total = 0;
+        break;
+      }
+      total += this->input.size() - before;
+      received += static_cast<std::size_t>(count);
       if (static_cast<std::size_t>(count) < wanted) {
         break;
       }
@@ -239,6 +265,21 @@
   return false;
 }
 
+// Appends what bytes from the wire contain to the input. False if the connection has failed.
+bool TcpSocket::Decode(std::string_view aWire)
+{
+  if (this->filter == nullptr) {
+    this->input.append(aWire);
+    return true;
+  }
+  const std::size_t before = this->output.size();
+  const bool isSound = this->filter->Decode(aWire, this->input, this->output);
+  this->filterOutput += this->output.size() - before;
+  const bool isFlushed = this->Flush();
+  this->UpdateWatch();
+  return isSound && isFlushed && this->filterOutput <= kMaxFilterOutput;
+}
+
 // Writes as much output as the kernel accepts. False if the connection has failed.
 bool TcpSocket::Flush()
 {
@@ -256,6 +297,7 @@
   }
   this->output.clear();
   this->outputOffset = 0;
+  this->filterOutput = 0;
   if (this->output.capacity() > kMaxEmptyCapacity) {
     std::string().swap(this->output);
   }
--- a/src/runtime/tcp_socket.h
+++ b/src/runtime/tcp_socket.h
@@ -3,10 +3,12 @@
 
 #include "runtime/address.h"
 #include "runtime/poller.h"
+#include "runtime/wire_filter.h"
 
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <system_error>
@@ -38,10 +40,12 @@
   // Starts to connect; false if that failed immediately. Otherwise OnConnected or OnInputEnd
   // follows, unless IsConnected is already true.
   bool Connect(const Address& aAddress);
-  // Takes ownership of an accepted descriptor.
-  void Adopt(int aFd);
+  // Takes ownership of an accepted descriptor. aFilter: between the buffers and the wire; nullptr:
+  // none.
+  void Adopt(int aFd, std::unique_ptr<WireFilter> aFilter = nullptr);
 
-  // Writes as much of aData as the kernel accepts and buffers the rest.
+  // Writes as much of aData as the kernel accepts and buffers the rest. Data that the filter can't
+  // carry is dropped.
   void Write(std::string_view aData);
   // Frees the memory of buffers that are empty, before the connection is kept idle.
   void ReleaseBuffers();
@@ -72,6 +76,7 @@
 private:
   void UpdateWatch();
   bool ReadAvailable();
+  bool Decode(std::string_view aWire);
   bool Flush();
   void Fail();
 
@@ -84,9 +89,11 @@
   bool hasSent = false;
   bool isShutdownRequested = false;
   std::uint32_t watchedEvents = 0;
+  std::unique_ptr<WireFilter> filter;
   std::string input;
   std::string output;
   std::size_t outputOffset = 0;
+  std::size_t filterOutput = 0; // that the filter added by itself since all was sent
   std::size_t maxInput = SIZE_MAX;
 };
 
