Read callers' requests of caraway-entry with IngressServer

What callers saw: 300 clients with heads of 16 KB in lines "a:" and a body that they did not finish took caraway-entry from 12 to 111 MB, which it kept. Once clients had used up its descriptors it took no connection any more, also after they had left. A request behind a bare LF ran. Cause: libsoup's server read them. It makes objects of each field, can't be bounded from outside, stops accepting for ever when it has no descriptor, and ends lines at a bare LF. Change: one reader for both programs. CallerServer is a handler of IngressServer with the MemoryAccount of the process, an exchange exists from a whole request to the end of its answer, and RefusedConnection is gone. New: requests refused by their head, answers in one piece of unknown length for HTTP/1.0, refusals with the body of the entry's interface. Settings memory_mb (half of the VM's), max_head_bytes (64 KB), idle_ms (10 min). Large blocks are mapped at a fixed threshold: otherwise bodies leave gaps in the heap. New cases in callers/* and ingress/*; the old ones pass unchanged.

--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -111,19 +111,19 @@
     \"admin\":\"127.0.0.1:0\",\"cluster_key\":\"$kClusterKey\",\"log_level\":\"${LOG_LEVEL:-info}\""
 }
 
-# start_agent NAME KIND ENDPOINT POOL VERSION [OPTIONS-JSON]
+# start_agent NAME KIND ENDPOINT POOL VERSION [OPTIONS-JSON]; $AGENT_SETTINGS: ,"name":value...
 start_agent() {
   echo "{$(common_settings "$1"),\"listen\":\"127.0.0.1:0\",\"endpoint\":\"$3\",\"endpoint_kind\":\"$2\",
-    \"pool\":\"$4\",\"version\":\"$5\",\"options\":${6:-{\}}}" >"$run/$1.json"
+    \"pool\":\"$4\",\"version\":\"$5\",\"options\":${6:-{\}}${AGENT_SETTINGS:-}}" >"$run/$1.json"
   rm -f "$run/$1.log"
   start "$1" "$build/caraway-agent" "$run/$1.json"
   wait_for "$1 listens" daemon_up "$1"
   put_vm "$1" agent "$(daemon_address "$1" listen)" live "$4" "$5"
 }
 
-# start_entry NAME [OPTIONS-JSON]
+# start_entry NAME [OPTIONS-JSON]; $ENTRY_SETTINGS: ,"name":value...
 start_entry() {
-  echo "{$(common_settings "$1"),\"listen\":\"127.0.0.1:0\",\"peer_listen\":\"127.0.0.1:0\",\"options\":${2:-{\}}}" >"$run/$1.json"
+  echo "{$(common_settings "$1"),\"listen\":\"127.0.0.1:0\",\"peer_listen\":\"127.0.0.1:0\",\"options\":${2:-{\}}${ENTRY_SETTINGS:-}}" >"$run/$1.json"
   rm -f "$run/$1.log"
   start "$1" "$build/caraway-entry" "$run/$1.json"
   wait_for "$1 listens" daemon_up "$1"
--- a/src/daemons/entry.cpp
+++ b/src/daemons/entry.cpp
@@ -28,7 +28,7 @@
   LogClient log(FormatAddress(aSettings.platform));
   EntryHost host(aSettings, context.self, context.clock, context.random, placement, log,
                  context.observer);
-  CallerServer callers(aSettings, host, context.metrics, context.random);
+  CallerServer callers(aSettings, host, context);
   AdminServer admin(aSettings.name, host, context.clock, context.observer, context.metrics);
   if (const auto error = host.Start()) {
     return ReportStartError("peer_listen", aSettings.peerListen, error);
--- a/src/runtime/caller_server.cpp
+++ b/src/runtime/caller_server.cpp
@@ -1,158 +1,132 @@
 #include "runtime/caller_server.h"
 
-#include "runtime/error.h"
-#include "runtime/soup_listen.h"
-
 #include <algorithm>
+#include <string>
 #include <utility>
 
 namespace caraway {
 
-CallerServer::CallerServer(const EntrySettings& aSettings, EntryHost& aHost, Metrics& aMetrics,
-                           Random& aRandom)
+namespace {
+
+// Connections with TLS may hold this part of the memory for connections by their filters.
+constexpr std::size_t kFilterPart = 4;
+
+} // namespace
+
+CallerServer::CallerServer(const EntrySettings& aSettings, EntryHost& aHost,
+                           ProcessContext& aContext)
   : settings(aSettings)
   , host(aHost)
-  , metrics(aMetrics)
-  , random(aRandom)
-  , server(soup_server_new("server-header", "caraway-entry", nullptr))
-{
-  this->limits.maxBodyBytes = aSettings.maxBodyBytes;
-  this->limits.readTimeout = std::chrono::milliseconds(aSettings.requestReadMs);
-  SoupServer* soup = this->server.get();
-  g_signal_connect(soup, "request-started", G_CALLBACK(&CallerServer::OnStarted), this);
-  g_signal_connect(soup, "request-finished", G_CALLBACK(&CallerServer::OnEnded), this);
-  g_signal_connect(soup, "request-aborted", G_CALLBACK(&CallerServer::OnEnded), this);
-  soup_server_add_early_handler(soup, nullptr, &CallerServer::OnHead, this, nullptr);
-  soup_server_add_handler(soup, nullptr, &CallerServer::OnRequest, this, nullptr);
-}
-
-CallerServer::~CallerServer()
+  , context(aContext)
+  , tls(aSettings.tls ? std::make_optional<TlsFilterFactory>() : std::nullopt)
+  , server(aContext.poller, aContext.clock, *this, aContext.memory,
+           this->tls ? &*this->tls : nullptr)
+  , settleTimer([this] { this->Settle(); })
 {
-  g_signal_handlers_disconnect_by_data(this->server.get(), this);
-  this->exchanges.clear();
-  soup_server_disconnect(this->server.get());
+  IngressLimits limits;
+  limits.headBytes = aSettings.maxHeadBytes;
+  limits.bodyBytes = aSettings.maxBodyBytes;
+  limits.headTimeout = std::chrono::milliseconds(aSettings.requestReadMs);
+  limits.idleTimeout = std::chrono::milliseconds(aSettings.idleMs);
+  this->server.SetLimits(limits);
+  std::size_t maxConnections = MaxConnectionsOf(DescriptorLimit());
+  if (this->tls) {
+    const std::size_t room = aContext.memory->Limits().total / kFilterPart;
+    maxConnections = std::min(maxConnections, room / this->tls->MaxBytes());
+  }
+  this->server.SetMaxConnections(maxConnections);
 }
 
 std::error_code CallerServer::Start()
 {
-  const bool isTls = this->settings.tls.has_value();
-  if (isTls) {
-    GError* raw = nullptr;
-    const ObjectPtr<GTlsCertificate> certificate(g_tls_certificate_new_from_files(
-      this->settings.tls->certificateFile.c_str(), this->settings.tls->keyFile.c_str(), &raw));
-    const ErrorPtr error(raw);
-    if (!certificate) {
-      return ToErrorCode(error.get());
+  if (this->tls) {
+    if (const std::error_code error = this->tls->Load(*this->settings.tls)) {
+      return error;
     }
-    soup_server_set_tls_certificate(this->server.get(), certificate.get());
-  }
-  const std::error_code error = ListenAt(this->server.get(), this->settings.listen, isTls);
-  this->port = PortOf(this->server.get());
-  return error;
-}
-
-// Closes the listening sockets directly, as soup_server_disconnect would also abort calls in
-// progress.
-void CallerServer::StopListening()
-{
-  GSList* listeners = soup_server_get_listeners(this->server.get());
-  for (GSList* item = listeners; item != nullptr; item = item->next) {
-    g_socket_close(G_SOCKET(item->data), nullptr);
   }
-  g_slist_free(listeners);
+  return this->server.Listen(this->settings.listen);
 }
 
 bool CallerServer::IsIdle() const
 {
-  return this->refused.empty() &&
-         std::none_of(this->exchanges.begin(), this->exchanges.end(),
-                      [](const auto& aItem) { return aItem.second->IsBusy(); });
+  return this->exchanges.empty() && this->ended.empty() && !this->server.IsSending();
 }
 
-// Answers on the raw connection, because libsoup would first read the rest of the request.
-void CallerServer::Refuse(CallerExchange& aExchange, const Rejection& aRejection)
+bool CallerServer::OnHead(IngressExchange& aExchange, const RequestHead& aHead)
 {
-  this->metrics.CountRejected(aRejection.status);
-  GSocket* raw = soup_server_message_get_socket(aExchange.Message());
-  ObjectPtr<GSocket> socket = raw != nullptr ? ShareObject(raw) : nullptr;
-  ObjectPtr<GIOStream> stream = this->TakeConnection(aExchange);
-  if (!stream) {
-    return;
+  const std::optional<Rejection> rejection = RejectionByHead(this->host.Config(), aHead);
+  if (rejection) {
+    this->Refuse(aExchange, *rejection);
   }
-  const auto place = this->refused.emplace(this->refused.end());
-  *place = std::make_unique<RefusedConnection>(std::move(stream), std::move(socket), aRejection,
-                                               [this, place] { this->refused.erase(place); });
+  return !rejection;
 }
 
-void CallerServer::Drop(CallerExchange& aExchange)
+void CallerServer::OnUnreadable(IngressExchange& aExchange, std::uint16_t aStatus,
+                                std::string_view aReason)
 {
-  const ObjectPtr<GIOStream> stream = this->TakeConnection(aExchange);
-  if (stream) {
-    g_io_stream_close_async(stream.get(), G_PRIORITY_DEFAULT, nullptr, nullptr, nullptr);
-  }
+  static const std::unordered_map<std::uint16_t, const char*> types = {
+    { 400, "malformed" }, { 408, "half_sent" }, { 413, "too_large" }, { 431, "head_too_large" }
+  };
+  const auto found = types.find(aStatus);
+  this->Refuse(aExchange, Rejection{ aStatus, found == types.end() ? "unreadable" : found->second,
+                                     std::string(aReason) });
 }
 
-// Ends the exchange and takes its connection from libsoup.
-ObjectPtr<GIOStream> CallerServer::TakeConnection(CallerExchange& aExchange)
+void CallerServer::OnNoRoom(IngressExchange& aExchange, const RequestHead&)
 {
-  const auto found = this->exchanges.find(aExchange.Message());
-  if (found == this->exchanges.end()) {
-    return nullptr;
-  }
-  const std::unique_ptr<CallerExchange> exchange = std::move(found->second);
-  this->exchanges.erase(found);
-  exchange->OnFinished();
-  return ObjectPtr<GIOStream>(soup_server_message_steal_connection(exchange->Message()));
+  this->Refuse(aExchange, Rejection{ 503, "no_room", "there is no room for the request now" });
 }
 
-void CallerServer::OnStarted(SoupServer*, SoupServerMessage* aMessage, void* aData)
+void CallerServer::Refuse(IngressExchange& aExchange, const Rejection& aRejection)
 {
-  auto* self = static_cast<CallerServer*>(aData);
-  self->exchanges[aMessage] = std::make_unique<CallerExchange>(aMessage, self->limits, self->host,
-                                                               self->metrics, self->random, *self);
+  this->context.metrics.CountRejected(aRejection.status);
+  SendRejection(aExchange, aRejection);
 }
 
-void CallerServer::OnDisconnected(CallerExchange& aExchange)
+void CallerServer::OnRequest(const std::shared_ptr<IngressExchange>& aExchange,
+                             IngressRequest aRequest)
 {
-  this->End(aExchange.Message());
+  auto exchange = std::make_unique<CallerExchange>(
+    aExchange, std::move(aRequest), this->host, this->context.metrics, this->context.random, *this);
+  CallerExchange& added = *exchange;
+  this->exchanges[aExchange.get()] = std::move(exchange);
+  added.Run();
 }
 
-void CallerServer::OnHead(SoupServer*, SoupServerMessage* aMessage, const char*, GHashTable*,
-                          void* aData)
+void CallerServer::OnCallerGone(IngressExchange& aExchange)
 {
-  if (CallerExchange* exchange = static_cast<CallerServer*>(aData)->Find(aMessage)) {
-    exchange->OnHead();
-  }
+  this->goneCallers.push_back(&aExchange);
+  this->settleTimer.ArmAfter(Duration::zero());
 }
 
-void CallerServer::OnRequest(SoupServer*, SoupServerMessage* aMessage, const char*, GHashTable*,
-                             void* aData)
+void CallerServer::BeforeAnswer()
 {
-  if (CallerExchange* exchange = static_cast<CallerServer*>(aData)->Find(aMessage)) {
-    exchange->OnRequest();
+  if (this->host.IsLeaving()) {
+    this->server.BeginLeaving();
   }
 }
 
-void CallerServer::OnEnded(SoupServer*, SoupServerMessage* aMessage, void* aData)
+void CallerServer::OnEnded(CallerExchange& aExchange)
 {
-  static_cast<CallerServer*>(aData)->End(aMessage);
-}
-
-void CallerServer::End(SoupServerMessage* aMessage)
-{
-  const auto found = this->exchanges.find(aMessage);
-  if (found == this->exchanges.end()) {
-    return;
+  const auto found = this->exchanges.find(&aExchange.Connection());
+  if (found != this->exchanges.end() && found->second.get() == &aExchange) {
+    this->ended.push_back(std::move(found->second));
+    this->exchanges.erase(found);
+    this->settleTimer.ArmAfter(Duration::zero());
   }
-  const std::unique_ptr<CallerExchange> exchange = std::move(found->second);
-  this->exchanges.erase(found);
-  exchange->OnFinished();
 }
 
-CallerExchange* CallerServer::Find(SoupServerMessage* aMessage) const
+// Connections of ended exchanges are kept until here, so that an address in goneCallers names no
+// later connection.
+void CallerServer::Settle()
 {
-  const auto found = this->exchanges.find(aMessage);
-  return found != this->exchanges.end() ? found->second.get() : nullptr;
+  for (IngressExchange* connection : std::exchange(this->goneCallers, {})) {
+    const auto found = this->exchanges.find(connection);
+    if (found != this->exchanges.end()) {
+      found->second->OnCallerGone();
+    }
+  }
+  this->ended.clear();
 }
 
 } // namespace caraway
--- a/src/runtime/caller_server.h
+++ b/src/runtime/caller_server.h
@@ -1,57 +1,62 @@
-// HTTP server for callers, based on libsoup.
+// HTTP server for callers of caraway-entry.
 #pragma once
 
 #include "runtime/caller_exchange.h"
-#include "runtime/refused_connection.h"
+#include "runtime/ingress_server.h"
+#include "runtime/process.h"
 #include "runtime/settings.h"
+#include "runtime/tls_filter.h"
 
-#include <list>
 #include <memory>
+#include <optional>
 #include <system_error>
 #include <unordered_map>
+#include <vector>
 
 namespace caraway {
 
-class CallerServer final : public ExchangeOwner
+class CallerServer final
+  : public IngressHandler
+  , public ExchangeOwner
 {
 public:
-  CallerServer(const EntrySettings& aSettings, EntryHost& aHost, Metrics& aMetrics,
-               Random& aRandom);
-  ~CallerServer() override;
+  CallerServer(const EntrySettings& aSettings, EntryHost& aHost, ProcessContext& aContext);
+  ~CallerServer() override = default;
   CallerServer(const CallerServer&) = delete;
   CallerServer& operator=(const CallerServer&) = delete;
 
   std::error_code Start();
-  std::uint16_t Port() const { return this->port; }
+  std::uint16_t Port() const { return this->server.Port(); }
   // Accepts no further connections; calls in progress continue.
-  void StopListening();
+  void StopListening() { this->server.StopListening(); }
   // True when no call is in progress.
   bool IsIdle() const;
 
-  void Refuse(CallerExchange& aExchange, const Rejection& aRejection) override;
-  void Drop(CallerExchange& aExchange) override;
-  void OnDisconnected(CallerExchange& aExchange) override;
-
 private:
-  static void OnStarted(SoupServer* aServer, SoupServerMessage* aMessage, void* aData);
-  static void OnHead(SoupServer* aServer, SoupServerMessage* aMessage, const char* aPath,
-                     GHashTable* aQuery, void* aData);
-  static void OnRequest(SoupServer* aServer, SoupServerMessage* aMessage, const char* aPath,
-                        GHashTable* aQuery, void* aData);
-  static void OnEnded(SoupServer* aServer, SoupServerMessage* aMessage, void* aData);
-  void End(SoupServerMessage* aMessage);
-  ObjectPtr<GIOStream> TakeConnection(CallerExchange& aExchange);
-  CallerExchange* Find(SoupServerMessage* aMessage) const;
+  bool OnHead(IngressExchange& aExchange, const RequestHead& aHead) override;
+  void OnUnreadable(IngressExchange& aExchange, std::uint16_t aStatus,
+                    std::string_view aReason) override;
+  void OnNoRoom(IngressExchange& aExchange, const RequestHead& aHead) override;
+  void OnRequest(const std::shared_ptr<IngressExchange>& aExchange,
+                 IngressRequest aRequest) override;
+  void OnCallerGone(IngressExchange& aExchange) override;
+
+  void BeforeAnswer() override;
+  void OnEnded(CallerExchange& aExchange) override;
+  void Refuse(IngressExchange& aExchange, const Rejection& aRejection);
+  void Settle();
 
   EntrySettings settings;
   EntryHost& host;
-  Metrics& metrics;
-  Random& random;
-  CallerLimits limits;
-  ObjectPtr<SoupServer> server;
-  std::uint16_t port = 0;
-  std::unordered_map<SoupServerMessage*, std::unique_ptr<CallerExchange>> exchanges;
-  std::list<std::unique_ptr<RefusedConnection>> refused;
+  ProcessContext& context;
+  std::optional<TlsFilterFactory> tls;
+  IngressServer server;
+  std::unordered_map<IngressExchange*, std::unique_ptr<CallerExchange>> exchanges;
+  // Calls may end, and callers disconnect, in a call of the host or of the exchange itself; what
+  // follows is done from the main loop.
+  std::vector<IngressExchange*> goneCallers;
+  std::vector<std::unique_ptr<CallerExchange>> ended;
+  Timer settleTimer;
 };
 
 } // namespace caraway
--- a/src/runtime/http_reader.cpp
+++ b/src/runtime/http_reader.cpp
@@ -148,6 +148,7 @@
                        error_code&) override
   {
     this->isHttp11 = aVersion == kHttp11;
+    this->head.isHttp11 = this->isHttp11;
     this->head.method = ToStdString(aMethod);
     this->head.target = ToStdString(aTarget);
   }
--- a/src/runtime/http_reader.h
+++ b/src/runtime/http_reader.h
@@ -18,6 +18,7 @@
   std::string method;
   std::string target;
   HeaderFields fields;
+  bool isHttp11 = true; // the sender can read an answer in chunks
 };
 
 struct ResponseHead
--- a/src/runtime/ingress_connection.h
+++ b/src/runtime/ingress_connection.h
@@ -44,7 +44,13 @@
     , answerShare(aServer.account, Holder::kAnswer)
   {
     this->socket.SetMaxInput(MaxInput(aServer.limits.headBytes, 0));
-    this->socket.Adopt(aFd);
+    if (aServer.filters == nullptr) {
+      this->socket.Adopt(aFd);
+    } else {
+      this->filterShare =
+        MemoryShare(aServer.account, Holder::kFilter, aServer.filters->MaxBytes());
+      this->socket.Adopt(aFd, aServer.filters->Make());
+    }
   }
 
   void OnInput() override
@@ -93,12 +99,14 @@
       return;
     }
     this->isClosing = this->isClosing || this->server.isLeaving;
-    this->isChunked = !aLength.has_value();
+    this->isChunked = !aLength.has_value() && this->isHttp11;
+    this->isUntilClose = !aLength.has_value() && !this->isHttp11;
+    this->isClosing = this->isClosing || this->isUntilClose;
     this->isHeadOnly = this->isHeadRequest;
     AppendHead(this->unsentOutput, aStatus, aReason, aFields);
     if (this->isChunked) {
       this->unsentOutput += "Transfer-Encoding: chunked\r\n";
-    } else {
+    } else if (aLength) {
       this->unsentOutput += "Content-Length: ";
       AppendNumber(this->unsentOutput, *aLength);
       this->unsentOutput += "\r\n";
@@ -148,7 +156,7 @@
       return;
     }
     this->unsentOutput.clear();
-    this->Drop(false);
+    this->Drop(this->isUntilClose); // a close would complete the answer
   }
 
   std::size_t PendingOutput() const { return this->socket.PendingOutput(); }
@@ -194,23 +202,7 @@
   bool IsIdle() const { return this->state == State::kReading && !this->hasBytes; }
 
   // Drops idle and lingering connections and rejects requests that exceeded their timeout.
-  void CheckTimeouts(TimePoint aNow)
-  {
-    const IngressLimits& limits = this->server.limits;
-    const bool hasLingered =
-      this->state == State::kLingering && aNow - this->since > ingress::kLingerTime;
-    const bool hasIdledTooLong = this->IsIdle() && aNow - this->since > limits.idleTimeout;
-    if (hasLingered || hasIdledTooLong) {
-      this->Drop(false);
-    } else if (this->state == State::kReading && this->hasBytes &&
-               aNow - this->readingSince > limits.headTimeout) {
-      if (this->isPaused) {
-        this->RejectForRoom();
-      } else {
-        this->Reject(408, "Request Timeout");
-      }
-    }
-  }
+  void CheckTimeouts(TimePoint aNow);
 
   void Drop(bool aAbort)
   {
@@ -219,66 +211,15 @@
     this->bodyHold.reset();
     this->readingShare.Set(0);
     this->answerShare.Set(0);
+    this->filterShare.Set(0);
     this->socket.Close(aAbort);
     this->server.connections.erase(this->shared_from_this());
   }
 
-  void ReadRequest()
-  {
-    if (this->state != State::kReading || this->socket.Input().empty() || this->isAnswerUnread) {
-      return;
-    }
-    const TimePoint now = this->server.clock.Read().steady;
-    if (!this->hasBytes) {
-      this->hasBytes = true;
-      this->since = now;
-      this->readingSince = now;
-      this->reader = std::make_unique<RequestReader>(this->server.limits.headBytes,
-                                                     this->server.limits.bodyBytes);
-      this->socket.SetMaxInput(MaxInput(this->server.limits.headBytes, 0));
-    }
-    const ReadState result = this->reader->Read(this->socket.Input());
-    this->ShrinkInput();
-    this->UpdateShares();
-    switch (result) {
-      case ReadState::kMore:
-        if (this->reader->IsHeadDone()) {
-          this->socket.SetMaxInput(MaxInput(this->server.limits.headBytes, kBodyReadBytes));
-          if (this->bodyHold == nullptr) {
-            this->BeginBodyOrPause();
-          }
-        }
-        return;
-      case ReadState::kDone:
-        this->Deliver(now);
-        return;
-      case ReadState::kHeadTooBig:
-        this->Reject(431, "Request Header Fields Too Large");
-        return;
-      case ReadState::kBodyTooBig:
-        this->Reject(413, "Content Too Large");
-        return;
-      case ReadState::kMalformed:
-        this->Reject(400, "Bad Request");
-        return;
-    }
-  }
+  void ReadRequest();
 
   // Reads the body if there is room for it now.
-  bool Resume()
-  {
-    if (!this->isPaused) {
-      return true; // it was rejected or dropped
-    }
-    if (!this->server.HasRoomFor(this->BodySize())) {
-      return false;
-    }
-    this->isPaused = false;
-    this->readingSince = this->server.clock.Read().steady;
-    this->BeginBody();
-    this->socket.SetReading(true);
-    return true;
-  }
+  bool Resume();
 
 private:
   static constexpr std::size_t kMinInputBytes = std::size_t{ 1 } << 10;
@@ -311,31 +252,11 @@
     return static_cast<std::size_t>(size);
   }
 
+  // Asks the handler once whether the body is to be read.
+  bool IsBodyWanted();
+
   // Waits until there is room for the body; meanwhile, the rest of it stays in the kernel.
-  void BeginBodyOrPause()
-  {
-    const std::size_t size = this->BodySize();
-    const bool isFirst = this->server.pausedConnections.empty();
-    if (size <= ingress::kMaxSmallBodyBytes) {
-      if (this->server.MakeRoomForSmallBody(size)) {
-        this->BeginBody();
-      } else {
-        this->RejectForRoom();
-      }
-      return;
-    }
-    if (isFirst && this->server.HasRoomFor(size)) {
-      this->BeginBody();
-      return;
-    }
-    if (!this->isPaused) {
-      this->isPaused = true;
-      this->readingSince = this->server.clock.Read().steady;
-      this->socket.SetReading(false);
-      this->server.pausedConnections.push_back(this->weak_from_this());
-      this->server.bufferedReadTimer.ArmAfter(Duration::zero());
-    }
-  }
+  void BeginBodyOrPause();
 
   // Lets the connections behind this one try again.
   void EndPause()
@@ -345,50 +266,10 @@
     }
   }
 
-  void BeginBody()
-  {
-    const std::size_t size = this->BodySize();
-    this->bodyHold = this->server.bodyMemory->Hold(size);
-    if (FindField(this->reader->Head().fields, "Content-Length")) {
-      this->reader->Body().reserve(size);
-    }
-    this->SendContinueIfExpected();
-  }
+  void BeginBody();
 
   // Stops reading while the request is answered, so that further data stays in the kernel.
-  void Deliver(TimePoint aNow)
-  {
-    const std::size_t size = this->reader->Body().size();
-    const bool hasWaited = this->bodyHold != nullptr && size > ingress::kMaxSmallBodyBytes;
-    const MemoryLimits& limits = this->server.account->Limits();
-    const std::size_t reserve = size <= kUsualRequestBytes ? limits.reserve : 0;
-    const bool hasBodyRoom = size == 0 || hasWaited ||
-                             this->server.bodyMemory->Held() + size <= limits.smallBodies + reserve;
-    const std::size_t headBytes = this->HeadBytes();
-    if (!hasBodyRoom || !this->server.account->HasRoomFor(headBytes)) {
-      this->RejectForRoom();
-      return;
-    }
-    IngressRequest request;
-    request.headShare = MemoryShare(this->server.account, Holder::kRequest, headBytes);
-    if (size > 0) {
-      request.bodyHold = this->server.bodyMemory->Hold(size);
-    }
-    this->bodyHold.reset();
-    request.firstByteAt = this->since;
-    request.readAt = aNow;
-    this->isClosing = !this->reader->KeepsAlive();
-    request.head = std::move(this->reader->Head());
-    request.body = std::move(this->reader->Body());
-    this->isHeadRequest = request.head.method == "HEAD";
-    this->reader.reset();
-    this->UpdateShares();
-    this->isExpectChecked = false;
-    this->hasBytes = false;
-    this->state = State::kAnswering;
-    this->socket.SetReading(false);
-    this->server.handler.OnRequest(this->shared_from_this(), std::move(request));
-  }
+  void Deliver(TimePoint aNow);
 
   void SendContinueIfExpected()
   {
@@ -409,22 +290,10 @@
     this->isClosing = true;
     this->bodyHold.reset();
     this->reader.reset();
-    this->Respond(aStatus, aReason, {}, "");
+    this->server.handler.OnUnreadable(*this, aStatus, aReason);
   }
 
-  void RejectForRoom()
-  {
-    const auto self = this->shared_from_this();
-    this->state = State::kAnswering;
-    this->isClosing = true;
-    this->EndPause();
-    this->bodyHold.reset();
-    const RequestHead head = std::move(this->reader->Head());
-    this->reader.reset();
-    std::string().swap(this->socket.Input());
-    this->UpdateShares();
-    this->server.handler.OnNoRoom(*this, head);
-  }
+  void RejectForRoom();
 
   void Send()
   {
@@ -496,16 +365,20 @@
   std::shared_ptr<void> bodyHold; // while the body is read
   MemoryShare readingShare;
   MemoryShare answerShare;
+  MemoryShare filterShare;
   std::unique_ptr<RequestReader> reader;
   std::string unsentOutput; // output not yet passed to the socket
   bool hasBytes = false;
   bool isExpectChecked = false;
+  bool isHeadChecked = false;
   bool isPaused = false;       // until there is room for the body
   bool isAnswerUnread = false; // the last one; the next request is not read before
   bool isClosing = false;
   bool isChunked = false;
   bool isHeadOnly = false;
   bool isHeadRequest = false;
+  bool isHttp11 = true;
+  bool isUntilClose = false; // the end of the connection ends the answer
 };
 
 } // namespace caraway
--- a/src/runtime/ingress_server.cpp
+++ b/src/runtime/ingress_server.cpp
@@ -23,6 +23,17 @@
 
 } // namespace
 
+bool IngressHandler::OnHead(IngressExchange&, const RequestHead&)
+{
+  return true;
+}
+
+void IngressHandler::OnUnreadable(IngressExchange& aExchange, std::uint16_t aStatus,
+                                  std::string_view aReason)
+{
+  aExchange.Respond(aStatus, aReason, {}, "");
+}
+
 void IngressHandler::OnNoRoom(IngressExchange& aExchange, const RequestHead&)
 {
   aExchange.Respond(503, "Service Unavailable", { { "Retry-After", "1" } }, "");
@@ -35,11 +46,12 @@
 }
 
 IngressServer::IngressServer(Poller& aPoller, const Clock& aClock, IngressHandler& aHandler,
-                             std::shared_ptr<MemoryAccount> aAccount)
+                             std::shared_ptr<MemoryAccount> aAccount, WireFilterFactory* aFilters)
   : poller(aPoller)
   , clock(aClock)
   , handler(aHandler)
   , account(aAccount != nullptr ? std::move(aAccount) : std::make_shared<MemoryAccount>())
+  , filters(aFilters)
   , bodyMemory(std::make_shared<BodyMemory>(this->account,
                                             [this] {
                                               if (!this->pausedConnections.empty()) {
@@ -77,6 +89,12 @@
   }
 }
 
+bool IngressServer::IsSending() const
+{
+  return std::any_of(this->connections.begin(), this->connections.end(),
+                     [](const auto& aConnection) { return aConnection->PendingOutput() > 0; });
+}
+
 // A body that exceeds the total alone is read when there is no other.
 bool IngressServer::HasRoomFor(std::size_t aBytes) const
 {
--- a/src/runtime/ingress_server.h
+++ b/src/runtime/ingress_server.h
@@ -73,6 +73,13 @@
 {
 public:
   virtual ~IngressHandler() = default;
+  // The head of a request whose body has not arrived. False if the request is answered by its head:
+  // the body is not read, and the connection is closed after the answer.
+  virtual bool OnHead(IngressExchange& aExchange, const RequestHead& aHead);
+  // A request could not be read, for the reason that aStatus (HTTP) and aReason name. The
+  // connection is closed after the answer.
+  virtual void OnUnreadable(IngressExchange& aExchange, std::uint16_t aStatus,
+                            std::string_view aReason);
   virtual void OnRequest(const std::shared_ptr<IngressExchange>& aExchange,
                          IngressRequest aRequest) = 0;
   // There is no room for the body of a request, which was not read.
@@ -85,9 +92,10 @@
 {
 public:
   // aAccount: what the process holds for connections; nullptr: that of this server only, with the
-  // limits of the smallest VM.
+  // limits of the smallest VM. aFilters: of accepted connections; nullptr: none.
   IngressServer(Poller& aPoller, const Clock& aClock, IngressHandler& aHandler,
-                std::shared_ptr<MemoryAccount> aAccount = nullptr);
+                std::shared_ptr<MemoryAccount> aAccount = nullptr,
+                WireFilterFactory* aFilters = nullptr);
   ~IngressServer();
   IngressServer(const IngressServer&) = delete;
   IngressServer& operator=(const IngressServer&) = delete;
@@ -105,6 +113,8 @@
   void SetMaxConnections(std::size_t aCount) { this->maxConnections = aCount; }
   const IngressRefusals& Refusals() const { return this->refusals; }
   std::size_t ConnectionCount() const { return this->connections.size(); }
+  // True while an answer has not been sent completely.
+  bool IsSending() const;
 
 private:
   class Connection;
@@ -134,6 +144,7 @@
   IngressRefusals refusals;
   std::uint64_t loggedRefusals = 0;
   std::shared_ptr<MemoryAccount> account;
+  WireFilterFactory* filters;
   std::shared_ptr<BodyMemory> bodyMemory;
   // Connections that wait for room for a body, in order of arrival.
   std::deque<std::weak_ptr<Connection>> pausedConnections;
--- a/src/runtime/memory_account.cpp
+++ b/src/runtime/memory_account.cpp
@@ -25,6 +25,28 @@
 };
 constexpr std::size_t kTrimPart = 32; // of the limit; less is not worth the time
 
+double PartOfSmallest(std::size_t aProcessBytes)
+{
+  const std::size_t known = aProcessBytes == 0 ? kSmallestProcess : aProcessBytes;
+  return static_cast<double>(known) / kSmallestProcess;
+}
+
+MemoryLimits ScaledLimits(double aPart)
+{
+  const auto scaled = [](std::size_t aBytes, double aFactor) {
+    return static_cast<std::size_t>(static_cast<double>(aBytes) * aFactor);
+  };
+  const MemoryLimits& unit = kSmallestLimits;
+  return { scaled(unit.reading, aPart),
+           scaled(unit.requests, aPart),
+           scaled(unit.bodies, aPart),
+           scaled(unit.smallBodies, aPart),
+           scaled(unit.answer, std::min(1.0, aPart)),
+           scaled(unit.answers, aPart),
+           scaled(unit.total, aPart),
+           scaled(unit.reserve, aPart) };
+}
+
 } // namespace
 
 std::string_view ToString(Holder aHolder)
@@ -38,21 +60,20 @@
       return "bodies";
     case Holder::kAnswer:
       return "answers";
+    case Holder::kFilter:
+      return "filters";
   }
   return "unknown";
 }
 
 MemoryLimits LimitsFor(std::size_t aProcessBytes)
 {
-  const std::size_t known = aProcessBytes == 0 ? kSmallestProcess : aProcessBytes;
-  const double part = std::min(1.0, static_cast<double>(known) / kSmallestProcess);
-  const auto scaled = [part](std::size_t aBytes) {
-    return static_cast<std::size_t>(static_cast<double>(aBytes) * part);
-  };
-  const MemoryLimits& most = kSmallestLimits;
-  return { scaled(most.reading),     scaled(most.requests), scaled(most.bodies),
-           scaled(most.smallBodies), scaled(most.answer),   scaled(most.answers),
-           scaled(most.total),       scaled(most.reserve) };
+  return ScaledLimits(std::min(1.0, PartOfSmallest(aProcessBytes)));
+}
+
+MemoryLimits ProportionalLimits(std::size_t aProcessBytes)
+{
+  return ScaledLimits(PartOfSmallest(aProcessBytes));
 }
 
 bool MemoryAccount::HasRoomFor(std::size_t aBytes) const
--- a/src/runtime/memory_account.h
+++ b/src/runtime/memory_account.h
@@ -16,9 +16,10 @@
   kRequest, // heads of requests that have no answer yet
   kBody,    // bodies of requests
   kAnswer,  // answers that callers do not read
+  kFilter,  // state of the encryption of connections
 };
 
-constexpr std::size_t kHolderCount = 4;
+constexpr std::size_t kHolderCount = 5;
 constexpr std::size_t kUsualRequestBytes = 4096; // of a head or of a body
 
 std::string_view ToString(Holder aHolder);
@@ -36,14 +37,21 @@
   std::size_t reserve = 0;     // for requests of the usual size only, whatever the others hold
 };
 
-// aProcessBytes: memory of the process; 0 if unknown, then that of the smallest VM.
+// aProcessBytes: memory of the process; 0 if unknown, then that of the smallest VM. A larger
+// process has the limits of the smallest VM.
 MemoryLimits LimitsFor(std::size_t aProcessBytes);
+// As LimitsFor, but all limits except that of one answer grow with the process.
+MemoryLimits ProportionalLimits(std::size_t aProcessBytes);
 
 class MemoryAccount
 {
 public:
   explicit MemoryAccount(std::size_t aProcessBytes = 0)
-    : limits(LimitsFor(aProcessBytes))
+    : MemoryAccount(LimitsFor(aProcessBytes))
+  {
+  }
+  explicit MemoryAccount(const MemoryLimits& aLimits)
+    : limits(aLimits)
   {
   }
 
--- a/src/runtime/poller.cpp
+++ b/src/runtime/poller.cpp
@@ -2,10 +2,13 @@
 
 #include <glib-unix.h>
 #include <sys/epoll.h>
+#include <sys/resource.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
+#include <limits>
 #include <system_error>
 #include <utility>
 
@@ -25,6 +28,14 @@
 
 } // namespace
 
+std::uint32_t DescriptorLimit()
+{
+  rlimit limit{};
+  getrlimit(RLIMIT_NOFILE, &limit);
+  return static_cast<std::uint32_t>(
+    std::min<rlim_t>(limit.rlim_cur, std::numeric_limits<std::uint32_t>::max()));
+}
+
 Poller::Poller()
   : epoll(epoll_create1(EPOLL_CLOEXEC))
 {
--- a/src/runtime/poller.h
+++ b/src/runtime/poller.h
@@ -19,6 +19,9 @@
   virtual void OnIo(std::uint32_t aEvents) = 0;
 };
 
+// Descriptors that the process may open.
+std::uint32_t DescriptorLimit();
+
 class Poller
 {
 public:
--- a/src/runtime/process.cpp
+++ b/src/runtime/process.cpp
@@ -3,9 +3,13 @@
 #include "runtime/frame.h"
 #include "runtime/log.h"
 
+#include <algorithm>
 #include <csignal>
 #include <cstring>
+#include <fstream>
 #include <glib-unix.h>
+#include <malloc.h>
+#include <unistd.h>
 #include <utility>
 
 namespace caraway {
@@ -16,6 +20,9 @@
 // Time for peers to read the last frames before connections are closed.
 constexpr Duration kCloseDelay = std::chrono::milliseconds(250);
 constexpr int kExitInterrupted = 1;
+// Larger blocks, such as bodies, are mapped and go back to the system when they are freed. Without
+// a fixed threshold it rises with them, and they leave gaps in the heap.
+constexpr int kMapThreshold = 128 << 10;
 
 } // namespace
 
@@ -36,12 +43,26 @@
   return seed;
 }
 
+std::size_t MemoryForConnections(const CommonSettings& aSettings)
+{
+  const auto pageBytes = static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
+  const std::size_t memory = aSettings.memoryMb != 0
+                               ? std::size_t{ aSettings.memoryMb } << 20
+                               : static_cast<std::size_t>(sysconf(_SC_PHYS_PAGES)) * pageBytes / 2;
+  std::size_t virtualPages = 0;
+  std::size_t residentPages = 0;
+  std::ifstream("/proc/self/statm") >> virtualPages >> residentPages;
+  return memory - std::min(residentPages * pageBytes, memory / 2);
+}
+
 ProcessContext::ProcessContext(const CommonSettings& aSettings)
   : random(ChooseSeed(aSettings))
   , timeline(aSettings.timelineEvents)
   , observer(this->clock, this->metrics, this->timeline)
   , self(MakeOwnPeer(aSettings.name, this->clock))
+  , memory(std::make_shared<MemoryAccount>(ProportionalLimits(MemoryForConnections(aSettings))))
 {
+  mallopt(M_MMAP_THRESHOLD, kMapThreshold);
 }
 
 MainLoop::MainLoop(AdminView& aView, std::function<bool()> aIsDone,
--- a/src/runtime/process.h
+++ b/src/runtime/process.h
@@ -6,15 +6,19 @@
 #include "core/random.h"
 #include "runtime/admin_view.h"
 #include "runtime/clock.h"
+#include "runtime/memory_account.h"
 #include "runtime/metrics.h"
 #include "runtime/observer.h"
+#include "runtime/poller.h"
 #include "runtime/settings.h"
 #include "runtime/timeline.h"
 #include "runtime/timer.h"
 
 #include <glib.h>
 
+#include <cstdint>
 #include <functional>
+#include <memory>
 #include <string>
 
 namespace caraway {
@@ -26,7 +30,11 @@
 // Seed from the settings, or from the random number generator of the operating system.
 std::uint64_t ChooseSeed(const CommonSettings& aSettings);
 
-// Clock, random number generator and observability of one daemon.
+// Memory that the process may use, without what it uses itself at its start; in bytes. By memory_mb
+// of the settings, else half of the machine's.
+std::size_t MemoryForConnections(const CommonSettings& aSettings);
+
+// Clock, random number generator, observability and I/O of one daemon.
 struct ProcessContext
 {
   explicit ProcessContext(const CommonSettings& aSettings);
@@ -37,6 +45,8 @@
   Timeline timeline;
   Observer observer;
   Peer self;
+  Poller poller;
+  std::shared_ptr<MemoryAccount> memory; // of the connections of all listeners
 };
 
 // Runs the main loop until the process has shut down. SIGTERM or SIGINT starts a graceful shutdown;
--- a/src/runtime/settings.cpp
+++ b/src/runtime/settings.cpp
@@ -64,6 +64,8 @@
                      "least important events that are logged" },
   SettingRow<Owner>{ "timeline_events", &Owner::timelineEvents, false, 16, 10000000, "",
                      "events kept for `carawayctl events`" },
+  SettingRow<Owner>{ "memory_mb", &Owner::memoryMb, false, 0, 1 << 30, "",
+                     "memory that this process may use, in MB; 0: half of the VM's" },
 };
 
 constexpr std::array kEntryRows = {
@@ -71,8 +73,12 @@
                              "listener for callers" },
   SettingRow<EntrySettings>{ "max_body_bytes", &EntrySettings::maxBodyBytes, false, 1, 1 << 28, "",
                              "largest request body accepted" },
+  SettingRow<EntrySettings>{ "max_head_bytes", &EntrySettings::maxHeadBytes, false, 1024, 1 << 20,
+                             "", "largest request line with header fields accepted" },
   SettingRow<EntrySettings>{ "request_read_ms", &EntrySettings::requestReadMs, false, 100, 600000,
                              "", "longest time in which a whole request must arrive" },
+  SettingRow<EntrySettings>{ "idle_ms", &EntrySettings::idleMs, false, 1000, 86400000, "",
+                             "longest time that a connection is kept without a request" },
   SettingRow<EntrySettings>{ "peer_listen", &EntrySettings::peerListen, true, 0, 0, "",
                              "listener for other entries" },
 };
--- a/src/runtime/settings.h
+++ b/src/runtime/settings.h
@@ -26,6 +26,7 @@
   std::string logLevel = "info";
   std::optional<std::uint64_t> seed; // of the random number generator; if unset, random
   std::uint32_t timelineEvents = 16384;
+  std::uint32_t memoryMb = 0; // of the VM, for this process; 0: half of the VM's
   LinkOptions links;
 };
 
@@ -41,7 +42,9 @@
   Address listen; // for callers
   std::optional<TlsFiles> tls;
   std::uint32_t maxBodyBytes = 1 << 20;
+  std::uint32_t maxHeadBytes = 64 << 10;
   std::uint32_t requestReadMs = 10000; // max. time from a request's first to its last byte
+  std::uint32_t idleMs = 600000;       // max. time between two requests on a connection
   Address peerListen;                  // for other entries
   EntryOptions options;
 };
--- a/tests/runtime/caller_test.cpp
+++ b/tests/runtime/caller_test.cpp
@@ -92,8 +92,7 @@
     this->log.emplace(FormatAddress(this->settings.platform));
     this->host.emplace(this->settings, this->context->self, this->context->clock,
                        this->context->random, this->placement, *this->log, this->context->observer);
-    this->callers.emplace(this->settings, *this->host, this->context->metrics,
-                          this->context->random);
+    this->callers.emplace(this->settings, *this->host, *this->context);
     BOOST_REQUIRE(!this->host->Start());
     BOOST_REQUIRE(!this->callers->Start());
     BOOST_REQUIRE(RunUntil([&] {
@@ -385,7 +384,7 @@
   BOOST_TEST(fixture.service.grants.empty(), fixture.service.grants.size() << " ran");
 }
 
-// libsoup skips what it can't read, so the length that the caller stated is not known.
+// What can't be read may have hidden the length that the caller stated.
 BOOST_AUTO_TEST_CASE(a_request_behind_a_malformed_one_does_not_run)
 {
   CheckNoneRunsBehind(
@@ -630,6 +629,52 @@
   BOOST_TEST(refused.received.starts_with("HTTP/1.1 401"));
 }
 
+BOOST_AUTO_TEST_CASE(large_answers_and_bodies_pass_tls_whole)
+{
+  const std::filesystem::path folder = CARAWAY_SOURCE_DIR "/tests/runtime";
+  EntryFixture fixture(10000, TlsFiles{ folder / "test_certificate.pem", folder / "test_key.pem" });
+  fixture.service.chunks = { std::string(300000, 'a'), std::string(200000, 'b') };
+  const std::string body(9000, 'x');
+  HttpsCall call(fixture.callers->Port(), Call::Post("/services/orders/status", body));
+  BOOST_REQUIRE(RunUntil([&] { return call.hasEnded; }));
+  BOOST_TEST(call.received.starts_with("HTTP/1.1 200"));
+  const std::size_t start = call.received.find("\r\n\r\n") + 4;
+  BOOST_TEST((call.received.substr(start) == std::string(300000, 'a') + std::string(200000, 'b')));
+  BOOST_TEST((fixture.service.grants.at(0).body == body));
+}
+
+// Handshakes were done by a few threads, which callers that do not finish theirs held.
+BOOST_AUTO_TEST_CASE(callers_that_do_not_finish_a_handshake_delay_no_others)
+{
+  const std::filesystem::path folder = CARAWAY_SOURCE_DIR "/tests/runtime";
+  EntryFixture fixture(60000, TlsFiles{ folder / "test_certificate.pem", folder / "test_key.pem" });
+  const std::string partOfHello("\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03", 11);
+  constexpr std::size_t kStalled = 100;
+  std::vector<std::unique_ptr<Call>> stalled;
+  stalled.reserve(kStalled);
+  while (stalled.size() < kStalled) {
+    stalled.push_back(std::make_unique<Call>(fixture, partOfHello));
+  }
+  Call plain(fixture, Call::Get("/readyz"));
+  BOOST_REQUIRE(RunUntil([&] { return plain.client.IsClosed(); }));
+  HttpsCall call(fixture.callers->Port(), Call::Get("/readyz"));
+  BOOST_REQUIRE(RunUntil([&] { return call.hasEnded; }));
+  BOOST_TEST(call.received.starts_with("HTTP/1.1 200"));
+}
+
+BOOST_AUTO_TEST_CASE(targets_are_read_in_each_form)
+{
+  EntryFixture fixture;
+  BOOST_TEST(StatusOf(fixture, Call::Get("/readyz?a=b")) == 200);
+  BOOST_TEST(StatusOf(fixture, Call::Get("/%72eadyz")) == 200);
+  BOOST_TEST(StatusOf(fixture, Call::Get("http://x/readyz")) == 200);
+  BOOST_TEST(StatusOf(fixture, Call::Get("http://x")) == 404);
+  for (const std::string path :
+       { "*", "readyz", "/a/../readyz", "/a/%2e%2e/readyz", "/a/..", "/%00", "/%zz" }) {
+    BOOST_TEST(StatusOf(fixture, Call::Get(path)) == 400, path);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(truncated_log_records_are_a_configuration_gap)
 {
   EntryFixture fixture;
--- a/tests/runtime/ingress_test.cpp
+++ b/tests/runtime/ingress_test.cpp
@@ -40,6 +40,25 @@
     }
   }
 
+  // Begins the answer to each request without saying its length, and ends or aborts it.
+  void StreamAll(bool aIsAborted)
+  {
+    for (const auto& [exchange, request] : std::exchange(this->atWork, {})) {
+      exchange->BeginBody(200, "OK", {}, std::nullopt);
+      exchange->WriteBody("part");
+      aIsAborted ? exchange->Abort() : exchange->FinishBody();
+    }
+  }
+
+  bool OnHead(IngressExchange& aExchange, const RequestHead& aHead) override
+  {
+    if (aHead.target != "/refused") {
+      return true;
+    }
+    aExchange.Respond(401, "Unauthorized", {}, "no");
+    return false;
+  }
+
   std::size_t heldBytes = 0;
   std::size_t deliveredCount = 0;
 
@@ -66,7 +85,12 @@
     this->answer += this->socket.Input();
     this->socket.Input().clear();
   }
-  void OnInputEnd(bool) override { this->socket.Close(); }
+  void OnInputEnd(bool aReset) override
+  {
+    this->hasEnded = true;
+    this->isReset = aReset;
+    this->socket.Close();
+  }
   bool HasAnswer(const std::string& aStatus) const
   {
     return this->answer.starts_with("HTTP/1.1 " + aStatus);
@@ -74,6 +98,8 @@
 
   TcpSocket socket;
   std::string answer;
+  bool hasEnded = false;
+  bool isReset = false;
 };
 
 struct Ingress
@@ -192,6 +218,34 @@
   BOOST_TEST(RunUntil([&] { return late.HasAnswer("200"); }));
 }
 
+// HTTP/1.0 has no chunks: the close ends the answer, so that one which is broken off must be reset.
+BOOST_AUTO_TEST_CASE(answers_of_unknown_length_to_old_clients_end_with_the_connection)
+{
+  for (const bool isAborted : { false, true }) {
+    Caller caller(this->poller, this->server.Port());
+    caller.socket.Write("GET /x HTTP/1.0\r\nHost: h\r\nConnection: keep-alive\r\n\r\n");
+    const std::size_t before = this->holder.deliveredCount;
+    BOOST_REQUIRE(RunUntil([&] { return this->holder.deliveredCount > before; }));
+    this->holder.StreamAll(isAborted);
+    BOOST_REQUIRE(RunUntil([&] { return caller.hasEnded; }));
+    BOOST_TEST(caller.isReset == isAborted);
+    BOOST_TEST(caller.answer.find("chunked") == std::string::npos);
+    BOOST_TEST((isAborted || caller.answer.ends_with("\r\n\r\npart")));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_request_refused_by_its_head_is_answered_once_and_not_read)
+{
+  Caller caller(this->poller, this->server.Port());
+  caller.socket.Write("POST /refused HTTP/1.1\r\nHost: h\r\nContent-Length: 100\r\n\r\n");
+  BOOST_REQUIRE(RunUntil([&] { return caller.HasAnswer("401"); }));
+  caller.socket.Write(std::string(100, 'x') + "GET /x HTTP/1.1\r\nHost: h\r\n\r\n");
+  BOOST_REQUIRE(RunUntil([&] { return caller.hasEnded; }));
+  BOOST_TEST(caller.answer.find("Connection: close") != std::string::npos);
+  BOOST_TEST(caller.answer.find("HTTP/1.1 ", 1) == std::string::npos);
+  BOOST_TEST(this->holder.deliveredCount == 0U);
+}
+
 // Callers that announced bodies and send none held all connections until their time was over.
 BOOST_AUTO_TEST_CASE(a_part_of_a_body_gives_way_to_a_new_connection)
 {
