Serve the pages for operators with IngressServer

What others saw: the admin port of caraway-entry and caraway-agent had the faults of libsoup's server too. 300 clients with heads of 16 KB took each process to 109 MB, which it kept, and then callers got no answer, as no descriptor was left. Change: AdminServer is a handler of IngressServer with 64 connections and the account of the process, whose parts its metrics show (caraway_held_bytes). The cases of the pages in observe/* pass.

--- a/src/daemons/entry.cpp
+++ b/src/daemons/entry.cpp
@@ -29,7 +29,8 @@
   EntryHost host(aSettings, context.self, context.clock, context.random, placement, log,
                  context.observer);
   CallerServer callers(aSettings, host, context);
-  AdminServer admin(aSettings.name, host, context.clock, context.observer, context.metrics);
+  AdminServer admin(aSettings.name, host, context.clock, context.observer, context.metrics,
+                    context.poller, context.memory);
   if (const auto error = host.Start()) {
     return ReportStartError("peer_listen", aSettings.peerListen, error);
   }
--- a/src/runtime/admin_server.cpp
+++ b/src/runtime/admin_server.cpp
@@ -1,8 +1,8 @@
 #include "runtime/admin_server.h"
 
 #include "core/uuid.h"
-#include "runtime/soup_listen.h"
 
+#include <libsoup/soup.h>
 #include <nlohmann/json.hpp>
 
 #include <charconv>
@@ -14,7 +14,7 @@
 
 using Json = nlohmann::json;
 
-constexpr const char* kJson = "application/json";
+constexpr std::size_t kMaxConnections = 64;
 constexpr std::size_t kMaxEvents = 10000; // per answer
 
 std::string Dump(const Json& aJson)
@@ -36,6 +36,26 @@
   return found != aQuery.end() ? found->second : "";
 }
 
+std::map<std::string, std::string> QueryOf(std::string_view aTarget)
+{
+  std::map<std::string, std::string> query;
+  const std::size_t start = aTarget.find('?');
+  if (start == std::string_view::npos) {
+    return query;
+  }
+  const std::string text(aTarget.substr(start + 1));
+  GHashTable* form = soup_form_decode(text.c_str());
+  GHashTableIter iterator;
+  void* key = nullptr;
+  void* value = nullptr;
+  g_hash_table_iter_init(&iterator, form);
+  while (g_hash_table_iter_next(&iterator, &key, &value)) {
+    query[static_cast<const char*>(key)] = static_cast<const char*>(value);
+  }
+  g_hash_table_unref(form);
+  return query;
+}
+
 Json RecordJson(const ConfigState::Stored& aStored)
 {
   return {
@@ -48,72 +68,68 @@
 } // namespace
 
 AdminServer::AdminServer(std::string aNode, AdminView& aView, const Clock& aClock,
-                         const Observer& aObserver, const Metrics& aMetrics)
+                         const Observer& aObserver, Metrics& aMetrics, Poller& aPoller,
+                         std::shared_ptr<MemoryAccount> aMemory)
   : node(std::move(aNode))
   , view(aView)
   , clock(aClock)
   , observer(aObserver)
   , metrics(aMetrics)
-  , server(soup_server_new(nullptr, nullptr))
-{
-  soup_server_add_handler(this->server.get(), nullptr, &AdminServer::OnRequest, this, nullptr);
-}
-
-AdminServer::~AdminServer()
-{
-  soup_server_disconnect(this->server.get());
-}
-
-std::error_code AdminServer::Start(const Address& aAddress)
+  , memory(std::move(aMemory))
+  , server(aPoller, aClock, *this, this->memory)
 {
-  return ListenAt(this->server.get(), aAddress, false);
+  this->server.SetMaxConnections(kMaxConnections);
 }
 
-std::uint16_t AdminServer::Port() const
+void AdminServer::OnRequest(const std::shared_ptr<IngressExchange>& aExchange,
+                            IngressRequest aRequest)
 {
-  return PortOf(this->server.get());
+  const std::string& target = aRequest.head.target;
+  const Page page =
+    this->Answer(aRequest.head.method, target.substr(0, target.find('?')), QueryOf(target));
+  aExchange->Respond(page.status, soup_status_get_phrase(page.status),
+                     { { "Content-Type", page.type } }, page.body);
 }
 
-void AdminServer::OnRequest(SoupServer*, SoupServerMessage* aMessage, const char* aPath,
-                            GHashTable* aQuery, void* aData)
+AdminServer::Page AdminServer::Answer(const std::string& aMethod, const std::string& aPath,
+                                      const Query& aQuery)
 {
-  Query query;
-  if (aQuery != nullptr) {
-    GHashTableIter iterator;
-    void* key = nullptr;
-    void* value = nullptr;
-    g_hash_table_iter_init(&iterator, aQuery);
-    while (g_hash_table_iter_next(&iterator, &key, &value)) {
-      query[static_cast<const char*>(key)] = static_cast<const char*>(value);
-    }
+  const bool isDrain = aPath == "/drain";
+  if (aMethod != (isDrain ? "POST" : "GET")) {
+    return { 405, R"({"error":"method"})" };
+  }
+  if (isDrain) {
+    this->view.BeginLeaving();
+    return { 200, R"({"leaving":true})" };
+  }
+  if (aPath == "/metrics") {
+    return { 200, this->MetricsText(), "text/plain; version=0.0.4" };
+  }
+  if (aPath == "/status") {
+    return { 200, this->view.StatusJson() };
+  }
+  if (aPath == "/events") {
+    return { 200, this->EventsJson(aQuery) };
   }
-  static_cast<AdminServer*>(aData)->Answer(aMessage, aPath, query);
+  if (aPath == "/config") {
+    return { 200, this->ConfigJson() };
+  }
+  if (aPath == "/snapshot") {
+    return { 200, this->view.Config().Snapshot() };
+  }
+  if (aPath == "/clock") {
+    return { 200, this->ClockJson() };
+  }
+  return { 404, R"({"error":"not_found"})" };
 }
 
-void AdminServer::Answer(SoupServerMessage* aMessage, const std::string& aPath, const Query& aQuery)
+std::string AdminServer::MetricsText() const
 {
-  const std::string method = soup_server_message_get_method(aMessage);
-  const bool isDrain = aPath == "/drain";
-  if (method != (isDrain ? "POST" : "GET")) {
-    Reply(aMessage, 405, kJson, R"({"error":"method"})");
-  } else if (isDrain) {
-    this->view.BeginLeaving();
-    Reply(aMessage, 200, kJson, R"({"leaving":true})");
-  } else if (aPath == "/metrics") {
-    Reply(aMessage, 200, "text/plain; version=0.0.4", this->metrics.Text());
-  } else if (aPath == "/status") {
-    Reply(aMessage, 200, kJson, this->view.StatusJson());
-  } else if (aPath == "/events") {
-    Reply(aMessage, 200, kJson, this->EventsJson(aQuery));
-  } else if (aPath == "/config") {
-    Reply(aMessage, 200, kJson, this->ConfigJson());
-  } else if (aPath == "/snapshot") {
-    Reply(aMessage, 200, kJson, this->view.Config().Snapshot());
-  } else if (aPath == "/clock") {
-    Reply(aMessage, 200, kJson, this->ClockJson());
-  } else {
-    Reply(aMessage, 404, kJson, R"({"error":"not_found"})");
+  for (std::size_t index = 0; index < kHolderCount; index++) {
+    const auto holder = static_cast<Holder>(index);
+    this->metrics.SetHeldBytes(ToString(holder), this->memory->Held(holder));
   }
+  return this->metrics.Text();
 }
 
 std::string AdminServer::EventsJson(const Query& aQuery) const
--- a/src/runtime/metrics.cpp
+++ b/src/runtime/metrics.cpp
@@ -48,6 +48,10 @@
   , configOffset(AddGauge(this->registry, "caraway_config_offset",
                           "First log offset that has not been applied"))
   , openRequests(AddGauge(this->registry, "caraway_open_requests", "Calls not yet answered"))
+  , heldBytes(prometheus::BuildGauge()
+                .Name("caraway_held_bytes")
+                .Help("Memory held for connections, by what it is held for")
+                .Register(this->registry))
 {
   auto& first = prometheus::BuildHistogram()
                   .Name("caraway_first_token_seconds")
@@ -131,6 +135,11 @@
   return this->refusedFrames.Add({ { "cause", std::string(aCause) } }).Value();
 }
 
+void Metrics::SetHeldBytes(std::string_view aHolder, std::size_t aBytes)
+{
+  this->heldBytes.Add({ { "holder", std::string(aHolder) } }).Set(static_cast<double>(aBytes));
+}
+
 std::string Metrics::Text() const
 {
   return prometheus::TextSerializer().Serialize(this->registry.Collect());
--- a/src/runtime/metrics.h
+++ b/src/runtime/metrics.h
@@ -40,6 +40,8 @@
   void SetLinks(std::size_t aCount);
   void SetConfigOffset(LogOffset aNext);
   void SetOpenRequests(std::size_t aCount);
+  // Memory held for connections, by what it is held for.
+  void SetHeldBytes(std::string_view aHolder, std::size_t aBytes);
 
   double Violations() const;
   double RefusedFrames(std::string_view aCause) const;
@@ -58,6 +60,7 @@
   prometheus::Gauge& links;
   prometheus::Gauge& configOffset;
   prometheus::Gauge& openRequests;
+  prometheus::Family<prometheus::Gauge>& heldBytes;
   std::array<prometheus::Histogram*, kTierCount> firstToken{};
   std::array<prometheus::Histogram*, kTierCount> interToken{};
 };
--- a/src/runtime/soup_listen.cpp
+++ b/src/runtime/soup_listen.cpp
@@ -45,13 +45,6 @@
   return static_cast<std::uint16_t>(port);
 }
 
-std::string HeaderOf(SoupServerMessage* aMessage, const char* aName)
-{
-  const char* value =
-    soup_message_headers_get_one(soup_server_message_get_request_headers(aMessage), aName);
-  return value != nullptr ? value : "";
-}
-
 void Reply(SoupServerMessage* aMessage, std::uint16_t aStatus, const char* aType,
            const std::string& aBody)
 {
--- a/src/runtime/soup_listen.h
+++ b/src/runtime/soup_listen.h
@@ -18,9 +18,6 @@
 // Port of the server's first listener, 0 if there is none.
 std::uint16_t PortOf(SoupServer* aServer);
 
-// Value of a request header, empty if absent.
-std::string HeaderOf(SoupServerMessage* aMessage, const char* aName);
-
 // Sets the complete answer.
 void Reply(SoupServerMessage* aMessage, std::uint16_t aStatus, const char* aType,
            const std::string& aBody);
--- a/tests/runtime/observe_test.cpp
+++ b/tests/runtime/observe_test.cpp
@@ -43,7 +43,8 @@
     : clock(Now{ TimePoint(std::chrono::seconds(1)), WallTime(std::chrono::milliseconds(5000)) })
     , timeline(100)
     , observer(this->clock, this->metrics, this->timeline)
-    , server("node-1", this->view, this->clock, this->observer, this->metrics)
+    , server("node-1", this->view, this->clock, this->observer, this->metrics, this->poller,
+             std::make_shared<MemoryAccount>())
   {
     BOOST_REQUIRE(!this->server.Start({ "127.0.0.1", 0 }));
   }
@@ -68,6 +69,7 @@
   Metrics metrics;
   Timeline timeline;
   Observer observer;
+  Poller poller;
   AdminServer server;
 };
 
