Bound connections between processes that show no key

What callers saw: 600 connections to peer_listen that sent nothing used up the descriptors of caraway-entry, which then answered no caller, also after they had left. Cause: every accepted connection was a link until its handshake timed out, however many there were. Change: connections without a handshake may use an eighth of the descriptors; above it the oldest closes (no_room, counted with the refused frames). They are accepted with TcpListener, which has a spare descriptor where GSocketService has none.

--- a/src/daemons/agent.cpp
+++ b/src/daemons/agent.cpp
@@ -22,7 +22,8 @@
 {
   StartLog(ParseLogLevel(aSettings.logLevel), aSettings.name);
   ProcessContext context(aSettings);
-  AgentHost host(aSettings, context.self, context.clock, context.random, context.observer);
+  AgentHost host(aSettings, context.self, context.clock, context.random, context.poller,
+                 context.observer);
   AdminServer admin(aSettings.name, host, context.clock, context.observer, context.metrics,
                     context.poller, context.memory);
   if (const auto error = host.Start()) {
--- a/src/daemons/entry.cpp
+++ b/src/daemons/entry.cpp
@@ -26,8 +26,8 @@
   ProcessContext context(aSettings);
   LateBindingPlacement placement;
   LogClient log(FormatAddress(aSettings.platform));
-  EntryHost host(aSettings, context.self, context.clock, context.random, placement, log,
-                 context.observer);
+  EntryHost host(aSettings, context.self, context.clock, context.random, context.poller, placement,
+                 log, context.observer);
   CallerServer callers(aSettings, host, context);
   AdminServer admin(aSettings.name, host, context.clock, context.observer, context.metrics,
                     context.poller, context.memory);
--- a/src/runtime/agent_host.cpp
+++ b/src/runtime/agent_host.cpp
@@ -20,12 +20,12 @@
 } // namespace
 
 AgentHost::AgentHost(const AgentSettings& aSettings, Peer aSelf, const Clock& aClock,
-                     Random& aRandom, Observer& aObserver)
+                     Random& aRandom, Poller& aPoller, Observer& aObserver)
   : settings(aSettings)
   , clock(aClock)
   , observer(aObserver)
   , endpoint(FormatAddress(aSettings.endpoint), *this)
-  , hub(aSettings.links, aSettings.clusterKey, aSelf, aClock, aRandom, *this)
+  , hub(aSettings.links, aSettings.clusterKey, aSelf, aClock, aRandom, aPoller, *this)
   , agent(aSettings.options, IdentityOf(aSettings), aRandom, *this)
   , timer([this] {
     this->armedFor = kNever;
--- a/src/runtime/agent_host.h
+++ b/src/runtime/agent_host.h
@@ -24,7 +24,7 @@
 {
 public:
   AgentHost(const AgentSettings& aSettings, Peer aSelf, const Clock& aClock, Random& aRandom,
-            Observer& aObserver);
+            Poller& aPoller, Observer& aObserver);
 
   // Opens the listener for entries.
   std::error_code Start();
--- a/src/runtime/entry_host.cpp
+++ b/src/runtime/entry_host.cpp
@@ -21,13 +21,14 @@
 } // namespace
 
 EntryHost::EntryHost(const EntrySettings& aSettings, Peer aSelf, const Clock& aClock,
-                     Random& aRandom, Placement& aPlacement, LogClient& aLog, Observer& aObserver)
+                     Random& aRandom, Poller& aPoller, Placement& aPlacement, LogClient& aLog,
+                     Observer& aObserver)
   : settings(aSettings)
   , clock(aClock)
   , random(aRandom)
   , log(aLog)
   , observer(aObserver)
-  , hub(aSettings.links, aSettings.clusterKey, aSelf, aClock, aRandom, *this)
+  , hub(aSettings.links, aSettings.clusterKey, aSelf, aClock, aRandom, aPoller, *this)
   , entry(aSettings.options, aSettings.name, aPlacement, aRandom, *this)
   , followBackoff(kMinFollowBackoff)
   , timer([this] {
--- a/src/runtime/entry_host.h
+++ b/src/runtime/entry_host.h
@@ -37,7 +37,7 @@
 {
 public:
   EntryHost(const EntrySettings& aSettings, Peer aSelf, const Clock& aClock, Random& aRandom,
-            Placement& aPlacement, LogClient& aLog, Observer& aObserver);
+            Poller& aPoller, Placement& aPlacement, LogClient& aLog, Observer& aObserver);
 
   // Opens the listener for other entries and starts reading the log and the VM list.
   std::error_code Start();
--- a/src/runtime/link.cpp
+++ b/src/runtime/link.cpp
@@ -17,10 +17,10 @@
 // If more than this many heartbeat intervals pass between ticks, this process itself was paused.
 constexpr int kPauseHeartbeats = 2;
 
-constexpr std::array<std::string_view, 12> kLinkEndNames = {
-  "closed_by_peer",    "socket_error",    "silent",   "queue_full",
-  "handshake_timeout", "wrong_mac",       "oversize", "malformed",
-  "wrong_sender",      "old_incarnation", "replaced", "local",
+constexpr std::array<std::string_view, 13> kLinkEndNames = {
+  "closed_by_peer", "socket_error", "silent",    "queue_full",   "handshake_timeout",
+  "wrong_mac",      "oversize",     "malformed", "wrong_sender", "old_incarnation",
+  "replaced",       "no_room",      "local",
 };
 
 void DestroySource(GSource*& aSource)
--- a/src/runtime/link.h
+++ b/src/runtime/link.h
@@ -41,6 +41,7 @@
   kWrongSender,      // sender changed within the connection, or is this process itself
   kOldIncarnation,   // a later incarnation of the sender is already connected
   kReplaced,         // the same process opened a new connection
+  kNoRoom,           // closed before its handshake for a newer connection
   kLocal,            // closed by this process
 };
 
--- a/src/runtime/link_hub.cpp
+++ b/src/runtime/link_hub.cpp
@@ -1,6 +1,6 @@
 #include "runtime/link_hub.h"
 
-#include "runtime/error.h"
+#include <unistd.h>
 
 #include <algorithm>
 #include <utility>
@@ -9,6 +9,10 @@
 
 namespace {
 
+// Connections from processes that are not yet authenticated may use this part of the descriptors.
+constexpr std::size_t kUnknownLinksPart = 8;
+constexpr std::size_t kMinUnknownLinks = 8;
+
 // Main loop source that flushes the pending links of a hub. It needs no timer or wake-up, because
 // the loop checks it before each poll.
 struct FlushSource
@@ -39,13 +43,15 @@
 };
 
 LinkHub::LinkHub(const LinkOptions& aOptions, const ClusterKey& aKey, Peer aSelf,
-                 const Clock& aClock, Random& aRandom, LinkHandler& aHandler)
+                 const Clock& aClock, Random& aRandom, Poller& aPoller, LinkHandler& aHandler)
   : options(aOptions)
   , key(aKey)
   , self(aSelf)
   , clock(aClock)
   , random(aRandom)
   , handler(aHandler)
+  , listener(aPoller, [this](int aFd) { this->Accept(aFd); })
+  , maxUnknownLinks(std::max<std::size_t>(kMinUnknownLinks, DescriptorLimit() / kUnknownLinksPart))
   , client(g_socket_client_new())
 {
   g_socket_client_set_enable_proxy(this->client.get(), FALSE);
@@ -66,34 +72,11 @@
       g_cancellable_cancel(dialer->cancellable.get());
     }
   }
-  if (this->service) {
-    g_signal_handlers_disconnect_by_data(this->service.get(), this);
-    g_socket_service_stop(this->service.get());
-    g_socket_listener_close(G_SOCKET_LISTENER(this->service.get()));
-  }
 }
 
 std::error_code LinkHub::Listen(const Address& aAddress)
 {
-  this->service.reset(g_socket_service_new());
-  g_socket_listener_set_backlog(G_SOCKET_LISTENER(this->service.get()), kListenBacklog);
-  const ObjectPtr<GSocketAddress> address(
-    g_inet_socket_address_new_from_string(aAddress.host.c_str(), aAddress.port));
-  GSocketAddress* bound = nullptr;
-  GError* raw = nullptr;
-  const bool done = g_socket_listener_add_address(G_SOCKET_LISTENER(this->service.get()),
-                                                  address.get(), G_SOCKET_TYPE_STREAM,
-                                                  G_SOCKET_PROTOCOL_TCP, nullptr, &bound, &raw);
-  const ErrorPtr error(raw);
-  if (!done) {
-    this->service.reset();
-    return ToErrorCode(error.get());
-  }
-  const ObjectPtr<GSocketAddress> keep(bound);
-  this->port = g_inet_socket_address_get_port(G_INET_SOCKET_ADDRESS(bound));
-  g_signal_connect(this->service.get(), "incoming", G_CALLBACK(&LinkHub::OnIncoming), this);
-  g_socket_service_start(this->service.get());
-  return {};
+  return this->listener.Listen(aAddress);
 }
 
 void LinkHub::Dial(const Address& aAddress)
@@ -166,10 +149,34 @@
   return true;
 }
 
-int LinkHub::OnIncoming(GSocketService*, GSocketConnection* aConnection, GObject*, void* aData)
+void LinkHub::Accept(int aFd)
+{
+  GError* raw = nullptr;
+  const ObjectPtr<GSocket> socket(g_socket_new_from_fd(aFd, &raw));
+  const ErrorPtr error(raw);
+  if (!socket) {
+    close(aFd);
+    return;
+  }
+  this->MakeRoom();
+  this->unknownLinks.push_back(this->AddLink(
+    Direction::kFromListener,
+    ObjectPtr<GSocketConnection>(g_socket_connection_factory_create_connection(socket.get()))));
+}
+
+// Closes the connection that has been without a handshake for the longest time, so that clients
+// that send none keep out no peer.
+void LinkHub::MakeRoom()
 {
-  static_cast<LinkHub*>(aData)->AddLink(Direction::kFromListener, ShareObject(aConnection));
-  return TRUE;
+  std::erase_if(this->unknownLinks, [](const std::weak_ptr<Link>& aLink) {
+    const std::shared_ptr<Link> link = aLink.lock();
+    return link == nullptr || link->Remote().has_value();
+  });
+  if (this->unknownLinks.size() >= this->maxUnknownLinks) {
+    const std::shared_ptr<Link> oldest = this->unknownLinks.front().lock();
+    this->unknownLinks.pop_front();
+    oldest->End(LinkEnd::kNoRoom);
+  }
 }
 
 // Starts one connection attempt.
@@ -325,7 +332,7 @@
   }
   const std::optional<Peer> remote = aLink.Remote();
   this->links.erase(&aLink);
-  if (IsProtocolViolation(aEnd)) {
+  if (IsProtocolViolation(aEnd) || aEnd == LinkEnd::kNoRoom) {
     this->handler.OnRefusedFrame(ToString(aEnd));
   }
   if (!remote) {
--- a/src/runtime/link_hub.h
+++ b/src/runtime/link_hub.h
@@ -5,8 +5,10 @@
 #include "core/random.h"
 #include "runtime/address.h"
 #include "runtime/link.h"
+#include "runtime/tcp_socket.h"
 
 #include <cstddef>
+#include <deque>
 #include <map>
 #include <memory>
 #include <string>
@@ -32,7 +34,7 @@
 {
 public:
   LinkHub(const LinkOptions& aOptions, const ClusterKey& aKey, Peer aSelf, const Clock& aClock,
-          Random& aRandom, LinkHandler& aHandler);
+          Random& aRandom, Poller& aPoller, LinkHandler& aHandler);
   ~LinkHub() override;
   LinkHub(const LinkHub&) = delete;
   LinkHub& operator=(const LinkHub&) = delete;
@@ -40,7 +42,7 @@
   // Accepts connections at aAddress; port 0 selects an ephemeral port.
   std::error_code Listen(const Address& aAddress);
   // Port of the listener; 0 before Listen.
-  std::uint16_t Port() const { return this->port; }
+  std::uint16_t Port() const { return this->listener.Port(); }
 
   // Keeps a connection to aAddress, reconnecting as needed, until StopDialing.
   void Dial(const Address& aAddress);
@@ -68,8 +70,8 @@
 private:
   struct Dialer;
 
-  static int OnIncoming(GSocketService* aService, GSocketConnection* aConnection, GObject* aSource,
-                        void* aData);
+  void Accept(int aFd);
+  void MakeRoom();
   static int HasPending(GSource* aSource, int* aTimeout);
   static int FlushPending(GSource* aSource, GSourceFunc aFunction, void* aData);
   static void OnConnected(GObject* aSource, GAsyncResult* aResult, void* aData);
@@ -88,8 +90,9 @@
   LinkHandler& handler;
   std::string encodedHello; // encoded localHello, to detect changes
   Hello localHello;
-  std::uint16_t port = 0;
-  ObjectPtr<GSocketService> service;
+  TcpListener listener;
+  std::deque<std::weak_ptr<Link>> unknownLinks; // accepted, handshake not completed; oldest first
+  std::size_t maxUnknownLinks;
   ObjectPtr<GSocketClient> client;
   std::map<Link*, std::shared_ptr<Link>> links;
   std::map<NodeId, Link*> peers;
--- a/tests/runtime/agent_test.cpp
+++ b/tests/runtime/agent_test.cpp
@@ -31,9 +31,10 @@
     : settings(AgentSettingsForTest())
     , context(this->settings)
     , host(this->settings, this->context.self, this->context.clock, this->context.random,
-           this->context.observer)
+           this->context.poller, this->context.observer)
     , self{ NodeIdOf("entry"), Incarnation{ 1 } }
-    , hub(LinkOptions{}, TestKey(), this->self, this->context.clock, this->context.random, *this)
+    , hub(LinkOptions{}, TestKey(), this->self, this->context.clock, this->context.random,
+          this->context.poller, *this)
   {
     BOOST_REQUIRE(!this->host.Start());
     Hello hello;
--- a/tests/runtime/caller_test.cpp
+++ b/tests/runtime/caller_test.cpp
@@ -91,7 +91,8 @@
     this->context.emplace(this->settings);
     this->log.emplace(FormatAddress(this->settings.platform));
     this->host.emplace(this->settings, this->context->self, this->context->clock,
-                       this->context->random, this->placement, *this->log, this->context->observer);
+                       this->context->random, this->context->poller, this->placement, *this->log,
+                       this->context->observer);
     this->callers.emplace(this->settings, *this->host, *this->context);
     BOOST_REQUIRE(!this->host->Start());
     BOOST_REQUIRE(!this->callers->Start());
--- a/tests/runtime/fake_platform.h
+++ b/tests/runtime/fake_platform.h
@@ -122,7 +122,7 @@
   FakeAgent(const std::string& aName, const std::string& aPool)
     : self{ NodeIdOf(aName), Incarnation{ 1 } }
     , random(1)
-    , hub(LinkOptions{}, TestKey(), this->self, this->clock, this->random, *this)
+    , hub(LinkOptions{}, TestKey(), this->self, this->clock, this->random, this->poller, *this)
   {
     BOOST_REQUIRE(!this->hub.Listen({ "127.0.0.1", 0 }));
     Hello hello;
@@ -217,6 +217,7 @@
   Peer self;
   SystemClock clock;
   Random random;
+  Poller poller;
   std::vector<std::string> chunks{ "one ", "two ", "three " };
   bool offers = true;
   bool hold = false;
--- a/tests/runtime/link_test.cpp
+++ b/tests/runtime/link_test.cpp
@@ -4,6 +4,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <sys/resource.h>
+
 #include <array>
 #include <cstring>
 #include <map>
@@ -30,7 +32,7 @@
     : name(aName)
     , self{ NodeIdOf(aName), Incarnation{ aIncarnation } }
     , random(aIncarnation)
-    , hub(aOptions, KeyOf(aKey), this->self, this->clock, this->random, *this)
+    , hub(aOptions, KeyOf(aKey), this->self, this->clock, this->random, this->poller, *this)
   {
     BOOST_REQUIRE(!this->hub.Listen(kAnyPort));
     this->hub.Announce(this->MakeHello());
@@ -58,6 +60,7 @@
   Peer self;
   SystemClock clock;
   Random random;
+  Poller poller;
   std::map<NodeId, Hello> up;
   std::vector<LinkEnd> ends;
   std::vector<Message> messages;
@@ -351,6 +354,37 @@
   BOOST_TEST((entry.hub.Listen(agent.ListenAddress()) == std::errc::address_in_use));
 }
 
+// Connections that send no handshake must neither use up the descriptors nor keep out a peer.
+BOOST_AUTO_TEST_CASE(connections_without_a_handshake_give_way)
+{
+  constexpr rlim_t kDescriptors = 320; // a part of them for such connections
+  constexpr std::size_t kSilent = 100;
+  rlimit own{};
+  getrlimit(RLIMIT_NOFILE, &own);
+  const rlimit low{ kDescriptors, own.rlim_max };
+  setrlimit(RLIMIT_NOFILE, &low);
+  Node agent("agent", 1);
+  setrlimit(RLIMIT_NOFILE, &own);
+  FakePeer known(agent, "known", 1);
+  known.CompleteHandshake();
+  std::vector<std::unique_ptr<RawTcpClient>> silent;
+  for (std::size_t i = 0; i < kSilent; ++i) {
+    silent.push_back(std::make_unique<RawTcpClient>(agent.hub.Port()));
+  }
+  const auto closedCount = [&] {
+    return std::count_if(silent.begin(), silent.end(),
+                         [](const auto& aClient) { return aClient->IsClosed(); });
+  };
+  BOOST_REQUIRE(RunUntil([&] { return closedCount() == kSilent - kDescriptors / 8; }));
+  BOOST_TEST(silent.front()->IsClosed());
+  BOOST_TEST(!silent.back()->IsClosed());
+  BOOST_TEST(agent.refused["no_room"] == closedCount());
+  Node entry("entry", 2);
+  entry.hub.Dial(agent.ListenAddress());
+  BOOST_REQUIRE(RunUntil([&] { return entry.up.size() == 1; }));
+  BOOST_TEST(!known.client.IsClosed());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace caraway
--- a/tests/system/crowd_daemon.sh
+++ b/tests/system/crowd_daemon.sh
@@ -6,11 +6,14 @@
 shift
 readonly kMemoryMb=64 kDescriptors=300
 heads="half_line refused_head unended_lines ended_lines long_names connection_lines no_colons descriptors"
+frames="silent half_frame large_frame"
 cases=()
 for name in $heads long_target bodies chunk_extensions trailers pipelined silent; do cases+=("entry/callers/$name"); done
 for name in half_line ended_lines bodies descriptors half_handshake no_handshake; do cases+=("entry/tls/$name"); done
 for name in $heads; do cases+=("entry/admin/$name"); done
+for name in $frames; do cases+=("entry/peers/$name"); done
 for name in $heads; do cases+=("agent/admin/$name"); done
+for name in $frames; do cases+=("agent/entries/$name"); done
 [ $# -eq 0 ] || cases=("$@")
 
 # Settings of the process that a crowd meets: short limits of time only where clients are to outlive them.
