Fail a connection whose filter can't carry its data

Cause: data that TLS could not encode was dropped without a sign, and the connection went on. Change: the socket is shut down, so that its owner is told as of any connection that failed, and the remote end sees a stream without its closing message.

--- a/src/runtime/tcp_socket.cpp
+++ b/src/runtime/tcp_socket.cpp
@@ -95,8 +95,8 @@
   }
   if (this->filter == nullptr) {
     this->output.append(aData);
-  } else {
-    this->filter->Encode(aData, this->output);
+  } else if (!this->filter->Encode(aData, this->output)) {
+    shutdown(this->fd, SHUT_RDWR); // the owner is told from the main loop
   }
   if (this->isConnected) {
     this->Flush();
--- a/src/runtime/tcp_socket.h
+++ b/src/runtime/tcp_socket.h
@@ -44,8 +44,8 @@
   // none.
   void Adopt(int aFd, std::unique_ptr<WireFilter> aFilter = nullptr);
 
-  // Writes as much of aData as the kernel accepts and buffers the rest. Data that the filter can't
-  // carry is dropped.
+  // Writes as much of aData as the kernel accepts and buffers the rest. If the filter can't carry
+  // it, the connection fails.
   void Write(std::string_view aData);
   // Frees the memory of buffers that are empty, before the connection is kept idle.
   void ReleaseBuffers();
