Read the head of a call once

Cause: the head was read, routed and its key hashed by the check of the head and again when the call ran. Change: AdmitByHead does these once and gives the call its route and account.

--- a/src/runtime/caller_exchange.cpp
+++ b/src/runtime/caller_exchange.cpp
@@ -12,11 +12,6 @@
 
 constexpr const char* kJson = "application/json";
 
-bool HasBody(CallRoute aRoute)
-{
-  return aRoute == CallRoute::kCompletion || aRoute == CallRoute::kService;
-}
-
 // Path of a request target in origin or absolute form, decoded; nullopt if it has none, or leads
 // upwards.
 std::optional<std::string> PathOf(std::string_view aTarget)
@@ -40,17 +35,12 @@
   return leadsUpwards ? std::nullopt : std::optional(path);
 }
 
-} // namespace
-
-std::optional<CallHead> ReadCallHead(const RequestHead& aHead)
+// Values of a request's head that calls use.
+CallHead ReadCallHead(const RequestHead& aHead, const std::string& aPath)
 {
-  const std::optional<std::string> path = PathOf(aHead.target);
-  if (!path) {
-    return std::nullopt;
-  }
   CallHead read;
   read.method = aHead.method;
-  read.path = *path;
+  read.path = aPath;
   const std::pair<std::string_view, std::string*> values[] = {
     { "Authorization", &read.authorization },
     { "Caraway-Tier", &read.tier },
@@ -70,22 +60,29 @@
   return read;
 }
 
-std::optional<Rejection> RejectionByHead(const ConfigState& aConfig, const RequestHead& aHead)
+} // namespace
+
+std::variant<AdmittedCall, Rejection> AdmitByHead(const ConfigState& aConfig,
+                                                  const RequestHead& aHead)
 {
-  const std::optional<CallHead> head = ReadCallHead(aHead);
-  if (!head) {
+  const std::optional<std::string> path = PathOf(aHead.target);
+  if (!path) {
     return Rejection{ 400, "malformed", "the request target is not a path" };
   }
-  const auto route = FindRoute(head->method, head->path);
+  const auto route = FindRoute(aHead.method, *path);
   if (const auto* rejection = std::get_if<Rejection>(&route)) {
     return *rejection;
   }
-  if (!HasBody(std::get<CallRoute>(route))) {
-    return std::nullopt;
+  AdmittedCall call{ ReadCallHead(aHead, *path), std::get<CallRoute>(route) };
+  if (call.route == CallRoute::kHealth || call.route == CallRoute::kReady) {
+    return call;
+  }
+  const auto authenticated = Authenticate(aConfig, call.head.authorization);
+  if (const auto* rejection = std::get_if<Rejection>(&authenticated)) {
+    return *rejection;
   }
-  const auto authenticated = Authenticate(aConfig, head->authorization);
-  const auto* rejection = std::get_if<Rejection>(&authenticated);
-  return rejection == nullptr ? std::nullopt : std::optional(*rejection);
+  call.account = std::get<const Account*>(authenticated);
+  return call;
 }
 
 void SendRejection(IngressExchange& aConnection, const Rejection& aRejection)
@@ -112,21 +109,21 @@
 
 void CallerExchange::Run()
 {
-  if (const std::optional<Rejection> rejection =
-        RejectionByHead(this->host.Config(), this->request.head)) {
+  auto admitted = AdmitByHead(this->host.Config(), this->request.head);
+  if (const auto* rejection = std::get_if<Rejection>(&admitted)) {
     this->Reject(*rejection);
     return;
   }
-  this->head = *ReadCallHead(this->request.head);
-  const CallRoute route = std::get<CallRoute>(FindRoute(this->head.method, this->head.path));
-  if (route == CallRoute::kHealth) {
+  auto& call = std::get<AdmittedCall>(admitted);
+  this->head = std::move(call.head);
+  if (call.route == CallRoute::kHealth) {
     this->Send(200, { { "Content-Type", "text/plain" } }, "ok\n");
-  } else if (route == CallRoute::kReady) {
+  } else if (call.route == CallRoute::kReady) {
     const bool isReady = this->host.IsReady();
     this->Send(isReady ? 200 : 503, { { "Content-Type", "text/plain" } },
                isReady ? "ready\n" : "not ready\n");
   } else {
-    this->RunCall(route);
+    this->RunCall(call.route, *call.account);
   }
 }
 
@@ -138,23 +135,17 @@
   this->End();
 }
 
-void CallerExchange::RunCall(CallRoute aRoute)
+void CallerExchange::RunCall(CallRoute aRoute, const Account& aAccount)
 {
-  const ConfigState& config = this->host.Config();
-  const auto authenticated = Authenticate(config, this->head.authorization);
-  if (const auto* rejection = std::get_if<Rejection>(&authenticated)) {
-    this->Reject(*rejection);
-    return;
-  }
-  const Account& caller = *std::get<const Account*>(authenticated);
   if (aRoute == CallRoute::kResume) {
-    this->RunResume(caller);
+    this->RunResume(aAccount);
     return;
   }
+  const ConfigState& config = this->host.Config();
   const bool completion = aRoute == CallRoute::kCompletion;
   const std::string body = std::move(this->request.body);
-  auto parsed = completion ? ParseCompletion(config, caller, this->head, body)
-                           : ParseService(config, caller, this->head, body);
+  auto parsed = completion ? ParseCompletion(config, aAccount, this->head, body)
+                           : ParseService(config, aAccount, this->head, body);
   if (const auto* rejection = std::get_if<Rejection>(&parsed)) {
     this->Reject(*rejection);
     return;
--- a/src/runtime/caller_exchange.h
+++ b/src/runtime/caller_exchange.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <variant>
 
 namespace caraway {
 
@@ -60,7 +61,7 @@
   };
 
   void Reject(const Rejection& aRejection);
-  void RunCall(CallRoute aRoute);
+  void RunCall(CallRoute aRoute, const Account& aAccount);
   void RunResume(const Account& aAccount);
   void Submit(ParsedCall aCall);
   void StartStream();
@@ -96,11 +97,17 @@
   std::optional<Duration> firstLatency; // time from submission to the first chunk
 };
 
-// Values of a request's head that calls use; nullopt if its target is not a path.
-std::optional<CallHead> ReadCallHead(const RequestHead& aHead);
+// A call that its head allows.
+struct AdmittedCall
+{
+  CallHead head;
+  CallRoute route = CallRoute::kHealth;
+  const Account* account = nullptr; // none for the routes of health checks
+};
 
-// The reason of a refusal before a request is submitted, if its head is enough to refuse it.
-std::optional<Rejection> RejectionByHead(const ConfigState& aConfig, const RequestHead& aHead);
+// Reads the head of a request and checks what needs no body: path, method and key.
+std::variant<AdmittedCall, Rejection> AdmitByHead(const ConfigState& aConfig,
+                                                  const RequestHead& aHead);
 
 // Answers a call that is refused before it is submitted.
 void SendRejection(IngressExchange& aConnection, const Rejection& aRejection);
--- a/src/runtime/caller_server.cpp
+++ b/src/runtime/caller_server.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <string>
 #include <utility>
+#include <variant>
 
 namespace caraway {
 
@@ -54,11 +55,12 @@
 
 bool CallerServer::OnHead(IngressExchange& aExchange, const RequestHead& aHead)
 {
-  const std::optional<Rejection> rejection = RejectionByHead(this->host.Config(), aHead);
-  if (rejection) {
+  const auto admitted = AdmitByHead(this->host.Config(), aHead);
+  if (const auto* rejection = std::get_if<Rejection>(&admitted)) {
     this->Refuse(aExchange, *rejection);
+    return false;
   }
-  return !rejection;
+  return true;
 }
 
 void CallerServer::OnUnreadable(IngressExchange& aExchange, std::uint16_t aStatus,
