Count 80 KB for the TLS state of a connection

Cause: 64 KB were counted; a crowd that holds back the end of its handshake takes more for each connection. Measured: crowd_daemon.sh entry/tls/half_handshake: 20.2 to 27.7 MB with about 106 connections before (72 KB each), 20.4 to 25.9 MB with 86 now (65 KB each); tls/ended_lines, descriptors and bodies (41.5 MB) pass.

--- a/src/runtime/tls_filter.cpp
+++ b/src/runtime/tls_filter.cpp
@@ -15,7 +15,7 @@
 // Bytes passed to OpenSSL at once: its buffers keep the largest size that they had.
 constexpr std::size_t kPartBytes = std::size_t{ 8 } << 10;
 // Session and handshake state, and the buffers of one record in each direction.
-constexpr std::size_t kMaxFilterBytes = std::size_t{ 64 } << 10;
+constexpr std::size_t kMaxFilterBytes = std::size_t{ 80 } << 10;
 
 void DrainBio(BIO* aBio, std::string& aOutput)
 {
