Await the rest of a request that was begun before the end of caraway-entry

Cause: the shutdown waited for whole requests and unsent answers only. Measured: callers/leaving_entry_answers_a_request_whose_body_still_arrives fails on the code before and passes.

--- a/src/runtime/caller_server.cpp
+++ b/src/runtime/caller_server.cpp
@@ -50,7 +50,7 @@
 
 bool CallerServer::IsIdle() const
 {
-  return this->exchanges.empty() && this->ended.empty() && !this->server.IsSending();
+  return this->exchanges.empty() && this->ended.empty() && !this->server.IsBusy();
 }
 
 bool CallerServer::OnHead(IngressExchange& aExchange, const RequestHead& aHead)
--- a/src/runtime/ingress_connection.h
+++ b/src/runtime/ingress_connection.h
@@ -193,6 +193,11 @@
       this->Drop(false);
     }
   }
+  // Also while there is no room for the body.
+  bool IsReadingBody() const
+  {
+    return this->state == State::kReading && this->reader != nullptr && this->reader->IsHeadDone();
+  }
   // Since when a body is read for which memory is held; nullopt if none is.
   std::optional<TimePoint> ReadingBodySince() const
   {
--- a/src/runtime/ingress_server.cpp
+++ b/src/runtime/ingress_server.cpp
@@ -89,10 +89,12 @@
   }
 }
 
-bool IngressServer::IsSending() const
+bool IngressServer::IsBusy() const
 {
   return std::any_of(this->connections.begin(), this->connections.end(),
-                     [](const auto& aConnection) { return aConnection->PendingOutput() > 0; });
+                     [](const auto& aConnection) {
+                       return aConnection->IsReadingBody() || aConnection->PendingOutput() > 0;
+                     });
 }
 
 // A body that exceeds the total alone is read when there is no other.
--- a/src/runtime/ingress_server.h
+++ b/src/runtime/ingress_server.h
@@ -113,8 +113,8 @@
   void SetMaxConnections(std::size_t aCount) { this->maxConnections = aCount; }
   const IngressRefusals& Refusals() const { return this->refusals; }
   std::size_t ConnectionCount() const { return this->connections.size(); }
-  // True while an answer has not been sent completely.
-  bool IsSending() const;
+  // True while the body of a request is read, or an answer has not been sent completely.
+  bool IsBusy() const;
 
 private:
   class Connection;
--- a/tests/runtime/caller_test.cpp
+++ b/tests/runtime/caller_test.cpp
@@ -616,6 +616,24 @@
   BOOST_REQUIRE(RunUntil([&] { return fixture.host->IsDone() && fixture.callers->IsIdle(); }));
 }
 
+// The rest of a request that was begun before the end is awaited, so that its caller gets an
+// answer.
+BOOST_AUTO_TEST_CASE(leaving_entry_answers_a_request_whose_body_still_arrives)
+{
+  EntryFixture fixture;
+  const std::string request = Call::Post("/v1/chat/completions", kBody);
+  Call call(fixture, request.substr(0, request.size() - 1));
+  Call whole(fixture, Call::Get("/readyz"));
+  BOOST_TEST(whole.Status() == 200);
+  fixture.host->BeginLeaving();
+  BOOST_REQUIRE(RunUntil([&] { return fixture.host->IsClosed(); }));
+  fixture.callers->StopListening();
+  BOOST_TEST(!fixture.callers->IsIdle());
+  call.client.Send(request.substr(request.size() - 1));
+  BOOST_TEST(call.Status() == 503);
+  BOOST_REQUIRE(RunUntil([&] { return fixture.callers->IsIdle(); }));
+}
+
 BOOST_AUTO_TEST_CASE(callers_may_use_tls)
 {
   const std::filesystem::path folder = CARAWAY_SOURCE_DIR "/tests/runtime";
