Keep a rolled-back version from calls after the next order

Cause: an entry kept one move a service. The order of v3 replaced the row that named v2 as rolled back, so v2 counted as one of the old versions again: at once at all entries, and after a restart too, as the status in the store names the latest move alone.

Change: MoveHistory keeps the outcomes of replaced moves, one for each version. Rolled-back versions get no calls and are no old versions until a later move to them completes. A version whose move was replaced before it ended gets none while a proven one is listed: that is all that an entry knows that was stopped or missed datagrams meanwhile. Moves that complete write nothing.

--- a/src/direct/dispatcher.cpp
+++ b/src/direct/dispatcher.cpp
@@ -145,7 +145,7 @@
 }
 
 void Dispatcher::SetBannedVersions(TimePoint aNow,
-                                   const std::map<std::string, std::string>& aByService)
+                                   const std::map<std::string, std::set<std::string>>& aByService)
 {
   if (aByService == this->bannedVersions) {
     return;
--- a/src/direct/dispatcher.h
+++ b/src/direct/dispatcher.h
@@ -109,7 +109,8 @@
                     const std::function<bool(const std::string&)>& aHasAgents);
   void SetEntryCount(std::uint32_t aCount);
   // Sets the versions of services that get no more calls; queued calls are moved off them.
-  void SetBannedVersions(TimePoint aNow, const std::map<std::string, std::string>& aByService);
+  void SetBannedVersions(TimePoint aNow,
+                         const std::map<std::string, std::set<std::string>>& aByService);
   // Sets the failure domains whose endpoints get no more calls; queued calls are moved off them.
   void SetEvacuatedDomains(TimePoint aNow, const std::set<std::string>& aDomains);
   // Returns how many of this entry's calls run at the service's endpoints of versions other than
@@ -357,7 +358,7 @@
   TimePoint nextHoldAt{};
   TimePoint endsAt = kNever; // end of the process
   std::uint32_t holdRound = 0;
-  std::map<std::string, std::string> bannedVersions; // by service
+  std::map<std::string, std::set<std::string>> bannedVersions; // by service
   std::set<std::string> evacuatedDomains;
   LeavingTable leaving;
   CrashWatch crashes;
--- a/src/direct/dispatcher_place.cpp
+++ b/src/direct/dispatcher_place.cpp
@@ -295,7 +295,7 @@
   const auto banned = this->bannedVersions.find(info.service);
   return (aSpec.requiredVersion.empty() || info.version == aSpec.requiredVersion) &&
          (aSpec.excludedVersion.empty() || info.version != aSpec.excludedVersion) &&
-         (banned == this->bannedVersions.end() || info.version != banned->second);
+         (banned == this->bannedVersions.end() || !banned->second.contains(info.version));
 }
 
 } // namespace caraway::direct
--- a/src/direct/move_table.cpp
+++ b/src/direct/move_table.cpp
@@ -61,11 +61,22 @@
 
 bool MoveTable::AddOrder(TimePoint aNow, const MoveOrder& aOrder, bool aIsFresh)
 {
+  if (const auto known = this->rows.find(aOrder.service); known != this->rows.end()) {
+    Past& before = this->past[aOrder.service];
+    const PastMove move = PastMoveOf(known->second.move);
+    before.moves.Add(move);
+    before.endedAt[move.version] = known->second.endedAt;
+  }
   Row row{ VersionMove(this->options, aOrder, aNow) };
-  row.isStagePending = !aIsFresh && this->log != nullptr;
-  this->FindVersions(aOrder.service, row);
+  const auto pastStage = aIsFresh ? std::nullopt : this->PastStageOf(aOrder);
+  if (pastStage && row.move.Adopt(*pastStage)) {
+    this->RecordStage(aNow, row, false);
+  }
+  row.isStagePending = !aIsFresh && !pastStage && this->log != nullptr;
   const bool isStagePending = row.isStagePending;
   this->rows.insert_or_assign(aOrder.service, std::move(row));
+  this->FindAllVersions();
+  this->ReadHistories(aNow);
   if (!isStagePending) {
     return true;
   }
@@ -93,6 +104,10 @@
       row.endedAt = aNow; // shared again, for entries that read an earlier stage
     }
   }
+  for (auto& [service, before] : this->past) {
+    before.saved.clear();
+  }
+  this->ReadHistories(aNow);
 }
 
 void MoveTable::ApplyHeldOrders(TimePoint aNow)
@@ -116,6 +131,17 @@
 {
   this->endpoints = aAll;
   this->evacuatedDomains = aEvacuatedDomains;
+  this->listedVersions.clear();
+  for (const auto& [id, info] : this->endpoints) {
+    if (!info.isLeaving) {
+      this->listedVersions[info.service].insert(info.version);
+    }
+  }
+  this->FindAllVersions();
+}
+
+void MoveTable::FindAllVersions()
+{
   for (auto& [service, row] : this->rows) {
     this->FindVersions(service, row);
   }
@@ -125,12 +151,13 @@
 {
   aRow.hasNew = false;
   aRow.hasOld = false;
+  const std::set<std::string> excluded = this->ExcludedOldVersions(aService);
   for (const auto& [id, info] : this->endpoints) {
     if (info.service == aService && !info.isLeaving) {
       const bool isNew = info.version == aRow.move.Order().version;
       const bool isUsable = !this->evacuatedDomains.contains(info.failureDomain);
       aRow.hasNew = aRow.hasNew || (isNew && isUsable);
-      aRow.hasOld = aRow.hasOld || !isNew;
+      aRow.hasOld = aRow.hasOld || (!isNew && !excluded.contains(info.version));
     }
   }
 }
@@ -176,7 +203,16 @@
     const auto row = std::find_if(this->rows.begin(), this->rows.end(), [&](const auto& aRow) {
       return IsSameMove(aRow.second.move.Order(), state);
     });
+    if (row == this->rows.end() && this->IsPast(state)) {
+      if (this->AdoptPastStage(aNow, state)) {
+        this->FindAllVersions();
+      }
+      continue;
+    }
     if (row == this->rows.end()) {
+      if (state.stage == MoveStage::kRolledBack) {
+        this->OnUnknownOutcome(aNow);
+      }
       const bool isNewer =
         std::none_of(this->rows.begin(), this->rows.end(), [&](const auto& aRow) {
           const MoveOrder& known = aRow.second.move.Order();
@@ -203,6 +239,14 @@
       states.push_back(row.move.State(aRunning(service, row.move.Order().version)));
     }
   }
+  for (const auto& [service, before] : this->past) {
+    for (const auto& [version, endedAt] : before.endedAt) {
+      const PastMove* move = before.moves.Find(version);
+      if (move != nullptr && move->IsOver() && aNow < endedAt + kMoveRetention) {
+        states.push_back({ move->offset, move->stage, 0, {}, move->era, move->content });
+      }
+    }
+  }
   return states;
 }
 
@@ -228,6 +272,9 @@
       this->log->WriteStage(row.move.Order(), row.move.Stage());
     }
   }
+  if (aIsCoordinator) {
+    this->SaveHistories();
+  }
 }
 
 void MoveTable::RecordStage(TimePoint aNow, Row& aRow, bool aIsOwn)
@@ -239,15 +286,4 @@
   }
 }
 
-std::map<std::string, std::string> MoveTable::RolledBackVersions() const
-{
-  std::map<std::string, std::string> banned;
-  for (const auto& [service, row] : this->rows) {
-    if (row.move.Stage() == MoveStage::kRolledBack) {
-      banned[service] = row.move.Order().version;
-    }
-  }
-  return banned;
-}
-
 } // namespace caraway::direct
--- a/src/direct/move_table.h
+++ b/src/direct/move_table.h
@@ -1,8 +1,9 @@
-// All version moves known to an entry, one per service: the operator's order, the stage that the
-// entries agreed on, and the stage that is persisted.
+// All version moves known to an entry: for each service the operator's latest order, the stage that
+// the entries agreed on, the stage that is persisted, and the outcomes of the moves before it.
 #pragma once
 
 #include "direct/endpoint_table.h"
+#include "direct/move_history.h"
 #include "direct/version_move.h"
 
 #include <functional>
@@ -27,6 +28,19 @@
   virtual void WriteStage(const MoveOrder& aOrder, MoveStage aStage) = 0;
 };
 
+// Persistent storage of the outcomes of earlier moves, by service.
+class MoveHistoryStore
+{
+public:
+  using Histories = std::map<std::string, std::vector<PastMove>>;
+
+  virtual ~MoveHistoryStore() = default;
+  // Reads the histories of all services; retries until the store answers.
+  virtual void ReadHistories(const std::function<void(const Histories&)>& aDone) = 0;
+  // Adds the moves to the stored history of the service.
+  virtual void SaveHistory(const std::string& aService, const std::vector<PastMove>& aMoves) = 0;
+};
+
 // A move entered a stage, by this entry's decision or another one's.
 struct StageChange
 {
@@ -44,6 +58,7 @@
     std::function<std::uint32_t(const std::string& aService, const std::string& aVersion)>;
 
   void SetLog(MoveLog& aLog) { this->log = &aLog; }
+  void SetHistoryStore(MoveHistoryStore& aStore) { this->historyStore = &aStore; }
 
   // Adds an order of the operator. aIsFresh: it was written while this process followed the log;
   // otherwise its stage is read from the log first, and until then its version gets no calls while
@@ -72,8 +87,10 @@
   // Returns the changes since the last call.
   std::vector<StageChange> TakeChanges() { return std::exchange(this->changes, {}); }
 
-  // Rolled-back versions by service, which get no more calls.
-  std::map<std::string, std::string> RolledBackVersions() const;
+  // Versions by service that get no calls: rolled-back ones until a later move to them completes,
+  // and, while endpoints of a proven version are listed, those whose move was replaced before it
+  // ended. The version of the latest order is among them only if it was rolled back by that order.
+  std::map<std::string, std::set<std::string>> ExcludedVersions() const;
 
 private:
   struct Row
@@ -90,6 +107,14 @@
     std::optional<MoveOrder> heldOrder;
   };
 
+  // Earlier moves of a service.
+  struct Past
+  {
+    MoveHistory moves;
+    std::map<std::string, TimePoint> endedAt; // of those that ended lately, by version
+    std::vector<PastMove> saved;              // last read from or passed to the store
+  };
+
   enum class Place : std::uint8_t
   {
     kKnown,     // this order or a later one is known
@@ -102,16 +127,30 @@
   bool AddOrder(TimePoint aNow, const MoveOrder& aOrder, bool aIsFresh);
   void ApplyHeldOrders(TimePoint aNow);
   void FindVersions(const std::string& aService, Row& aRow) const;
+  void FindAllVersions();
   void RecordStage(TimePoint aNow, Row& aRow, bool aIsOwn);
+  std::set<std::string> ExcludedOldVersions(const std::string& aService) const;
+  void ReadHistories(TimePoint aNow);
+  void MergeHistories(const MoveHistoryStore::Histories& aHistories);
+  void SaveHistories();
+  void OnUnknownOutcome(TimePoint aNow);
+  std::optional<MoveStage> PastStageOf(const MoveOrder& aOrder) const;
+  bool AdoptPastStage(TimePoint aNow, const MoveState& aState);
+  bool IsPast(const MoveState& aState) const;
 
   VersionMoveOptions options;
   MoveLog* log = nullptr;
   std::map<std::string, EndpointInfo> endpoints;
   std::set<std::string> evacuatedDomains;
   std::uint32_t entryCount = 1;
-  std::map<std::string, Row> rows; // by service
-  TimePoint rewriteEnd{};          // of the time for orders to be written again
-  TimePoint recheckAt = kNever;    // of the persisted stages
+  std::map<std::string, std::set<std::string>> listedVersions; // of accepting endpoints, by service
+  std::map<std::string, Row> rows;                             // by service
+  std::map<std::string, Past> past;                            // by service
+  MoveHistoryStore* historyStore = nullptr;
+  bool areHistoriesPending = false; // being read from the store
+  TimePoint nextHistoryRead{};
+  TimePoint rewriteEnd{};       // of the time for orders to be written again
+  TimePoint recheckAt = kNever; // of the persisted stages
   std::vector<StageChange> changes;
 };
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -203,6 +203,7 @@
   this->moves.SetEndpoints(this->endpoints, this->evacuations.Domains());
   this->ownedQueues.SetEndpoints(this->Now(), this->endpoints, hasAgents);
   this->dispatcher.SetEndpoints(this->Now(), this->endpoints, hasAgents);
+  this->ApplyExcludedVersions();
   this->UpdateOwners();
   if (hasChanged) {
     this->SendStates();
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -148,6 +148,10 @@
   // An order to move a service to another version (see direct::MoveTable::SetOrder).
   void SetMoveOrder(const direct::MoveOrder& aOrder, bool aIsFresh);
   void SetMoveLog(direct::MoveLog& aLog) { this->moves.SetLog(aLog); }
+  void SetMoveHistoryStore(direct::MoveHistoryStore& aStore)
+  {
+    this->moves.SetHistoryStore(aStore);
+  }
 
   // Orders of the operator to evacuate a failure domain (see direct::Evacuations).
   void OnEvacuationRecord(const direct::EvacuationRecord& aRecord);
@@ -241,6 +245,7 @@
   void StepMoves();
   // Logs the stages that moves have entered, with the evidence.
   void LogMoveStages();
+  void ApplyExcludedVersions();
   void AfterInput();
   TimePoint Now() const { return this->clock.Read().steady; }
 
@@ -255,6 +260,7 @@
   direct::SharedQuota quota;
   direct::Dispatcher dispatcher;
   direct::MoveTable moves;
+  std::map<std::string, std::set<std::string>> excludedVersions; // in force, by service
   direct::Evacuations evacuations;
   EndpointPool pool;
   PeerNet net;
--- a/src/gateway/gateway_peers.cpp
+++ b/src/gateway/gateway_peers.cpp
@@ -137,7 +137,7 @@
   if (this->moves.OnPeerState(now, aPeer, aState.moves) && this->onNewerConfig) {
     this->onNewerConfig();
   }
-  this->dispatcher.SetBannedVersions(now, this->moves.RolledBackVersions());
+  this->ApplyExcludedVersions();
   this->evacuations.OnPeerStates(now, aState.evacuations);
   this->ApplyEvacuations();
   this->dispatcher.OnLeaving(now, aState.leaving);
@@ -279,7 +279,7 @@
              { "offset", std::to_string(aOrder.offset) },
              { "duration_ms", std::to_string(aOrder.duration / milliseconds(1)) },
              { "fresh", aIsFresh ? "true" : "false" } });
-  this->dispatcher.SetBannedVersions(this->Now(), this->moves.RolledBackVersions());
+  this->ApplyExcludedVersions();
   this->SendStates();
 }
 
@@ -291,6 +291,26 @@
   }
 }
 
+void Gateway::ApplyExcludedVersions()
+{
+  std::map<std::string, std::set<std::string>> excluded = this->moves.ExcludedVersions();
+  if (excluded == this->excludedVersions) {
+    return;
+  }
+  this->excludedVersions = std::move(excluded);
+  std::string text;
+  for (const auto& [service, versions] : this->excludedVersions) {
+    for (const std::string& version : versions) {
+      text += text.empty() ? "" : ",";
+      text += service;
+      text += '/';
+      text += version;
+    }
+  }
+  LogEvent(LogLevel::kInfo, "versions_excluded", { { "versions", text } });
+  this->dispatcher.SetBannedVersions(this->Now(), this->excludedVersions);
+}
+
 void Gateway::LogMoveStages()
 {
   for (const direct::StageChange& change : this->moves.TakeChanges()) {
@@ -317,7 +337,7 @@
   };
   this->moves.Step(this->Now(), this->IsStoreReader(), running);
   this->LogMoveStages();
-  this->dispatcher.SetBannedVersions(this->Now(), this->moves.RolledBackVersions());
+  this->ApplyExcludedVersions();
 }
 
 // Sends this entry's state, which the limits shared by all entries depend on, to other entries.
--- a/tests/direct/dispatcher_domains_test.cpp
+++ b/tests/direct/dispatcher_domains_test.cpp
@@ -213,7 +213,7 @@
   this->ReportAgentsLive(2);
   const CallSpec spec = this->Submit();
   this->Advance(milliseconds(5));
-  this->dispatcher->SetBannedVersions(this->now, { { "pool", "" } });
+  this->dispatcher->SetBannedVersions(this->now, { { "pool", { "" } } });
   this->Advance(spec.deadline - this->now);
   BOOST_TEST(this->port.givenUp.size() == 1U);
 }
--- a/tests/platform/entry_topics_test.cpp
+++ b/tests/platform/entry_topics_test.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 using gateway::CompleteResponse;
+using std::chrono::milliseconds;
 using Connection = gateway::ScriptedEndpoint::Connection;
 
 struct EntryTopicsFixture : gateway::GatewayFixture
@@ -91,6 +92,43 @@
   BOOST_TEST(failing.requests.size() == seen);
 }
 
+// Regression: with the next order, the rolled-back version counted as an old one again.
+BOOST_AUTO_TEST_CASE(a_rolled_back_version_gets_no_requests_after_the_next_order)
+{
+  this->Configure();
+  // The failure rate of an endpoint that is slow does not keep calls away from it.
+  const auto script = [this](Duration aTime) {
+    return [this, aTime](Connection& aTo, const RequestHead& aHead) {
+      this->clock.Advance(aTime);
+      aTo.Write(CompleteResponse(aHead, "answer"));
+    };
+  };
+  this->AddEndpoint(script(milliseconds(10)), "v1");
+  gateway::ScriptedEndpoint& slow = this->AddEndpoint(script(milliseconds(40)), "v2");
+  gateway::ScriptedEndpoint& third = this->AddEndpoint(script(milliseconds(10)), "v3");
+  OperatorFeed feed(*this->gateway, this->store, this->clock, this->random, seconds(5));
+  feed.Start();
+  this->AnswerAll();
+  const auto send = [&](int aCount) {
+    for (int i = 0; i < aCount; i++) {
+      this->gateway->ConfirmConfig(1, this->clock.Read().steady);
+      this->SendAndWait(Request("/once/x", "r" + std::to_string(++this->lastId)), "answer");
+    }
+  };
+  this->Order("v2");
+  feed.OnRecord(this->store.topics[wire::kOperatorTopic].back());
+  send(400);
+  const std::size_t seen = slow.requests.size();
+  BOOST_REQUIRE(seen > 0);
+  third.requests.clear();
+  this->Order("v3");
+  feed.OnRecord(this->store.topics[wire::kOperatorTopic].back());
+  send(100);
+  BOOST_TEST(slow.requests.size() == seen);
+  BOOST_TEST(third.requests.size() > 0U);
+  BOOST_TEST(third.requests.size() < 40U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace caraway::platform
