Name the order in the status of a version move

What the operator saw: a version that was ordered again after its roll-back got no status, neither running nor completed, though its calls moved.

Cause: a status names service, version and state, not the order. The outcome of the first order was final for the second one too, so every write was dropped; an entry that started meanwhile read the first outcome and rolled back at once. In memory the same: the answer to a read of the first order's stage was applied to the second order, as both have the same content.

Change: the status names era and offset of its order as well. An outcome is of the order if the places are equal, or, where the eras differ, the version.

--- a/src/direct/move_table.cpp
+++ b/src/direct/move_table.cpp
@@ -15,6 +15,12 @@
 // After that restore: until then a delayed write may have replaced a stage.
 constexpr Duration kLateWriteTime = std::chrono::seconds(6);
 
+// A restored log may hold an order at another place.
+bool IsSameOrder(const MoveOrder& aLeft, const MoveOrder& aRight)
+{
+  return aLeft.era == aRight.era ? aLeft.offset == aRight.offset : HashOf(aLeft) == HashOf(aRight);
+}
+
 bool IsSameMove(const MoveOrder& aOrder, const MoveState& aState)
 {
   return aOrder.era == aState.era ? aOrder.offset == aState.offset
@@ -82,7 +88,7 @@
   }
   this->log->ReadStage(aOrder, [this, aNow, aOrder](std::optional<MoveStage> aStage) {
     const auto found = this->rows.find(aOrder.service);
-    if (found == this->rows.end() || HashOf(found->second.move.Order()) != HashOf(aOrder)) {
+    if (found == this->rows.end() || !IsSameOrder(found->second.move.Order(), aOrder)) {
       return;
     }
     found->second.isStagePending = false;
--- a/tests/direct/move_restore_test.cpp
+++ b/tests/direct/move_restore_test.cpp
@@ -153,6 +153,16 @@
   BOOST_TEST(!this->UsedVersions().contains("v2"));
 }
 
+// The answer to the first read comes after the second order.
+BOOST_AUTO_TEST_CASE(a_stage_that_is_read_late_is_not_taken_for_that_of_the_next_order)
+{
+  this->table.SetOrder(this->now, Order("v2", 100), false);
+  this->table.SetOrder(this->now, Order("v2", 110), true);
+  BOOST_REQUIRE(this->log.reads.size() == 1U);
+  this->log.reads[0](MoveStage::kRolledBack);
+  BOOST_TEST((this->Own().stage == MoveStage::kCanary));
+}
+
 BOOST_AUTO_TEST_CASE(entries_in_different_eras_share_the_stage_of_one_order)
 {
   this->table.SetOrder(this->now, Order("v2", 100), true);
--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -67,16 +67,30 @@
 
 BOOST_AUTO_TEST_CASE(move_status_round_trips)
 {
-  const direct::MoveOrder order{ "pool", "v2", std::chrono::seconds(12), 9 };
+  const direct::MoveOrder order{ "pool", "v2", std::chrono::seconds(12), 9, 3 };
   for (const auto stage : { direct::MoveStage::kCanary, direct::MoveStage::kCompleted,
                             direct::MoveStage::kRolledBack }) {
     const std::string text = WriteMoveStatus(order, stage);
-    BOOST_TEST((ReadMoveStatus(text, "v2") == stage), text);
-    BOOST_TEST(!ReadMoveStatus(text, "v3").has_value());
+    const auto status = ReadMoveStatus(text);
+    BOOST_REQUIRE(status.has_value());
+    BOOST_TEST((status->stage == stage), text);
+    BOOST_TEST(status->version == "v2");
+    BOOST_TEST((status->era == 3U));
+    BOOST_TEST(status->offset == 9U);
   }
-  const std::string shift = WriteMoveStatus(order, direct::MoveStage::kShift);
-  BOOST_TEST((ReadMoveStatus(shift, "v2") == direct::MoveStage::kCanary));
-  BOOST_TEST(!ReadMoveStatus("{", "v2").has_value());
+  const auto shift = ReadMoveStatus(WriteMoveStatus(order, direct::MoveStage::kShift));
+  BOOST_TEST((shift && shift->stage == direct::MoveStage::kCanary));
+  BOOST_TEST(!ReadMoveStatus("{").has_value());
+  BOOST_TEST(!ReadMoveStatus(R"({"target":"v2","state":"odd"})").has_value());
+}
+
+// Builds before 2026-12-07 did not name the order.
+BOOST_AUTO_TEST_CASE(a_move_status_without_its_order_is_read)
+{
+  const auto status = ReadMoveStatus(R"({"service":"pool","target":"v2","state":"completed"})");
+  BOOST_REQUIRE(status.has_value());
+  BOOST_TEST((status->stage == direct::MoveStage::kCompleted));
+  BOOST_TEST(!status->era.has_value());
 }
 
 BOOST_AUTO_TEST_CASE(reads_complete_configuration)
--- a/tests/platform/odd_documents_test.cpp
+++ b/tests/platform/odd_documents_test.cpp
@@ -26,7 +26,7 @@
   ReadEndpoint("i-1", aText, kNow);
   ReadNodeSettings(aText, findings);
   ReadMoveOrder(1, aText);
-  ReadMoveStatus(aText, "v2");
+  ReadMoveStatus(aText);
   PlatformReports("h").ReadReport(head, aText);
 }
 
