Try a part of prompts after an outage of all endpoints

Cause: a part is tried until it was at five crashes (maxTriedPartCrashes). The count takes crashes before the first trial and trials in vain alike. Nine deaths at one moment are nine crashes, so no trial was ever made, and without one no answer clears the part. The record shows 503 with "suspect" only; the count is in the logs (suspect ... uncleared=9). With two parts in all requests there was a second cause: a request with two refused parts was never a trial.

Change: each crash says whether the request was sent although it was suspect. Trials in vain are what ends the trials: with fewer than five crashes before the first trial, five crashes in all as before; with five or more, two trials. Parts that are refused together are tried together, half as often, so that a request with one of them alone comes first. An entry has one trial of a part at a time. The mark is saved and shared in a byte that was there; records without it are read.

A part that does crash endpoints still ends at five crashes one by one; where five or more come before it is known, at two more. All checks that were there pass as they are.

--- a/src/core/messages.h
+++ b/src/core/messages.h
@@ -328,11 +328,24 @@
 {
   std::uint64_t id = 0;   // hash of the endpoint incarnation that crashed
   bool isCleared = false; // the request has completed without a crash since
+  // The request was sent although it was suspect, as a caller's repeat or as a trial. Endpoints
+  // that die of something else crash at one moment, under requests that were not suspect when sent.
+  bool isRepeat = false;
 
+  // Builds without isRepeat wrote isCleared alone, in the same byte.
   template<class Archive>
-  void serialize(Archive& aArchive)
+  void save(Archive& aArchive) const
+  {
+    aArchive(this->id,
+             static_cast<std::uint8_t>((this->isCleared ? 1 : 0) + (this->isRepeat ? 2 : 0)));
+  }
+  template<class Archive>
+  void load(Archive& aArchive)
   {
-    aArchive(id, isCleared);
+    std::uint8_t flags = 0;
+    aArchive(this->id, flags);
+    this->isCleared = (flags & 1U) != 0;
+    this->isRepeat = (flags & 2U) != 0;
   }
 
   friend bool operator==(const SuspectedCrash&, const SuspectedCrash&) = default;
--- a/src/core/suspect.cpp
+++ b/src/core/suspect.cpp
@@ -15,9 +15,10 @@
     std::find_if(aSuspect.crashes.begin(), aSuspect.crashes.end(),
                  [&](const SuspectedCrash& aKnown) { return aKnown.id == aCrash.id; });
   if (found != aSuspect.crashes.end()) {
-    const bool isChanged = aCrash.isCleared && !found->isCleared;
+    const SuspectedCrash known = *found;
     found->isCleared = found->isCleared || aCrash.isCleared;
-    return isChanged;
+    found->isRepeat = found->isRepeat || aCrash.isRepeat;
+    return *found != known;
   }
   if (aSuspect.crashes.size() >= kMaxCrashes) {
     aSuspect.crashes.erase(aSuspect.crashes.begin());
@@ -42,6 +43,14 @@
                   [](const SuspectedCrash& aCrash) { return !aCrash.isCleared; }));
 }
 
+std::uint32_t Suspect::UnclearedRepeats() const
+{
+  return static_cast<std::uint32_t>(
+    std::count_if(this->crashes.begin(), this->crashes.end(), [](const SuspectedCrash& aCrash) {
+      return aCrash.isRepeat && !aCrash.isCleared;
+    }));
+}
+
 bool Suspect::WasAtAllCrashesOf(const Suspect& aOther) const
 {
   return std::all_of(
@@ -53,10 +62,11 @@
     });
 }
 
-bool SuspectTable::OnCrash(TimePoint aNow, std::uint64_t aFingerprint, std::uint64_t aCrash)
+bool SuspectTable::OnCrash(TimePoint aNow, std::uint64_t aFingerprint, std::uint64_t aCrash,
+                           bool aIsRepeat)
 {
   Suspect& suspect = this->FindOrAdd(aNow, aFingerprint);
-  if (!Merge(suspect, { aCrash, false })) {
+  if (!Merge(suspect, { aCrash, false, aIsRepeat })) {
     return false;
   }
   suspect.forgetAt = aNow + this->retention;
@@ -108,6 +118,14 @@
            : found->second.UnclearedCrashes();
 }
 
+std::uint32_t SuspectTable::UnclearedRepeats(TimePoint aNow, std::uint64_t aFingerprint) const
+{
+  const auto found = this->suspects.find(aFingerprint);
+  return found == this->suspects.end() || found->second.forgetAt <= aNow
+           ? 0
+           : found->second.UnclearedRepeats();
+}
+
 bool SuspectTable::IsExplainedByOther(TimePoint aNow, std::uint64_t aFingerprint) const
 {
   const auto found = this->suspects.find(aFingerprint);
--- a/src/core/suspect.h
+++ b/src/core/suspect.h
@@ -27,6 +27,8 @@
 
   // Crashes after which the request has not completed.
   std::uint32_t UnclearedCrashes() const;
+  // Those of them that were repeats.
+  std::uint32_t UnclearedRepeats() const;
   // True if this one was at each crash after which the other has not completed.
   bool WasAtAllCrashesOf(const Suspect& aOther) const;
 };
@@ -38,8 +40,9 @@
   SuspectTable(std::uint32_t aCapacity, Duration aRetention, std::uint32_t aRefuseAfter = 2);
 
   // Records that a request was running when an endpoint crashed. aCrash identifies the incarnation
-  // of the endpoint that ended. Returns whether the crash was unknown.
-  bool OnCrash(TimePoint aNow, std::uint64_t aFingerprint, std::uint64_t aCrash);
+  // of the endpoint that ended. aIsRepeat as in SuspectedCrash. Returns whether anything changed.
+  bool OnCrash(TimePoint aNow, std::uint64_t aFingerprint, std::uint64_t aCrash,
+               bool aIsRepeat = false);
   // Merges a report of another process; returns whether it changed anything.
   bool OnSuspicion(TimePoint aNow, const Suspicion& aSuspicion);
   // Clears the fingerprint after its request has completed. Returns whether it was suspect.
@@ -48,6 +51,7 @@
   Verdict Judge(TimePoint aNow, std::uint64_t aFingerprint) const;
   // Crashes since the fingerprint last completed.
   std::uint32_t UnclearedCrashes(TimePoint aNow, std::uint64_t aFingerprint) const;
+  std::uint32_t UnclearedRepeats(TimePoint aNow, std::uint64_t aFingerprint) const;
   // True if another refused fingerprint was at all crashes that count against this one, so that
   // this one may have been a bystander at each.
   bool IsExplainedByOther(TimePoint aNow, std::uint64_t aFingerprint) const;
--- a/src/direct/crash_watch.cpp
+++ b/src/direct/crash_watch.cpp
@@ -38,10 +38,12 @@
 
 // Connections to a dead endpoint may break after its death was detected.
 void CrashWatch::OnAttemptLost(TimePoint aNow, const EndpointIncarnation& aIncarnation,
-                               std::uint64_t aFingerprint, const PartIds& aParts)
+                               std::uint64_t aFingerprint, const PartIds& aParts,
+                               const std::optional<SentVerdicts>& aSent)
 {
   this->Expire(aNow);
-  const LostAttempt lost{ aNow, aIncarnation, aFingerprint, aParts };
+  const LostAttempt lost{ aNow, aIncarnation, aFingerprint, aParts,
+                          aSent ? *aSent : this->VerdictsOf(aNow, aFingerprint, aParts) };
   if (this->deadSince.contains(aIncarnation)) {
     this->AddCrash(aNow, lost);
     return;
@@ -91,28 +93,44 @@
 
 Verdict CrashWatch::Judge(TimePoint aNow, std::uint64_t aFingerprint, const PartIds& aParts) const
 {
-  Verdict verdict = this->LedgerOf(SuspectKind::kRequest).table.Judge(aNow, aFingerprint);
+  const SentVerdicts verdicts = this->VerdictsOf(aNow, aFingerprint, aParts);
+  return std::max(verdicts.request, verdicts.parts);
+}
+
+SentVerdicts CrashWatch::VerdictsOf(TimePoint aNow, std::uint64_t aFingerprint,
+                                    const PartIds& aParts) const
+{
+  SentVerdicts verdicts;
+  verdicts.request = this->LedgerOf(SuspectKind::kRequest).table.Judge(aNow, aFingerprint);
+  const SuspectTable& parts = this->LedgerOf(SuspectKind::kPromptPart).table;
   for (const std::uint64_t part : aParts) {
-    verdict = std::max(verdict, this->LedgerOf(SuspectKind::kPromptPart).table.Judge(aNow, part));
+    verdicts.parts = std::max(verdicts.parts, parts.Judge(aNow, part));
   }
-  return verdict;
+  return verdicts;
 }
 
-// The longer nobody has asked for the part at this entry, the likelier the trial: however often the
-// part is asked for, there is about one trial per trialPeriod over all entries.
+// The longer nobody has asked for it at this entry, the likelier the trial: however often it is
+// asked for, there is about one trial per trialPeriod over all entries. Parts that are refused
+// together are tried less often, so that a request with one of them alone comes first.
 bool CrashWatch::TakeTrial(TimePoint aNow, std::uint64_t aFingerprint, const PartIds& aParts,
                            std::uint32_t aEntryCount, Random& aRandom)
 {
-  const PartIds refused = this->RefusedParts(aNow, aParts);
-  // A crash of a request with two refused parts would count against both.
-  if (refused.size() != 1 || this->IsRefused(aNow, SuspectKind::kRequest, aFingerprint) ||
-      !this->MayTry(aNow, refused.front())) {
+  PartIds refused = this->RefusedParts(aNow, aParts);
+  if (!this->MayTryRequest(aNow, aFingerprint) || !this->MayTryParts(aNow, refused)) {
     return false;
   }
-  TimePoint& last = this->askedAt.try_emplace(refused.front(), aNow).first->second;
-  const Duration pause = aNow - std::exchange(last, aNow);
-  const Duration period = this->options.trialPeriod * std::max(aEntryCount, 1U);
-  return aRandom.Unit() * static_cast<double>(period.count()) < static_cast<double>(pause.count());
+  const auto divisor = static_cast<std::int64_t>(std::max<std::size_t>(refused.size(), 1));
+  if (this->IsRefused(aNow, SuspectKind::kRequest, aFingerprint)) {
+    refused.push_back(aFingerprint);
+  }
+  TimePoint lastAsked{};
+  for (const std::uint64_t key : refused) {
+    TimePoint& asked = this->askedAt.try_emplace(key, aNow).first->second;
+    lastAsked = std::max(lastAsked, std::exchange(asked, aNow));
+  }
+  const Duration period = this->options.trialPeriod * std::max(aEntryCount, 1U) * divisor;
+  return aRandom.Unit() * static_cast<double>(period.count()) <
+         static_cast<double>((aNow - lastAsked).count());
 }
 
 Duration CrashWatch::RefusedFor(TimePoint aNow, std::uint64_t aFingerprint,
@@ -120,12 +138,16 @@
 {
   Duration time{};
   if (this->IsRefused(aNow, SuspectKind::kRequest, aFingerprint)) {
-    time = this->LedgerOf(SuspectKind::kRequest).table.ForgetAfter(aNow, aFingerprint);
+    time = this->MayTryRequest(aNow, aFingerprint)
+             ? this->options.trialPeriod
+             : this->LedgerOf(SuspectKind::kRequest).table.ForgetAfter(aNow, aFingerprint);
   }
-  for (const std::uint64_t part : this->RefusedParts(aNow, aParts)) {
+  const PartIds refused = this->RefusedParts(aNow, aParts);
+  const bool mayTry = this->MayTryParts(aNow, refused);
+  for (const std::uint64_t part : refused) {
     const Duration forgetAfter =
       this->LedgerOf(SuspectKind::kPromptPart).table.ForgetAfter(aNow, part);
-    time = std::max(time, this->MayTry(aNow, part) ? this->options.trialPeriod : forgetAfter);
+    time = std::max(time, mayTry ? this->options.trialPeriod : forgetAfter);
   }
   return time;
 }
@@ -187,7 +209,8 @@
                   [&](const auto& aRow) { return aNow - aRow.second > this->options.shareTime; });
   }
   std::erase_if(this->askedAt, [&](const auto& aRow) {
-    return !this->IsRefused(aNow, SuspectKind::kPromptPart, aRow.first);
+    return !this->IsRefused(aNow, SuspectKind::kPromptPart, aRow.first) &&
+           !this->IsRefused(aNow, SuspectKind::kRequest, aRow.first);
   });
 }
 
@@ -195,19 +218,21 @@
 {
   const std::uint64_t crash = CrashId(aLost.incarnation);
   if (aLost.fingerprint != 0) { // 0: the host provides no fingerprints
-    this->AddCrash(aNow, SuspectKind::kRequest, aLost.fingerprint, crash);
+    const bool isRepeat = aLost.sent.request != Verdict::kClear;
+    this->AddCrash(aNow, SuspectKind::kRequest, aLost.fingerprint, crash, isRepeat);
   }
   for (const std::uint64_t part : aLost.parts) {
-    this->AddCrash(aNow, SuspectKind::kPromptPart, part, crash);
+    const bool isTrial = aLost.sent.parts == Verdict::kRefused;
+    this->AddCrash(aNow, SuspectKind::kPromptPart, part, crash, isTrial);
   }
 }
 
 void CrashWatch::AddCrash(TimePoint aNow, SuspectKind aKind, std::uint64_t aKey,
-                          std::uint64_t aCrash)
+                          std::uint64_t aCrash, bool aIsRepeat)
 {
   const bool wasRefused = this->IsRefused(aNow, aKind, aKey);
   Ledger& ledger = this->LedgerOf(aKind);
-  if (ledger.table.OnCrash(aNow, aKey, aCrash)) {
+  if (ledger.table.OnCrash(aNow, aKey, aCrash, aIsRepeat)) {
     ledger.observedAt[aKey] = aNow;
     this->AddUpdate(aNow, aKind, aKey, wasRefused);
   }
@@ -236,11 +261,30 @@
   return this->LedgerOf(aKind).table.Judge(aNow, aKey) == Verdict::kRefused;
 }
 
-bool CrashWatch::MayTry(TimePoint aNow, std::uint64_t aPart) const
+bool CrashWatch::HasTrialsLeft(TimePoint aNow, std::uint64_t aPart) const
 {
   const SuspectTable& table = this->LedgerOf(SuspectKind::kPromptPart).table;
-  return table.UnclearedCrashes(aNow, aPart) < this->options.maxTriedPartCrashes ||
-         table.IsExplainedByOther(aNow, aPart);
+  const std::uint32_t trials = table.UnclearedRepeats(aNow, aPart);
+  const std::uint32_t before = table.UnclearedCrashes(aNow, aPart) - trials;
+  const std::uint32_t max = this->options.maxTriedPartCrashes;
+  return trials < (before < max ? max - before : this->options.maxTrialsAfterOutage);
+}
+
+// A crash of a request with several refused parts counts against each of them, so that one that
+// another explains is tried alone only.
+bool CrashWatch::MayTryParts(TimePoint aNow, const PartIds& aRefused) const
+{
+  if (aRefused.size() == 1 &&
+      this->LedgerOf(SuspectKind::kPromptPart).table.IsExplainedByOther(aNow, aRefused.front())) {
+    return true;
+  }
+  return std::all_of(aRefused.begin(), aRefused.end(),
+                     [&](std::uint64_t aPart) { return this->HasTrialsLeft(aNow, aPart); });
+}
+
+bool CrashWatch::MayTryRequest(TimePoint aNow, std::uint64_t aFingerprint) const
+{
+  return !this->IsRefused(aNow, SuspectKind::kRequest, aFingerprint);
 }
 
 CrashWatch::PartIds CrashWatch::RefusedParts(TimePoint aNow, const PartIds& aParts) const
--- a/src/direct/crash_watch.h
+++ b/src/direct/crash_watch.h
@@ -1,8 +1,8 @@
 // Detects requests, and parts of prompts, that crash endpoints. Attempts that ended without a
 // response are kept until it is known whether the endpoint died. A request that ran on several
 // endpoints that died is refused at every entry, and so are all requests with a part that did. A
-// complete answer clears the request and its parts. A refused part is tried again now and then,
-// because it may have been a bystander each time.
+// complete answer clears the request and its parts. What is refused is tried again now and then,
+// because it may have been a bystander each time, above all where all endpoints died at once.
 #pragma once
 
 #include "core/random.h"
@@ -39,8 +39,11 @@
   // Crashes; more than for a request, as a part in many requests is a bystander more often.
   std::uint32_t refusePartAfter = 3;
   // A refused part is not tried any more after this many crashes, unless another refused part was
-  // at all of them.
+  // at all of them, or there were as many before the first trial.
   std::uint32_t maxTriedPartCrashes = 5;
+  // Trials in vain of a part that was at maxTriedPartCrashes or more before the first one, as when
+  // all endpoints die at once; the second is for an outage that repeats.
+  std::uint32_t maxTrialsAfterOutage = 2;
   Duration trialPeriod = std::chrono::seconds(2); // between trials of a part, over all entries
   Duration suspectTime = std::chrono::minutes(10);
   // Maximum time between the loss of an attempt and the detection of its endpoint's death. The
@@ -53,6 +56,13 @@
   std::size_t maxShared = 64;
 };
 
+// What was known of a request and of the parts of its prompt when it was sent.
+struct SentVerdicts
+{
+  Verdict request = Verdict::kClear;
+  Verdict parts = Verdict::kClear; // the most severe one
+};
+
 // A change in what is known about a request or a part of prompts.
 struct SuspectUpdate
 {
@@ -88,8 +98,10 @@
   explicit CrashWatch(const CrashWatchOptions& aOptions);
 
   // An attempt at the endpoint ended without a response. aParts: shared parts of the prompt.
+  // aSent: as of when it was sent; nullopt: as of now.
   void OnAttemptLost(TimePoint aNow, const EndpointIncarnation& aIncarnation,
-                     std::uint64_t aFingerprint, const PartIds& aParts = {});
+                     std::uint64_t aFingerprint, const PartIds& aParts = {},
+                     const std::optional<SentVerdicts>& aSent = std::nullopt);
   // The endpoint process has died. Returns the number of attempts lost with it.
   std::size_t OnDied(TimePoint aNow, const EndpointIncarnation& aIncarnation);
   // An endpoint completely answered the request, which clears it and its parts.
@@ -100,8 +112,9 @@
 
   // The most severe verdict on the request and its parts.
   Verdict Judge(TimePoint aNow, std::uint64_t aFingerprint, const PartIds& aParts = {}) const;
-  // Called for each refused request. Returns whether it may run nevertheless, to try its only
-  // refused part.
+  SentVerdicts VerdictsOf(TimePoint aNow, std::uint64_t aFingerprint, const PartIds& aParts) const;
+  // Called for each refused request. Returns whether it may run nevertheless, to try what is
+  // refused of it.
   bool TakeTrial(TimePoint aNow, std::uint64_t aFingerprint, const PartIds& aParts,
                  std::uint32_t aEntryCount, Random& aRandom);
   // Time until a refused request may be accepted.
@@ -119,6 +132,7 @@
     EndpointIncarnation incarnation;
     std::uint64_t fingerprint = 0;
     PartIds parts;
+    SentVerdicts sent;
   };
   struct Ledger
   {
@@ -133,18 +147,22 @@
   }
   void Expire(TimePoint aNow);
   void AddCrash(TimePoint aNow, const LostAttempt& aLost);
-  void AddCrash(TimePoint aNow, SuspectKind aKind, std::uint64_t aKey, std::uint64_t aCrash);
+  void AddCrash(TimePoint aNow, SuspectKind aKind, std::uint64_t aKey, std::uint64_t aCrash,
+                bool aIsRepeat);
   void Clear(TimePoint aNow, SuspectKind aKind, std::uint64_t aKey);
   void AddUpdate(TimePoint aNow, SuspectKind aKind, std::uint64_t aKey, bool aWasRefused);
   bool IsRefused(TimePoint aNow, SuspectKind aKind, std::uint64_t aKey) const;
-  bool MayTry(TimePoint aNow, std::uint64_t aPart) const;
+  bool HasTrialsLeft(TimePoint aNow, std::uint64_t aPart) const;
+  bool MayTryParts(TimePoint aNow, const PartIds& aRefused) const;
+  bool MayTryRequest(TimePoint aNow, std::uint64_t aFingerprint) const;
   PartIds RefusedParts(TimePoint aNow, const PartIds& aParts) const;
 
   CrashWatchOptions options;
   std::array<Ledger, kSuspectKinds.size()> ledgers;
   std::deque<LostAttempt> lostAttempts;
   std::map<EndpointIncarnation, TimePoint> deadSince;
-  std::unordered_map<std::uint64_t, TimePoint> askedAt; // last request with a refused part
+  // Last request with what is refused, by part or fingerprint.
+  std::unordered_map<std::uint64_t, TimePoint> askedAt;
   std::vector<SuspectUpdate> updates;
 };
 
--- a/src/direct/dispatcher.cpp
+++ b/src/direct/dispatcher.cpp
@@ -185,8 +185,9 @@
   this->budget.OnRequest(aNow, aSpec.service);
   const bool isSuspect =
     this->crashes.Judge(aNow, aSpec.fingerprint, aSpec.promptParts) == Verdict::kRefused;
-  if (isSuspect && !this->crashes.TakeTrial(aNow, aSpec.fingerprint, aSpec.promptParts,
-                                            this->entryCount, this->random)) {
+  if (isSuspect && (this->HasTrialOf(aSpec) ||
+                    !this->crashes.TakeTrial(aNow, aSpec.fingerprint, aSpec.promptParts,
+                                             this->entryCount, this->random))) {
     this->port.GiveUp(aSpec.number, GiveUpReason::kSuspect,
                       this->crashes.RefusedFor(aNow, aSpec.fingerprint, aSpec.promptParts));
     return;
@@ -414,6 +415,8 @@
     this->admission.OnStart(aNow, aCall.spec);
   }
   aCall.sentAt = aNow;
+  aCall.sentVerdicts =
+    this->crashes.VerdictsOf(aNow, aCall.spec.fingerprint, aCall.spec.promptParts);
   aTarget.running++;
   const UseSlot use{ aCall.spec.number, this->PromptTokensAt(aNow, aTarget, aCall.spec) };
   aCall.sentTokens = use.promptTokens + PendingPrefillAt(aTarget);
--- a/src/direct/dispatcher.h
+++ b/src/direct/dispatcher.h
@@ -172,7 +172,7 @@
   const EndpointInfo* EndpointOf(CallNumber aCall) const;
   // Returns how often the call was sent to an endpoint.
   std::uint32_t AttemptsOf(CallNumber aCall) const;
-  // Returns whether the call is a trial of a refused part of its prompt.
+  // Returns whether the call is a trial of a refused request or part of its prompt.
   bool IsTrial(CallNumber aCall) const;
   std::size_t CallCount() const { return this->calls.size(); }
   // Returns the inputs of a placement decision for logs: the queue in use, slots taken and their
@@ -251,7 +251,8 @@
     std::uint32_t attempts = 0;
     bool hasFirstEvent = false; // of the current attempt
     bool isWidened = false;
-    bool isTrial = false; // of a refused part of its prompt
+    bool isTrial = false;      // of what is refused of it
+    SentVerdicts sentVerdicts; // of the current attempt
     TimePoint sentAt{};
     std::uint32_t sentTokens = 0; // to prefill before the first event, including earlier prompts
     TimePoint widenAt = kNever;
@@ -290,6 +291,7 @@
   bool MayRetry(TimePoint aNow, const Call& aCall, AttemptEnd aEnd) const;
   void RecordAttemptEnd(TimePoint aNow, const Call& aCall, AttemptEnd aEnd);
   void RecordLostAttempt(TimePoint aNow, const Call& aCall);
+  bool HasTrialOf(const CallSpec& aSpec) const;
   void RecordEndpointDeath(TimePoint aNow, const EndpointInfo& aEndpoint,
                            std::string_view aEvidence);
   void ApplyVerdicts(TimePoint aNow);
--- a/src/direct/dispatcher_crashes.cpp
+++ b/src/direct/dispatcher_crashes.cpp
@@ -47,10 +47,25 @@
   const auto found = this->targets.find(aCall.endpoint);
   if (aCall.stage == Stage::kRunning && found != this->targets.end()) {
     this->crashes.OnAttemptLost(aNow, IncarnationOf(aCall.endpoint, found->second.info.bornMs),
-                                aCall.spec.fingerprint, aCall.spec.promptParts);
+                                aCall.spec.fingerprint, aCall.spec.promptParts, aCall.sentVerdicts);
   }
 }
 
+// A trial that waits for an endpoint, or runs, decides before the next one is sent.
+bool Dispatcher::HasTrialOf(const CallSpec& aSpec) const
+{
+  return std::any_of(this->calls.begin(), this->calls.end(), [&](const auto& aRow) {
+    const CallSpec& tried = aRow.second.spec;
+    const std::vector<std::uint64_t>& parts = aSpec.promptParts;
+    return aRow.second.isTrial &&
+           ((aSpec.fingerprint != 0 && tried.fingerprint == aSpec.fingerprint) ||
+            std::any_of(parts.begin(), parts.end(), [&](std::uint64_t aPart) {
+              return std::find(tried.promptParts.begin(), tried.promptParts.end(), aPart) !=
+                     tried.promptParts.end();
+            }));
+  });
+}
+
 void Dispatcher::RecordEndpointDeath(TimePoint aNow, const EndpointInfo& aEndpoint,
                                      std::string_view aEvidence)
 {
--- a/tests/direct/crash_watch_test.cpp
+++ b/tests/direct/crash_watch_test.cpp
@@ -1,6 +1,8 @@
+#include "core/cereal_bytes.h"
 #include "direct/crash_watch.h"
 
 #include <boost/test/unit_test.hpp>
+#include <cereal/types/utility.hpp>
 
 namespace caraway::direct {
 
@@ -217,6 +219,162 @@
   BOOST_TEST(this->Trials(kBadPart) == 0);
 }
 
+// All endpoints die at once while they run requests with common parts.
+struct OutageFixture : PartFixture
+{
+  // The requests were sent before any of the deaths.
+  void DieAtOnce(int aEndpoints, const std::vector<std::uint64_t>& aParts)
+  {
+    for (int endpoint = 0; endpoint < aEndpoints; endpoint++) {
+      this->Die(aParts, SentVerdicts{});
+    }
+  }
+  void FailTrial(const std::vector<std::uint64_t>& aParts)
+  {
+    this->Die(aParts, SentVerdicts{ Verdict::kClear, Verdict::kRefused });
+  }
+  void Die(const std::vector<std::uint64_t>& aParts, const SentVerdicts& aSent)
+  {
+    const EndpointIncarnation endpoint{ ++this->endpointCount, 1000 };
+    this->watch.OnAttemptLost(this->now, endpoint, this->endpointCount + 1000, aParts, aSent);
+    this->watch.OnDied(this->now, endpoint);
+  }
+  // Trials of requests with both parts over a minute.
+  int JointTrials()
+  {
+    int count = 0;
+    for (int request = 0; request < 600; request++) {
+      this->now += std::chrono::milliseconds(100);
+      count +=
+        this->watch.TakeTrial(this->now, 1, { kCompanion, kBadPart }, kEntryCount, this->random)
+          ? 1
+          : 0;
+    }
+    return count;
+  }
+  // What another process knows from the store.
+  CrashWatch Restart() const
+  {
+    CrashWatch restarted{ this->options };
+    for (const SuspectKind kind : kSuspectKinds) {
+      for (const Suspicion& suspicion : this->watch.ToShare(this->now, kind)) {
+        const auto saved = DecodeSavedSuspicion(EncodeSavedSuspicion({ kind, 0, suspicion }));
+        BOOST_REQUIRE(saved.has_value());
+        restarted.OnSuspicions(this->now, { saved->suspicion }, kind);
+      }
+    }
+    return restarted;
+  }
+};
+
+BOOST_FIXTURE_TEST_CASE(a_part_is_tried_after_an_outage_and_cleared_by_an_answer, OutageFixture)
+{
+  this->DieAtOnce(9, { kCompanion });
+  BOOST_TEST((this->JudgePart(kCompanion) == Verdict::kRefused));
+  BOOST_TEST((this->watch.RefusedFor(this->now, 1, { kCompanion }) == this->options.trialPeriod));
+  BOOST_TEST(this->Trials(kCompanion) > 0);
+  this->watch.OnAnswered(this->now, 1, { kCompanion });
+  BOOST_TEST((this->JudgePart(kCompanion) == Verdict::kClear));
+}
+
+// The same picture, but the part does crash endpoints, at many of them at once.
+BOOST_FIXTURE_TEST_CASE(a_part_that_crashes_many_endpoints_at_once_is_tried_twice, OutageFixture)
+{
+  this->DieAtOnce(9, { kBadPart });
+  this->FailTrial({ kBadPart });
+  BOOST_TEST(this->Trials(kBadPart) > 0);
+  this->FailTrial({ kBadPart });
+  BOOST_TEST(this->Trials(kBadPart) == 0);
+  BOOST_TEST((this->watch.RefusedFor(this->now, 1, { kBadPart }) > minutes(5)));
+}
+
+// Fewer crashes at once leave no more trials than crashes one by one.
+BOOST_FIXTURE_TEST_CASE(four_crashes_at_once_leave_one_trial, OutageFixture)
+{
+  this->DieAtOnce(4, { kBadPart });
+  BOOST_TEST(this->Trials(kBadPart) > 0);
+  this->FailTrial({ kBadPart });
+  BOOST_TEST(this->Trials(kBadPart) == 0);
+}
+
+BOOST_FIXTURE_TEST_CASE(trials_in_vain_are_known_to_other_entries_and_after_a_restart,
+                        OutageFixture)
+{
+  this->DieAtOnce(9, { kBadPart });
+  this->watch = this->Restart();
+  BOOST_TEST(this->Trials(kBadPart) > 0);
+  this->FailTrial({ kBadPart });
+  this->watch = this->Restart();
+  this->FailTrial({ kBadPart });
+  this->watch = this->Restart();
+  BOOST_TEST(this->Trials(kBadPart) == 0);
+}
+
+// The first trial dies in a second outage.
+BOOST_FIXTURE_TEST_CASE(a_part_is_tried_again_after_a_second_outage, OutageFixture)
+{
+  this->DieAtOnce(9, { kCompanion });
+  this->FailTrial({ kCompanion });
+  BOOST_TEST(this->Trials(kCompanion) > 0);
+  this->watch.OnAnswered(this->now, 1, { kCompanion });
+  this->DieAtOnce(9, { kCompanion });
+  BOOST_TEST(this->Trials(kCompanion) > 0);
+}
+
+BOOST_FIXTURE_TEST_CASE(parts_of_all_requests_are_tried_together, OutageFixture)
+{
+  this->DieAtOnce(9, { kCompanion, kBadPart });
+  BOOST_TEST(this->JointTrials() > 0);
+  this->FailTrial({ kCompanion, kBadPart });
+  BOOST_TEST(this->JointTrials() > 0);
+  this->FailTrial({ kCompanion, kBadPart });
+  BOOST_TEST(this->JointTrials() == 0);
+  // Either may be the sound one, which a request with it alone shows.
+  BOOST_TEST(this->Trials(kCompanion) > 0);
+  this->FailTrial({ kBadPart });
+  BOOST_TEST(this->Trials(kBadPart) == 0);
+  BOOST_TEST(this->Trials(kCompanion) > 0);
+}
+
+// Entries saw different deaths, more than one of them keeps.
+BOOST_FIXTURE_TEST_CASE(a_large_outage_is_cleared_at_all_entries, OutageFixture)
+{
+  std::vector<CrashWatch> entries(3, CrashWatch{ this->options });
+  for (CrashWatch& entry : entries) {
+    this->watch = CrashWatch{ this->options };
+    this->DieAtOnce(14, { kCompanion });
+    entry = this->watch;
+  }
+  const auto share = [&] {
+    for (CrashWatch& to : entries) {
+      for (const CrashWatch& from : entries) {
+        to.OnSuspicions(this->now, from.ToShare(this->now, SuspectKind::kPromptPart),
+                        SuspectKind::kPromptPart);
+      }
+    }
+  };
+  share();
+  for (int round = 0; round < 4; round++) {
+    entries[0].OnAnswered(this->now, 1, { kCompanion });
+    share();
+  }
+  for (const CrashWatch& entry : entries) {
+    BOOST_TEST((entry.Judge(this->now, 1, { kCompanion }) == Verdict::kClear));
+  }
+}
+
+// Records of builds that did not mark repeats.
+BOOST_AUTO_TEST_CASE(a_crash_without_a_mark_of_repeats_is_read)
+{
+  const auto crash = FromBytes<SuspectedCrash>(ToBytes(std::pair<std::uint64_t, bool>(7, true)));
+  BOOST_REQUIRE(crash.has_value());
+  BOOST_TEST((*crash == SuspectedCrash{ 7, true }));
+  for (const bool isCleared : { false, true }) {
+    const SuspectedCrash repeat{ 7, isCleared, true };
+    BOOST_TEST((FromBytes<SuspectedCrash>(ToBytes(repeat)) == repeat));
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace caraway::direct
