Try a request of many callers after an outage

Cause: two deaths refuse a request, and nothing but an answer clears it, which is never sent again. As with parts of prompts, deaths at one moment count like those of a request that was sent again after the first.

Change: a refused request is tried, about once in two seconds over all entries, if none of its uncleared crashes was a repeat, that is, if it was clear whenever it was sent to an endpoint that died. One trial in vain ends that. A request that crashes endpoints one after the other is still refused after two.

--- a/src/direct/crash_watch.cpp
+++ b/src/direct/crash_watch.cpp
@@ -282,9 +282,12 @@
                      [&](std::uint64_t aPart) { return this->HasTrialsLeft(aNow, aPart); });
 }
 
+// A request that crashes endpoints is refused after a repeat. One that was at all its crashes
+// without being suspect may have been a bystander of an outage.
 bool CrashWatch::MayTryRequest(TimePoint aNow, std::uint64_t aFingerprint) const
 {
-  return !this->IsRefused(aNow, SuspectKind::kRequest, aFingerprint);
+  return !this->IsRefused(aNow, SuspectKind::kRequest, aFingerprint) ||
+         this->LedgerOf(SuspectKind::kRequest).table.UnclearedRepeats(aNow, aFingerprint) == 0;
 }
 
 CrashWatch::PartIds CrashWatch::RefusedParts(TimePoint aNow, const PartIds& aParts) const
--- a/tests/direct/crash_watch_test.cpp
+++ b/tests/direct/crash_watch_test.cpp
@@ -363,6 +363,54 @@
   }
 }
 
+// Callers send the same request to several endpoints, as for a page that all of them read.
+struct RequestFixture : OutageFixture
+{
+  void Die(std::uint64_t aFingerprint, Verdict aSent)
+  {
+    const EndpointIncarnation endpoint{ ++this->endpointCount, 1000 };
+    this->watch.OnAttemptLost(this->now, endpoint, aFingerprint, {},
+                              SentVerdicts{ aSent, Verdict::kClear });
+    this->watch.OnDied(this->now, endpoint);
+  }
+  int Trials(std::uint64_t aFingerprint)
+  {
+    int count = 0;
+    for (int request = 0; request < 600; request++) {
+      this->now += std::chrono::milliseconds(100);
+      count +=
+        this->watch.TakeTrial(this->now, aFingerprint, {}, kEntryCount, this->random) ? 1 : 0;
+    }
+    return count;
+  }
+};
+
+// Regression: it was refused for ten minutes, as nothing but an answer clears it.
+BOOST_FIXTURE_TEST_CASE(a_request_at_all_deaths_of_an_outage_is_tried, RequestFixture)
+{
+  for (int endpoint = 0; endpoint < 3; endpoint++) {
+    this->Die(7, Verdict::kClear);
+  }
+  BOOST_TEST((this->watch.Judge(this->now, 7) == Verdict::kRefused));
+  BOOST_TEST((this->watch.RefusedFor(this->now, 7) == this->options.trialPeriod));
+  BOOST_TEST(this->Trials(7) > 0);
+  this->watch.OnAnswered(this->now, 7);
+  BOOST_TEST((this->watch.Judge(this->now, 7) == Verdict::kClear));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_request_that_crashes_endpoints_is_tried_once_at_most, RequestFixture)
+{
+  this->Die(7, Verdict::kClear);
+  this->Die(7, Verdict::kExclusive);
+  BOOST_TEST(this->Trials(7) == 0);
+  this->Die(8, Verdict::kClear);
+  this->Die(8, Verdict::kClear);
+  BOOST_TEST(this->Trials(8) > 0);
+  this->Die(8, Verdict::kRefused);
+  BOOST_TEST(this->Trials(8) == 0);
+  BOOST_TEST((this->watch.RefusedFor(this->now, 8) > minutes(5)));
+}
+
 // Records of builds that did not mark repeats.
 BOOST_AUTO_TEST_CASE(a_crash_without_a_mark_of_repeats_is_read)
 {
