Tell only outcomes of moves that this entry saw end

An outcome that was read from the store for a move that this entry had not seen end was given the end of time as the time at which it ended, and that time plus ten seconds overflows. The replaced row is kept in a function of its own, and times of ten seconds ago are dropped.

move_history/an_entry_that_missed_the_outcome_* plays the course; it passed before too, as the overflow wraps where no sanitizer looks.

--- a/src/direct/move_table.cpp
+++ b/src/direct/move_table.cpp
@@ -7,9 +7,6 @@
 
 namespace {
 
-// How long entries share the state of an ended move and keep calls away from the version that
-// stops: several times the maximum lag of an endpoint list.
-constexpr Duration kMoveRetention = std::chrono::seconds(10);
 // After the log was restored: until then the operator has written the lost orders again.
 constexpr Duration kRewriteTime = std::chrono::seconds(3);
 // After that restore: until then a delayed write may have replaced a stage.
@@ -68,10 +65,7 @@
 bool MoveTable::AddOrder(TimePoint aNow, const MoveOrder& aOrder, bool aIsFresh)
 {
   if (const auto known = this->rows.find(aOrder.service); known != this->rows.end()) {
-    Past& before = this->past[aOrder.service];
-    const PastMove move = PastMoveOf(known->second.move);
-    before.moves.Add(move);
-    before.endedAt[move.version] = known->second.endedAt;
+    this->KeepPast(aNow, known->second);
   }
   Row row{ VersionMove(this->options, aOrder, aNow) };
   const auto pastStage = aIsFresh ? std::nullopt : this->PastStageOf(aOrder);
--- a/src/direct/move_table.h
+++ b/src/direct/move_table.h
@@ -111,7 +111,7 @@
   struct Past
   {
     MoveHistory moves;
-    std::map<std::string, TimePoint> endedAt; // of those that ended lately, by version
+    std::map<std::string, TimePoint> endedAt; // of those that this entry saw end, by version
     std::vector<PastMove> saved;              // last read from or passed to the store
   };
 
@@ -129,6 +129,7 @@
   void FindVersions(const std::string& aService, Row& aRow) const;
   void FindAllVersions();
   void RecordStage(TimePoint aNow, Row& aRow, bool aIsOwn);
+  void KeepPast(TimePoint aNow, const Row& aRow);
   std::set<std::string> ExcludedOldVersions(const std::string& aService) const;
   void ReadHistories(TimePoint aNow);
   void MergeHistories(const MoveHistoryStore::Histories& aHistories);
@@ -138,6 +139,10 @@
   bool AdoptPastStage(TimePoint aNow, const MoveState& aState);
   bool IsPast(const MoveState& aState) const;
 
+  // How long entries share the state of an ended move and keep calls away from the version that
+  // stops: several times the maximum lag of an endpoint list.
+  static constexpr Duration kMoveRetention = std::chrono::seconds(10);
+
   VersionMoveOptions options;
   MoveLog* log = nullptr;
   std::map<std::string, EndpointInfo> endpoints;
--- a/src/direct/move_table_history.cpp
+++ b/src/direct/move_table_history.cpp
@@ -52,6 +52,19 @@
   return rolledBack;
 }
 
+// Keeps the move of a row that the next order replaces.
+void MoveTable::KeepPast(TimePoint aNow, const Row& aRow)
+{
+  Past& before = this->past[aRow.move.Order().service];
+  const PastMove move = PastMoveOf(aRow.move);
+  before.moves.Add(move);
+  std::erase_if(before.endedAt,
+                [&](const auto& aEnded) { return aNow >= aEnded.second + kMoveRetention; });
+  if (move.IsOver()) {
+    before.endedAt[move.version] = aRow.endedAt;
+  }
+}
+
 std::map<std::string, std::set<std::string>> MoveTable::ExcludedVersions() const
 {
   std::map<std::string, std::set<std::string>> excluded;
--- a/tests/direct/move_history_test.cpp
+++ b/tests/direct/move_history_test.cpp
@@ -240,6 +240,19 @@
   BOOST_TEST(this->Used() == Versions({ "v1", "v3", "v4" }), boost::test_tools::per_element());
 }
 
+// Only entries that saw the outcome know how long to tell it.
+BOOST_AUTO_TEST_CASE(an_entry_that_missed_the_outcome_reads_it_and_does_not_tell_it)
+{
+  this->Move("v2", 1, MoveStage::kCanary);
+  this->store.SaveHistory("pool",
+                          { { "v2", 1, 1, HashOf(Order("v2", 1)), MoveStage::kRolledBack } });
+  this->Move("v3", 2, MoveStage::kCanary);
+  this->store.Answer();
+  this->List({ "v2", "v3" });
+  BOOST_TEST(this->Used() == Versions({ "v3" }), boost::test_tools::per_element());
+  BOOST_TEST(this->table->States(this->now, CountNone).size() == 1U);
+}
+
 // The outcome was not stored yet when the entry read.
 BOOST_AUTO_TEST_CASE(an_unknown_outcome_of_another_entry_has_the_histories_read_again)
 {
