Try only what had been answered before an outage

Change: a crash says also whether the request, or one with the part, had been answered completely before. Trials beyond five crashes, and those of requests, are for these alone: what crashes endpoints never had an answer, and what runs at all endpoints when they die had some a moment ago. Entries keep the keys of the last answers in limited memory; the mark is saved and shared with the crash, so it outlives a restart of all entries.

The tests of outages have an answer before the outage now; those of crashing parts and requests got stricter.

--- a/src/core/messages.h
+++ b/src/core/messages.h
@@ -331,13 +331,16 @@
   // The request was sent although it was suspect, as a caller's repeat or as a trial. Endpoints
   // that die of something else crash at one moment, under requests that were not suspect when sent.
   bool isRepeat = false;
+  // The request, or one with the part, had been answered before: it did not always crash endpoints.
+  bool wasAnswered = false;
 
-  // Builds without isRepeat wrote isCleared alone, in the same byte.
+  // Earlier builds wrote isCleared alone, in the same byte.
   template<class Archive>
   void save(Archive& aArchive) const
   {
     aArchive(this->id,
-             static_cast<std::uint8_t>((this->isCleared ? 1 : 0) + (this->isRepeat ? 2 : 0)));
+             static_cast<std::uint8_t>((this->isCleared ? 1 : 0) + (this->isRepeat ? 2 : 0) +
+                                       (this->wasAnswered ? 4 : 0)));
   }
   template<class Archive>
   void load(Archive& aArchive)
@@ -346,6 +349,7 @@
     aArchive(this->id, flags);
     this->isCleared = (flags & 1U) != 0;
     this->isRepeat = (flags & 2U) != 0;
+    this->wasAnswered = (flags & 4U) != 0;
   }
 
   friend bool operator==(const SuspectedCrash&, const SuspectedCrash&) = default;
--- a/src/core/suspect.cpp
+++ b/src/core/suspect.cpp
@@ -18,6 +18,7 @@
     const SuspectedCrash known = *found;
     found->isCleared = found->isCleared || aCrash.isCleared;
     found->isRepeat = found->isRepeat || aCrash.isRepeat;
+    found->wasAnswered = found->wasAnswered || aCrash.wasAnswered;
     return *found != known;
   }
   if (aSuspect.crashes.size() >= kMaxCrashes) {
@@ -62,11 +63,15 @@
     });
 }
 
-bool SuspectTable::OnCrash(TimePoint aNow, std::uint64_t aFingerprint, std::uint64_t aCrash,
-                           bool aIsRepeat)
+bool SuspectTable::OnCrash(TimePoint aNow, std::uint64_t aFingerprint, std::uint64_t aCrash)
+{
+  return this->OnCrash(aNow, aFingerprint, SuspectedCrash{ aCrash });
+}
+
+bool SuspectTable::OnCrash(TimePoint aNow, std::uint64_t aFingerprint, const SuspectedCrash& aCrash)
 {
   Suspect& suspect = this->FindOrAdd(aNow, aFingerprint);
-  if (!Merge(suspect, { aCrash, false, aIsRepeat })) {
+  if (!Merge(suspect, aCrash)) {
     return false;
   }
   suspect.forgetAt = aNow + this->retention;
@@ -126,6 +131,15 @@
            : found->second.UnclearedRepeats();
 }
 
+bool SuspectTable::WasAnsweredBefore(TimePoint aNow, std::uint64_t aFingerprint) const
+{
+  const auto found = this->suspects.find(aFingerprint);
+  return found != this->suspects.end() && found->second.forgetAt > aNow &&
+         std::any_of(
+           found->second.crashes.begin(), found->second.crashes.end(),
+           [](const SuspectedCrash& aCrash) { return aCrash.wasAnswered && !aCrash.isCleared; });
+}
+
 bool SuspectTable::IsExplainedByOther(TimePoint aNow, std::uint64_t aFingerprint) const
 {
   const auto found = this->suspects.find(aFingerprint);
--- a/src/core/suspect.h
+++ b/src/core/suspect.h
@@ -40,9 +40,10 @@
   SuspectTable(std::uint32_t aCapacity, Duration aRetention, std::uint32_t aRefuseAfter = 2);
 
   // Records that a request was running when an endpoint crashed. aCrash identifies the incarnation
-  // of the endpoint that ended. aIsRepeat as in SuspectedCrash. Returns whether anything changed.
-  bool OnCrash(TimePoint aNow, std::uint64_t aFingerprint, std::uint64_t aCrash,
-               bool aIsRepeat = false);
+  // of the endpoint that ended. Returns whether the crash was unknown.
+  bool OnCrash(TimePoint aNow, std::uint64_t aFingerprint, std::uint64_t aCrash);
+  // The same with all that is known of the crash; returns whether anything changed.
+  bool OnCrash(TimePoint aNow, std::uint64_t aFingerprint, const SuspectedCrash& aCrash);
   // Merges a report of another process; returns whether it changed anything.
   bool OnSuspicion(TimePoint aNow, const Suspicion& aSuspicion);
   // Clears the fingerprint after its request has completed. Returns whether it was suspect.
@@ -52,6 +53,8 @@
   // Crashes since the fingerprint last completed.
   std::uint32_t UnclearedCrashes(TimePoint aNow, std::uint64_t aFingerprint) const;
   std::uint32_t UnclearedRepeats(TimePoint aNow, std::uint64_t aFingerprint) const;
+  // True if it had been answered before one of them.
+  bool WasAnsweredBefore(TimePoint aNow, std::uint64_t aFingerprint) const;
   // True if another refused fingerprint was at all crashes that count against this one, so that
   // this one may have been a bystander at each.
   bool IsExplainedByOther(TimePoint aNow, std::uint64_t aFingerprint) const;
--- a/src/direct/crash_watch.cpp
+++ b/src/direct/crash_watch.cpp
@@ -74,8 +74,10 @@
 
 void CrashWatch::OnAnswered(TimePoint aNow, std::uint64_t aFingerprint, const PartIds& aParts)
 {
+  this->KeepAnswered(SuspectKind::kRequest, aFingerprint);
   this->Clear(aNow, SuspectKind::kRequest, aFingerprint);
   for (const std::uint64_t part : aParts) {
+    this->KeepAnswered(SuspectKind::kPromptPart, part);
     this->Clear(aNow, SuspectKind::kPromptPart, part);
   }
 }
@@ -232,12 +234,23 @@
 {
   const bool wasRefused = this->IsRefused(aNow, aKind, aKey);
   Ledger& ledger = this->LedgerOf(aKind);
-  if (ledger.table.OnCrash(aNow, aKey, aCrash, aIsRepeat)) {
+  const bool wasAnswered =
+    ledger.answered.recent.contains(aKey) || ledger.answered.older.contains(aKey);
+  if (ledger.table.OnCrash(aNow, aKey, SuspectedCrash{ aCrash, false, aIsRepeat, wasAnswered })) {
     ledger.observedAt[aKey] = aNow;
     this->AddUpdate(aNow, aKind, aKey, wasRefused);
   }
 }
 
+void CrashWatch::KeepAnswered(SuspectKind aKind, std::uint64_t aKey)
+{
+  Answered& answered = this->LedgerOf(aKind).answered;
+  if (answered.recent.size() >= this->options.maxAnswered && !answered.recent.contains(aKey)) {
+    answered.older = std::exchange(answered.recent, {});
+  }
+  answered.recent.insert(aKey);
+}
+
 void CrashWatch::Clear(TimePoint aNow, SuspectKind aKind, std::uint64_t aKey)
 {
   const bool wasRefused = this->IsRefused(aNow, aKind, aKey);
@@ -267,7 +280,10 @@
   const std::uint32_t trials = table.UnclearedRepeats(aNow, aPart);
   const std::uint32_t before = table.UnclearedCrashes(aNow, aPart) - trials;
   const std::uint32_t max = this->options.maxTriedPartCrashes;
-  return trials < (before < max ? max - before : this->options.maxTrialsAfterOutage);
+  if (before < max) {
+    return trials < max - before;
+  }
+  return trials < this->options.maxTrialsAfterOutage && table.WasAnsweredBefore(aNow, aPart);
 }
 
 // A crash of a request with several refused parts counts against each of them, so that one that
@@ -282,12 +298,14 @@
                      [&](std::uint64_t aPart) { return this->HasTrialsLeft(aNow, aPart); });
 }
 
-// A request that crashes endpoints is refused after a repeat. One that was at all its crashes
-// without being suspect may have been a bystander of an outage.
+// A request that crashes endpoints is refused after a repeat and was never answered. Others may
+// have been bystanders of an outage.
 bool CrashWatch::MayTryRequest(TimePoint aNow, std::uint64_t aFingerprint) const
 {
+  const SuspectTable& table = this->LedgerOf(SuspectKind::kRequest).table;
   return !this->IsRefused(aNow, SuspectKind::kRequest, aFingerprint) ||
-         this->LedgerOf(SuspectKind::kRequest).table.UnclearedRepeats(aNow, aFingerprint) == 0;
+         (table.UnclearedRepeats(aNow, aFingerprint) == 0 &&
+          table.WasAnsweredBefore(aNow, aFingerprint));
 }
 
 CrashWatch::PartIds CrashWatch::RefusedParts(TimePoint aNow, const PartIds& aParts) const
--- a/src/direct/crash_watch.h
+++ b/src/direct/crash_watch.h
@@ -18,6 +18,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 #include <utility>
 #include <vector>
 
@@ -39,11 +40,13 @@
   // Crashes; more than for a request, as a part in many requests is a bystander more often.
   std::uint32_t refusePartAfter = 3;
   // A refused part is not tried any more after this many crashes, unless another refused part was
-  // at all of them, or there were as many before the first trial.
+  // at all of them, or it had been answered and they all came before the first trial.
   std::uint32_t maxTriedPartCrashes = 5;
-  // Trials in vain of a part that was at maxTriedPartCrashes or more before the first one, as when
-  // all endpoints die at once; the second is for an outage that repeats.
+  // Trials in vain of such a part, as when all endpoints died at once; the second is for an outage
+  // that repeats.
   std::uint32_t maxTrialsAfterOutage = 2;
+  // Keys, of each kind, after which those answered longer ago begin to be forgotten.
+  std::size_t maxAnswered = 4096;
   Duration trialPeriod = std::chrono::seconds(2); // between trials of a part, over all entries
   Duration suspectTime = std::chrono::minutes(10);
   // Maximum time between the loss of an attempt and the detection of its endpoint's death. The
@@ -134,10 +137,17 @@
     PartIds parts;
     SentVerdicts sent;
   };
+  // What was answered completely, in two generations of limited size.
+  struct Answered
+  {
+    std::unordered_set<std::uint64_t> recent;
+    std::unordered_set<std::uint64_t> older;
+  };
   struct Ledger
   {
     SuspectTable table;
     std::unordered_map<std::uint64_t, TimePoint> observedAt; // last local one, for shareTime
+    Answered answered;
   };
 
   Ledger& LedgerOf(SuspectKind aKind) { return this->ledgers.at(static_cast<std::size_t>(aKind)); }
@@ -149,6 +159,7 @@
   void AddCrash(TimePoint aNow, const LostAttempt& aLost);
   void AddCrash(TimePoint aNow, SuspectKind aKind, std::uint64_t aKey, std::uint64_t aCrash,
                 bool aIsRepeat);
+  void KeepAnswered(SuspectKind aKind, std::uint64_t aKey);
   void Clear(TimePoint aNow, SuspectKind aKind, std::uint64_t aKey);
   void AddUpdate(TimePoint aNow, SuspectKind aKind, std::uint64_t aKey, bool aWasRefused);
   bool IsRefused(TimePoint aNow, SuspectKind aKind, std::uint64_t aKey) const;
--- a/tests/direct/crash_watch_test.cpp
+++ b/tests/direct/crash_watch_test.cpp
@@ -222,8 +222,13 @@
 // All endpoints die at once while they run requests with common parts.
 struct OutageFixture : PartFixture
 {
-  // The requests were sent before any of the deaths.
+  // The requests were sent before any of the deaths, and others like them had been answered.
   void DieAtOnce(int aEndpoints, const std::vector<std::uint64_t>& aParts)
+  {
+    this->watch.OnAnswered(this->now, 1, aParts);
+    this->DieUnanswered(aEndpoints, aParts);
+  }
+  void DieUnanswered(int aEndpoints, const std::vector<std::uint64_t>& aParts)
   {
     for (int endpoint = 0; endpoint < aEndpoints; endpoint++) {
       this->Die(aParts, SentVerdicts{});
@@ -277,8 +282,16 @@
   BOOST_TEST((this->JudgePart(kCompanion) == Verdict::kClear));
 }
 
-// The same picture, but the part does crash endpoints, at many of them at once.
-BOOST_FIXTURE_TEST_CASE(a_part_that_crashes_many_endpoints_at_once_is_tried_twice, OutageFixture)
+// Copies of it reached many endpoints before the first death was known.
+BOOST_FIXTURE_TEST_CASE(a_part_that_crashes_many_endpoints_at_once_is_not_tried, OutageFixture)
+{
+  this->DieUnanswered(5, { kBadPart });
+  BOOST_TEST(this->Trials(kBadPart) == 0);
+  BOOST_TEST((this->watch.RefusedFor(this->now, 1, { kBadPart }) > minutes(5)));
+}
+
+// It was answered before, and crashes endpoints now.
+BOOST_FIXTURE_TEST_CASE(a_part_that_turns_bad_is_tried_twice, OutageFixture)
 {
   this->DieAtOnce(9, { kBadPart });
   this->FailTrial({ kBadPart });
@@ -388,6 +401,7 @@
 // Regression: it was refused for ten minutes, as nothing but an answer clears it.
 BOOST_FIXTURE_TEST_CASE(a_request_at_all_deaths_of_an_outage_is_tried, RequestFixture)
 {
+  this->watch.OnAnswered(this->now, 7);
   for (int endpoint = 0; endpoint < 3; endpoint++) {
     this->Die(7, Verdict::kClear);
   }
@@ -403,6 +417,10 @@
   this->Die(7, Verdict::kClear);
   this->Die(7, Verdict::kExclusive);
   BOOST_TEST(this->Trials(7) == 0);
+  this->Die(9, Verdict::kClear);
+  this->Die(9, Verdict::kClear);
+  BOOST_TEST(this->Trials(9) == 0);
+  this->watch.OnAnswered(this->now, 8);
   this->Die(8, Verdict::kClear);
   this->Die(8, Verdict::kClear);
   BOOST_TEST(this->Trials(8) > 0);
@@ -411,15 +429,37 @@
   BOOST_TEST((this->watch.RefusedFor(this->now, 8) > minutes(5)));
 }
 
+// What was answered is kept in limited memory: what is answered often, longer.
+BOOST_AUTO_TEST_CASE(a_part_that_is_answered_often_is_known_as_answered)
+{
+  CrashWatchOptions limited;
+  limited.maxAnswered = 8;
+  CrashWatch small{ limited };
+  for (std::uint64_t other = 100; other < 200; other++) {
+    small.OnAnswered(this->now, 0, { 7, other });
+  }
+  for (std::uint64_t endpoint = 1; endpoint <= 3; endpoint++) {
+    small.OnAttemptLost(this->now, { endpoint, 1000 }, 0, { 7, 100 });
+    small.OnDied(this->now, { endpoint, 1000 });
+  }
+  for (const Suspicion& suspicion : small.ToShare(this->now, SuspectKind::kPromptPart)) {
+    for (const SuspectedCrash& crash : suspicion.crashes) {
+      BOOST_TEST(crash.wasAnswered == (suspicion.fingerprint == 7));
+    }
+  }
+}
+
 // Records of builds that did not mark repeats.
-BOOST_AUTO_TEST_CASE(a_crash_without_a_mark_of_repeats_is_read)
+BOOST_AUTO_TEST_CASE(a_crash_without_marks_is_read)
 {
   const auto crash = FromBytes<SuspectedCrash>(ToBytes(std::pair<std::uint64_t, bool>(7, true)));
   BOOST_REQUIRE(crash.has_value());
   BOOST_TEST((*crash == SuspectedCrash{ 7, true }));
-  for (const bool isCleared : { false, true }) {
-    const SuspectedCrash repeat{ 7, isCleared, true };
-    BOOST_TEST((FromBytes<SuspectedCrash>(ToBytes(repeat)) == repeat));
+  for (const bool first : { false, true }) {
+    for (const bool second : { false, true }) {
+      const SuspectedCrash marked{ 7, first, second, first != second };
+      BOOST_TEST((FromBytes<SuspectedCrash>(ToBytes(marked)) == marked));
+    }
   }
 }
 
--- a/tests/gateway/suspect_part_test.cpp
+++ b/tests/gateway/suspect_part_test.cpp
@@ -79,13 +79,6 @@
 // All requests share parts of their prompt, and all endpoints die at once while they run them.
 struct Outage : CrashingPart
 {
-  Outage()
-  {
-    for (const auto& endpoint : this->endpoints) {
-      endpoint->script = [](Connection&, const RequestHead&) {};
-    }
-  }
-
   std::string RequestWith(const std::vector<std::string>& aParts, const std::string& aBody)
   {
     const std::string id = "r" + std::to_string(++this->requestCount);
@@ -96,9 +89,15 @@
     return text;
   }
 
-  // Requests run at all endpoints, all of which die and start anew.
+  // Requests run at all endpoints, all of which die and start anew. Others like them had been
+  // answered.
   void DieAtOnce(const std::vector<std::string>& aParts)
   {
+    this->SendAndWait(this->RequestWith(aParts, kBody), "\"}");
+    for (const auto& endpoint : this->endpoints) {
+      endpoint->requests.clear();
+      endpoint->script = [](Connection&, const RequestHead&) {};
+    }
     std::vector<std::unique_ptr<RawTcpClient>> clients;
     const auto isBusy = [](const auto& aOne) { return !aOne->requests.empty(); };
     while (!std::all_of(this->endpoints.begin(), this->endpoints.end(), isBusy)) {
