--- a/tests/platform/move_status_test.cpp
+++ b/tests/platform/move_status_test.cpp
@@ -78,6 +78,17 @@
   BOOST_TEST(this->Written().find("completed") != std::string::npos);
 }
 
+BOOST_AUTO_TEST_CASE(the_status_of_another_version_counts_for_nothing)
+{
+  this->Write(Order(10), MoveStage::kCompleted);
+  for (const MoveOrder& other : { MoveOrder{ "pool", "v3", std::chrono::seconds(12), 10, 1 },
+                                  MoveOrder{ "pool", "v3", std::chrono::seconds(12), 10, 2 } }) {
+    BOOST_TEST(!this->Read(other).has_value());
+  }
+  this->Write({ "pool", "v3", std::chrono::seconds(12), 20, 1 }, MoveStage::kCanary);
+  BOOST_TEST(this->Written().find("running") != std::string::npos);
+}
+
 // The restored log holds the order at another place.
 BOOST_AUTO_TEST_CASE(an_outcome_of_an_earlier_era_is_read_and_rewritten)
 {
