--- a/review/common-3/standins.py
+++ b/review/common-3/standins.py
@@ -133,7 +133,7 @@
         if url.path == "/v1/log-newest":
             newest = {}
             for offset, row in enumerate(rows):
-                newest[row[1 : 1 + row[0]].decode()] = (row[1 + row[0] :], offset)
+                newest[row[1 : 1 + row[0]].decode(errors="replace")] = (row[1 + row[0] :], offset)
             items = [
                 {"key": key, "value": base64.b64encode(value).decode(), "offset": offset}
                 for key, (value, offset) in sorted(newest.items())
@@ -158,6 +158,8 @@
         self.beats = 0
         self.runs = 0
         self.state = "ready"
+        self.version_name = "v1"
+        self.writers = set()
 
     async def start(self):
         listener = socket.socket()
@@ -167,12 +169,20 @@
             listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, 1460)
         listener.bind(self.address)
         self.server = await asyncio.start_server(self.on_connection, sock=listener, limit=1 << 16)
-        self.world.spawn(self.beat())
+        self.heart = self.world.spawn(self.beat())
+
+    async def stop(self):
+        """Ends at once, without draining."""
+        self.heart.cancel()
+        self.server.close()
+        for writer in list(self.writers):
+            set_reset(writer)
+        await self.world.store.put("keyed.servers", self.name, None)
 
     async def register(self):
         self.beats += 1
         record = {
-            "service": self.service, "address": "%s:%d" % self.address, "zone": "jinju-c", "version": "v1",
+            "service": self.service, "address": "%s:%d" % self.address, "zone": "jinju-c", "version": self.version_name,
             "slots": self.slots, "state": self.state, "seq": self.beats, "born": self.born,
         }  # fmt: skip
         await self.world.store.put("keyed.servers", self.name, json.dumps(record))
@@ -187,12 +197,14 @@
         return f"{self.name}.{self.runs}"
 
     async def on_connection(self, reader, writer):
+        self.writers.add(writer)
         try:
             while (head := await read_head(reader)) is not None:
                 await self.on_request(head, reader, writer)
         except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
         finally:
+            self.writers.discard(writer)
             writer.close()
 
     async def on_request(self, head, reader, writer):
